--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Generate the code of the schema into the folder given, or in place.
+set -eu
+out="${1:-.}"
+python -m grpc_tools.protoc -I . --python_out="$out" --pyi_out="$out" yewloom/schema/*.proto
+python -m grpc_tools.protoc -I . --grpc_python_out="$out" yewloom/schema/peer.proto
--- /dev/null
+++ b/tools/reference.py
@@ -0,0 +1,63 @@
+"""Write the settings and table references in docs/ from the schema, or check them."""
+
+import sys
+from pathlib import Path
+
+from google.protobuf.descriptor import Descriptor
+
+from yewloom.schema import settings_pb2, table_pb2
+from yewloom.validation import allowed_text, is_scalar, rule_of
+
+_HEAD = "| {} | accepts | default | meaning |\n|---|---|---|---|\n"
+
+
+def _table(kind: str, message: Descriptor) -> str:
+    rows = [_HEAD.format(kind)]
+    for field in message.fields:
+        if not is_scalar(field):
+            continue
+        rule = rule_of(field)
+        default = "required" if rule.required else f"`{rule.default}`" if rule.default else "empty"
+        rows.append(f"| `{field.name}` | {allowed_text(field)} | {default} | {rule.doc} |\n")
+    return "".join(rows) if len(rows) > 1 else "This one has no cells.\n"
+
+
+def settings_reference() -> str:
+    """Return the page of all settings."""
+    parts = ["# Settings\n\nGenerated from `yewloom/schema/settings.proto` by `make docs`.\n"]
+    for section in settings_pb2.Settings.DESCRIPTOR.fields:
+        parts.append(f"\n## [{section.name}]\n\n{_table('key', section.message_type)}")
+    return "".join(parts)
+
+
+def table_reference() -> str:
+    """Return the page of all table cells."""
+    parts = [
+        "# Cells of the table\n\nGenerated from `yewloom/schema/table.proto` by `make docs`.\n"
+    ]
+    for kind in table_pb2.Row.DESCRIPTOR.oneofs_by_name["cells"].fields:
+        parts.append(f"\n## {kind.name}/NAME\n\n{_table('cell', kind.message_type)}")
+        for nested in kind.message_type.fields:
+            if nested.message_type is not None:
+                parts.append(f"\n### {nested.name}\n\n{_table('cell', nested.message_type)}")
+    return "".join(parts)
+
+
+def main() -> int:
+    """Write the pages with --write; otherwise return 1 if one is out of date."""
+    pages = {
+        Path("docs/settings.md"): settings_reference(),
+        Path("docs/table-cells.md"): table_reference(),
+    }
+    if "--write" in sys.argv:
+        for path, text in pages.items():
+            path.write_text(text, encoding="utf-8")
+        return 0
+    stale = [p for p, text in pages.items() if not p.exists() or p.read_text("utf-8") != text]
+    for path in stale:
+        print(f"{path} is out of date; run `make docs`.", file=sys.stderr)
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/yewloom/admission.py
@@ -0,0 +1,200 @@
+"""Admission: which waiting request goes next, and which is turned away at once.
+
+Start-time fair queueing shares the places among customers by weight, whatever each one sends.
+A request that can't start within the time left to it is turned away on arrival, with the time
+after which to come back; nothing is held until its deadline. Times are seconds of the caller's
+monotonic clock.
+"""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+
+from yewloom.ids import CustomerId, RequestId
+
+DEFAULT_SERVICE_S = 0.5
+"""Assumed time of one request before any has ended."""
+
+_SMOOTHING = 0.05
+_LEAST_RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that asks for a place.
+
+    ``cost`` is its share of a place, in any unit that is the same for all requests.
+    ``share`` is the customer's limit on this entry host.
+    """
+
+    request_id: RequestId
+    customer: CustomerId
+    weight: float
+    cost: float
+    deadline_s: float
+    share: int
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may start."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True)
+class Queued:
+    """The request waits for a place."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True)
+class Shed:
+    """The request is turned away; the caller should come back after ``retry_after_s``."""
+
+    request_id: RequestId
+    reason: str
+    retry_after_s: float
+
+
+Decision = Admitted | Queued | Shed
+
+
+@dataclass
+class _Customer:
+    waiting: deque[tuple[float, Arrival]] = field(default_factory=deque)
+    finish_tag: float = 0.0
+    in_flight: int = 0
+
+
+class Admission:
+    """The places of one entry host and the requests that wait for them."""
+
+    def __init__(self, places: int, max_queued: int) -> None:
+        self._places = places
+        self._max_queued = max_queued
+        self._customers: dict[CustomerId, _Customer] = {}
+        self._running: dict[RequestId, tuple[CustomerId, float]] = {}
+        self._queued = 0
+        self._virtual = 0.0
+        self._service_s = DEFAULT_SERVICE_S
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that hold a place."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return self._queued
+
+    def demand(self) -> dict[CustomerId, int]:
+        """Return what each customer holds and waits for."""
+        return {name: c.in_flight + len(c.waiting) for name, c in self._customers.items()}
+
+    def set_places(self, places: int) -> None:
+        """Change the number of places, as groups come and go."""
+        self._places = places
+
+    def offer(self, arrival: Arrival, now_s: float) -> Decision:
+        """Decide on a request as it arrives."""
+        customer = self._customers.setdefault(arrival.customer, _Customer())
+        if arrival.share <= 0 or self._places <= 0:
+            return self._shed(arrival, "no capacity is left for this customer")
+        if not customer.waiting and self._has_place(customer, arrival):
+            self._start(customer, arrival, self._tag(customer, arrival), now_s)
+            return Admitted(arrival.request_id)
+        if self._queued >= self._max_queued:
+            return self._shed(arrival, "the queue is full")
+        if now_s + self.expected_wait_s(arrival) > arrival.deadline_s:
+            return self._shed(arrival, "it can't start within the time left")
+        customer.waiting.append((self._tag(customer, arrival), arrival))
+        self._queued += 1
+        return Queued(arrival.request_id)
+
+    def release(self, request_id: RequestId, now_s: float) -> list[Decision]:
+        """Give a place back; return the decisions on those that waited."""
+        entry = self._running.pop(request_id, None)
+        if entry is not None:
+            name, started_s = entry
+            self._customers[name].in_flight -= 1
+            self._service_s += _SMOOTHING * (now_s - started_s - self._service_s)
+        return self.advance(now_s)
+
+    def withdraw(self, request_id: RequestId) -> None:
+        """Remove a waiting request whose caller has gone."""
+        for customer in self._customers.values():
+            for entry in customer.waiting:
+                if entry[1].request_id == request_id:
+                    customer.waiting.remove(entry)
+                    self._queued -= 1
+                    return
+
+    def advance(self, now_s: float) -> list[Decision]:
+        """Turn away what ran out of time, then fill free places in fair order."""
+        decisions: list[Decision] = list(self._expire(now_s))
+        heads = self._heads()
+        heapq.heapify(heads)
+        while heads and len(self._running) < self._places:
+            _, _, name = heapq.heappop(heads)
+            customer = self._customers[name]
+            tag, arrival = customer.waiting[0]
+            if not self._has_place(customer, arrival):
+                continue
+            customer.waiting.popleft()
+            self._queued -= 1
+            self._start(customer, arrival, tag, now_s)
+            decisions.append(Admitted(arrival.request_id))
+            if customer.waiting:
+                heapq.heappush(heads, (customer.waiting[0][0], arrival.weight, name))
+        return decisions
+
+    def expected_wait_s(self, arrival: Arrival) -> float:
+        """Estimate how long an arrival would wait, from its fair share of the places."""
+        customer = self._customers.setdefault(arrival.customer, _Customer())
+        busy_weight = arrival.weight + sum(
+            other.waiting[0][1].weight
+            for name, other in self._customers.items()
+            if other.waiting and name != arrival.customer
+        )
+        fair_places = max(self._places * arrival.weight / busy_weight, 1e-9)
+        places = min(fair_places, arrival.share)
+        ahead = len(customer.waiting) + 1
+        return ahead * self._service_s / places
+
+    def _tag(self, customer: _Customer, arrival: Arrival) -> float:
+        """Return the start tag of a request and move its customer's finish tag on."""
+        start = max(self._virtual, customer.finish_tag)
+        customer.finish_tag = start + arrival.cost / arrival.weight
+        return start
+
+    def _has_place(self, customer: _Customer, arrival: Arrival) -> bool:
+        return len(self._running) < self._places and customer.in_flight < arrival.share
+
+    def _start(self, customer: _Customer, arrival: Arrival, tag: float, now_s: float) -> None:
+        self._virtual = max(self._virtual, tag)
+        customer.in_flight += 1
+        self._running[arrival.request_id] = (arrival.customer, now_s)
+
+    def _heads(self) -> list[tuple[float, float, CustomerId]]:
+        return [
+            (customer.waiting[0][0], customer.waiting[0][1].weight, name)
+            for name, customer in self._customers.items()
+            if customer.waiting
+        ]
+
+    def _expire(self, now_s: float) -> list[Shed]:
+        shed = []
+        for customer in self._customers.values():
+            late = [e for e in customer.waiting if e[1].deadline_s <= now_s]
+            for entry in late:
+                customer.waiting.remove(entry)
+                self._queued -= 1
+                shed.append(self._shed(entry[1], "its time ran out in the queue"))
+        return shed
+
+    def _shed(self, arrival: Arrival, reason: str) -> Shed:
+        wait_s = self.expected_wait_s(arrival) if arrival.share > 0 else _LEAST_RETRY_AFTER_S
+        return Shed(arrival.request_id, reason, max(_LEAST_RETRY_AFTER_S, wait_s))
--- /dev/null
+++ b/yewloom/callers.py
@@ -0,0 +1,338 @@
+"""The caller interface: OpenAI-compatible HTTP for models, and a route for plain services."""
+
+import hashlib
+import hmac
+import uuid
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+from starlette.types import Send
+
+from yewloom.claims import ClaimRequest
+from yewloom.completions import (
+    END_EVENT,
+    ChunkWriter,
+    CompletionKind,
+    CompletionRequest,
+    error_event,
+    parse_completion,
+    whole_answer,
+)
+from yewloom.dispatch import Dispatcher, ModelRequest, ServiceRequest, Tokens
+from yewloom.endpoints import ServiceCall
+from yewloom.idempotency import IdempotentRunner, KeptAnswer
+from yewloom.ids import AttemptId, CustomerId, IdempotencyKey, RequestId, ServiceName
+from yewloom.node import Node
+from yewloom.problems import Problem, bad_request, unavailable
+from yewloom.schema.table_pb2 import CustomerRow, ServiceRow
+from yewloom.states import ClaimState, Outcome
+from yewloom.status import describe, metrics_text
+from yewloom.streams import parse_position
+
+MAX_KEY_CHARACTERS = 200
+
+_PASSED_HEADERS = {"content-type", "accept", "idempotency-key"}
+_SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_TRUE_WORDS = {"1", "true", "yes"}
+
+
+class CallerInterface:
+    """Turns HTTP requests into dispatched ones and their outcomes into answers."""
+
+    def __init__(
+        self,
+        node: Node,
+        dispatcher: Dispatcher,
+        runner: IdempotentRunner,
+        new_attempt: Callable[[], AttemptId],
+    ) -> None:
+        self._node = node
+        self._dispatcher = dispatcher
+        self._runner = runner
+        self._new_attempt = new_attempt
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/v1/chat/completions", self._chat, methods=["POST"]),
+            Route("/v1/completions", self._text, methods=["POST"]),
+            Route("/v1/models", self._models),
+            Route("/services/{service}/{path:path}", self._service, methods=_SERVICE_METHODS),
+            Route("/healthz", self._healthz),
+            Route("/readyz", self._readyz),
+            Route("/metrics", self._metrics),
+            Route("/status", self._status),
+        ]
+        handlers = {Problem: _answer_problem, 404: _answer_unknown_path}
+        return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
+
+    async def _chat(self, request: Request) -> Response:
+        return await self._complete(request, CompletionKind.CHAT)
+
+    async def _text(self, request: Request) -> Response:
+        return await self._complete(request, CompletionKind.TEXT)
+
+    async def _complete(self, request: Request, kind: CompletionKind) -> Response:
+        customer, row = self._customer(request)
+        completion = parse_completion(kind, await self._body(request))
+        self._check_model(completion)
+        model_request = self._model_request(request, completion, customer, row)
+        key = _idempotency_key(request, customer)
+        last_event = request.headers.get("last-event-id")
+        if last_event is not None:
+            return await self._resume(completion, model_request, last_event)
+        if completion.is_stream:
+            return await self._stream(completion, model_request, key)
+        return await self._answer_whole(completion, model_request, key)
+
+    async def _answer_whole(
+        self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
+    ) -> Response:
+        async def run() -> KeptAnswer:
+            tokens: list[str] = []
+            finish_reason = ""
+            async with aclosing(self._dispatcher.generate(request)) as stream:
+                async for part in stream:
+                    tokens += part.tokens
+                    finish_reason = part.finish_reason
+            body = whole_answer(completion, request.request_id, tokens, finish_reason)
+            return KeptAnswer(200, "application/json", body)
+
+        return await self._run_counted(request.customer, key, run)
+
+    async def _stream(
+        self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
+    ) -> Response:
+        claim = None
+        if key is not None:
+            claim = ClaimRequest(key, self._new_attempt(), self._node.id)
+            earlier = await self._runner.claim(claim)
+            if earlier is not None:
+                raise Problem(
+                    409,
+                    "Conflict",
+                    "An earlier request with this key has run; ask for its answer without stream.",
+                    Outcome.UNKNOWN,
+                )
+        stream = self._dispatcher.generate(request)
+        return await self._stream_response(completion, request, stream, claim)
+
+    async def _resume(
+        self, completion: CompletionRequest, request: ModelRequest, last_event: str
+    ) -> Response:
+        position = parse_position(last_event)
+        if position is None or not completion.is_stream:
+            raise bad_request("Last-Event-ID must be the id of an event of a stream sent here.")
+        stream = self._dispatcher.resume(request, position)
+        return await self._stream_response(completion, request, stream, None)
+
+    async def _stream_response(
+        self,
+        completion: CompletionRequest,
+        request: ModelRequest,
+        stream: AsyncGenerator[Tokens, None],
+        claim: ClaimRequest | None,
+    ) -> Response:
+        """Wait for the first tokens, so that a failure before them gets a proper status."""
+        try:
+            first = await anext(stream)
+        except Problem as problem:
+            self._count(request.customer, problem.outcome)
+            if claim is not None and problem.outcome is Outcome.NOT_RUN:
+                self._runner.finish(claim, ClaimState.RELEASED)
+            raise
+        events = self._events(completion, request, first, stream, claim)
+        return _EventStream(events, headers={"x-request-id": request.request_id})
+
+    async def _events(
+        self,
+        completion: CompletionRequest,
+        request: ModelRequest,
+        first: Tokens,
+        stream: AsyncGenerator[Tokens, None],
+        claim: ClaimRequest | None,
+    ) -> AsyncIterator[bytes]:
+        writer = ChunkWriter(completion, request.request_id)
+        try:
+            async with aclosing(stream) as rest:
+                yield _event(writer, first)
+                async for part in rest:
+                    yield _event(writer, part)
+            yield END_EVENT
+        except Problem as problem:
+            self._count(request.customer, problem.outcome)
+            yield error_event(problem.to_json())
+            return
+        self._count(request.customer, Outcome.ANSWERED)
+        if claim is not None:
+            self._runner.finish(claim, ClaimState.DONE)
+
+    async def _service(self, request: Request) -> Response:
+        customer, customer_row = self._customer(request)
+        service = ServiceName(request.path_params["service"])
+        row = self._node.table.services().get(service)
+        if row is None:
+            raise bad_request(f"The service {service!r} is not known here.", 404)
+        path = "/" + request.path_params["path"]
+        call = ServiceCall(
+            method=request.method,
+            path=path + (f"?{request.url.query}" if request.url.query else ""),
+            headers={n: v for n, v in request.headers.items() if n in _PASSED_HEADERS},
+            body=await self._body(request),
+        )
+        key = _idempotency_key(request, customer)
+        service_request = ServiceRequest(
+            request_id=_new_request_id(),
+            customer=customer,
+            customer_row=customer_row,
+            service=service,
+            call=call,
+            deadline_s=min(self._deadline_s(request), trio.current_time() + row.timeout_ms / 1000),
+            is_unsafe=key is not None or _is_marked_unsafe(request) or _is_unsafe_path(row, path),
+        )
+
+        async def run() -> KeptAnswer:
+            answer = await self._dispatcher.call_service(service_request)
+            content_type = answer.headers.get("content-type", "application/octet-stream")
+            return KeptAnswer(answer.status, content_type, answer.body)
+
+        return await self._run_counted(customer, key, run)
+
+    async def _run_counted(
+        self,
+        customer: CustomerId,
+        key: IdempotencyKey | None,
+        run: Callable[[], Awaitable[KeptAnswer]],
+    ) -> Response:
+        try:
+            answer = await (run() if key is None else self._runner.run(key, run))
+        except Problem as problem:
+            self._count(customer, problem.outcome)
+            raise
+        self._count(customer, Outcome.ANSWERED)
+        headers = {"x-outcome": Outcome.ANSWERED.value}
+        return Response(answer.body, answer.status, headers, answer.content_type)
+
+    async def _models(self, request: Request) -> Response:
+        self._customer(request)
+        names = sorted({row.model for row in self._node.table.policies().values()})
+        data = [{"id": n, "object": "model", "created": 0, "owned_by": "yewloom"} for n in names]
+        return JSONResponse({"object": "list", "data": data})
+
+    async def _healthz(self, request: Request) -> Response:
+        return JSONResponse({"status": "ok"})
+
+    async def _readyz(self, request: Request) -> Response:
+        is_ready = self._node.is_ready
+        return JSONResponse({"ready": is_ready}, status_code=200 if is_ready else 503)
+
+    async def _metrics(self, request: Request) -> Response:
+        return Response(metrics_text(self._node), media_type="text/plain; version=0.0.4")
+
+    async def _status(self, request: Request) -> Response:
+        return JSONResponse(describe(self._node, trio.current_time()))
+
+    def _customer(self, request: Request) -> tuple[CustomerId, CustomerRow]:
+        """Return the customer whose key the request carries; every row is compared."""
+        if not self._node.accepts_requests:
+            raise unavailable("This entry host is not ready or is stopping.", Outcome.NOT_RUN)
+        scheme, _, key = request.headers.get("authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        found = None
+        for name, row in self._node.table.customers().items():
+            if hmac.compare_digest(digest, row.key_digest.lower()):
+                found = (name, row)
+        if scheme.lower() != "bearer" or found is None:
+            raise bad_request("The key is missing or belongs to no customer.", 401)
+        return found
+
+    async def _body(self, request: Request) -> bytes:
+        limit = self._node.settings.requests.max_body_bytes
+        body = b""
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > limit:
+                raise bad_request(f"The body is larger than {limit} bytes.", 413)
+        return body
+
+    def _check_model(self, completion: CompletionRequest) -> None:
+        if not self._node.table.policies_for(completion.model):
+            raise bad_request(f"The model {completion.model!r} is not served here.", 404)
+
+    def _model_request(
+        self,
+        request: Request,
+        completion: CompletionRequest,
+        customer: CustomerId,
+        row: CustomerRow,
+    ) -> ModelRequest:
+        session = request.headers.get("x-session-id") or completion.user or completion.prompt[:64]
+        return ModelRequest(
+            request_id=_new_request_id(),
+            customer=customer,
+            customer_row=row,
+            model=completion.model,
+            prompt=completion.prompt,
+            max_tokens=completion.max_tokens,
+            session=f"{customer}/{session}",
+            deadline_s=self._deadline_s(request),
+            is_unsafe="idempotency-key" in request.headers or _is_marked_unsafe(request),
+        )
+
+    def _deadline_s(self, request: Request) -> float:
+        text = request.headers.get("x-timeout-ms", "")
+        default_ms = self._node.settings.requests.timeout_ms
+        if text and not (text.isdecimal() and 0 < int(text) <= default_ms):
+            raise bad_request(f"X-Timeout-Ms must be a whole number from 1 to {default_ms}.")
+        return trio.current_time() + (int(text) if text else default_ms) / 1000
+
+    def _count(self, customer: CustomerId, outcome: Outcome) -> None:
+        self._node.metrics.requests.labels(customer, outcome.value).inc()
+
+
+class _EventStream(StreamingResponse):
+    """A stream whose source is closed as soon as the caller has gone."""
+
+    media_type = "text/event-stream"
+
+    async def stream_response(self, send: Send) -> None:
+        async with aclosing(self.body_iterator):  # type: ignore[type-var]
+            await super().stream_response(send)
+
+
+def _event(writer: ChunkWriter, part: Tokens) -> bytes:
+    return writer.event(str(part.position), "".join(part.tokens), part.finish_reason)
+
+
+def _new_request_id() -> RequestId:
+    return RequestId(uuid.uuid4().hex)
+
+
+def _idempotency_key(request: Request, customer: CustomerId) -> IdempotencyKey | None:
+    key = request.headers.get("idempotency-key")
+    if key is None:
+        return None
+    if not key or len(key) > MAX_KEY_CHARACTERS:
+        raise bad_request(f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} characters.")
+    return IdempotencyKey(f"{customer}/{key}")
+
+
+def _is_marked_unsafe(request: Request) -> bool:
+    return request.headers.get("x-unsafe", "").lower() in _TRUE_WORDS
+
+
+def _is_unsafe_path(row: ServiceRow, path: str) -> bool:
+    return any(path.startswith(prefix) for prefix in row.unsafe_paths.split())
+
+
+async def _answer_problem(request: Request, problem: Problem) -> Response:
+    return problem.to_response()
+
+
+async def _answer_unknown_path(request: Request, error: Exception) -> Response:
+    return bad_request(f"There is nothing at {request.url.path}.", 404).to_response()
--- /dev/null
+++ b/yewloom/coordinators.py
@@ -0,0 +1,260 @@
+"""The coordinator of a data centre: holds the lease, writes the placement, gives orders.
+
+Every entry host runs this; it acts only while it holds the lease. All that it does is safe when
+two do it at once: the placement changes by conditional update, and orders carry fences or, for
+engines that check none, go out only within the lease less its margin.
+"""
+
+from collections.abc import Callable
+
+import structlog
+import trio
+from google.protobuf import json_format
+from result import Err, Ok
+
+from yewloom import exchange
+from yewloom.endpoints import Endpoints
+from yewloom.ids import AttemptId, EntryHostId, HostId
+from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
+from yewloom.node import Node
+from yewloom.observers import Observer
+from yewloom.orders import DueOrder, due_orders
+from yewloom.placement import FleetState, PlacementTiming, Plan, Planner
+from yewloom.platforms import Platform, StoredObject
+from yewloom.schema.records_pb2 import GroupMember, Host, Lease, Placement
+from yewloom.watchers import PLACEMENT_PREFIX, parse_placement, take_in_object
+from yewloom.writes import WriteConflict, write_settled
+
+logger = structlog.get_logger(__name__)
+
+LEASE_PREFIX = "leases/"
+
+
+class Coordinator:
+    """Coordinates the groups of one data centre while its lease holds."""
+
+    def __init__(
+        self,
+        node: Node,
+        platform: Platform,
+        endpoints: Endpoints,
+        observer: Observer,
+        new_attempt: Callable[[], AttemptId],
+    ) -> None:
+        self._node = node
+        self._platform = platform
+        self._endpoints = endpoints
+        self._observer = observer
+        self._new_attempt = new_attempt
+        self._writer = EntryHostId(f"{node.id}/{node.membership.me.incarnation}")
+        self._lease = LeaseKeeper(self._writer, _lease_timing(node))
+        self._planner = Planner(self._writer, _placement_timing(node))
+        self._listed: dict[HostId, Host] | None = None
+        self._version = 0
+        self._is_current = False
+        self._was_holding = False
+
+    @property
+    def is_holding(self) -> bool:
+        """Tell whether this entry host may coordinate now."""
+        return self._lease.holds(trio.current_time())
+
+    async def run(self) -> None:
+        """Keep the lease and coordinate until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_lease)
+            nursery.start_soon(self._coordinate)
+
+    def release(self) -> None:
+        """Stop coordinating, before a planned stop."""
+        self._lease.release()
+
+    async def _keep_lease(self) -> None:
+        step_s = self._node.settings.lease.renew_interval_ms / 4000
+        while True:
+            if not self._node.is_leaving:
+                await self._step_lease()
+            self._tell_change()
+            await trio.sleep(step_s)
+
+    async def _step_lease(self) -> None:
+        key = f"{LEASE_PREFIX}{self._node.data_centre}"
+        sent_s = trio.current_time()
+        match self._lease.next_action(sent_s, self._new_attempt()):
+            case ReadLease():
+                match await self._platform.get(key):
+                    case Ok(stored):
+                        self._take_in_lease(stored)
+            case WriteLease(record, version):
+                await self._write_lease(key, record, version, sent_s)
+
+    async def _write_lease(self, key: str, record: Lease, version: int, sent_s: float) -> None:
+        written = await write_settled(
+            self._platform,
+            key,
+            record,
+            version,
+            lambda stored: _parse_lease(stored).attempt_id == record.attempt_id,
+            self._node.settings.lease.renew_interval_ms / 1000,
+        )
+        match written:
+            case Ok(stored):
+                self._lease.on_written(record, stored.version, sent_s, trio.current_time())
+            case Err(WriteConflict()):
+                self._lease.on_conflict()
+
+    def _take_in_lease(self, stored: StoredObject | None) -> None:
+        record = _parse_lease(stored) if stored is not None else None
+        version = stored.version if stored is not None else 0
+        self._lease.on_read(record, version, trio.current_time())
+
+    def _tell_change(self) -> None:
+        holds = self.is_holding
+        self._node.metrics.is_coordinator.set(holds)
+        if holds != self._was_holding:
+            self._was_holding = holds
+            self._is_current = False
+            logger.info("lease changed", is_holding=holds, term=self._lease.term)
+
+    async def _coordinate(self) -> None:
+        interval_s = self._node.settings.groups.probe_interval_ms / 1000
+        while True:
+            if self.is_holding:
+                await self._round()
+            await trio.sleep(interval_s)
+
+    async def _round(self) -> None:
+        """Look at the fleet, change the placement where needed, and give due orders."""
+        if not self._is_current and not await self._read_placement():
+            return
+        await self._read_hosts()
+        await self._observer.probe_members(self._unobserved())
+        plan = self._plan()
+        if plan.placement is not None and self.is_holding:
+            await self._write_placement(plan)
+        if self.is_holding:
+            await self._give_orders()
+
+    async def _read_placement(self) -> bool:
+        """Read the record itself: what exchange brought may be behind it."""
+        match await self._platform.get(self._key):
+            case Ok(stored):
+                self._version = stored.version if stored is not None else 0
+                if stored is not None:
+                    take_in_object(self._node, stored)
+                self._is_current = True
+                return True
+            case Err(error):
+                logger.warning("placement not read", reason=str(error))
+        return False
+
+    async def _read_hosts(self) -> None:
+        match await self._platform.hosts(self._node.data_centre):
+            case Ok(hosts):
+                self._listed = {HostId(host.id): host for host in hosts}
+            case Err(error):
+                logger.warning("host list not read", reason=str(error))
+
+    def _unobserved(self) -> list[GroupMember]:
+        """Return the engines in no group, and the members of groups that do not serve."""
+        placement, now_s = self._placement, trio.current_time()
+        members = [
+            m for g in placement.groups if not self._node.fleet.is_open(g, now_s) for m in g.members
+        ]
+        taken = {member.host_id for group in placement.groups for member in group.members}
+        listed = (self._listed or {}).values()
+        free = [h for h in listed if not h.service and h.id not in taken]
+        return members + [GroupMember(host_id=host.id, address=host.address) for host in free]
+
+    def _plan(self) -> Plan:
+        state = FleetState(
+            listed=self._listed,
+            hosts=self._node.fleet.hosts,
+            groups=self._node.fleet.group_observations,
+            policies=self._node.table.policies(),
+        )
+        return self._planner.plan(self._placement, state, trio.current_time(), self._new_attempt())
+
+    async def _write_placement(self, plan: Plan) -> None:
+        placement = plan.placement
+        assert placement is not None
+        written = await write_settled(
+            self._platform,
+            self._key,
+            placement,
+            self._version,
+            lambda stored: parse_placement(stored).attempt_id == placement.attempt_id,
+            self._node.settings.platform.timeout_ms / 1000,
+        )
+        match written:
+            case Ok(stored):
+                self._version = stored.version
+                exchange.apply_placements(self._node, [placement])
+                self._log_plan(plan)
+            case Err(error):
+                self._is_current = False
+                logger.warning("placement not written", reason=str(error))
+
+    def _log_plan(self, plan: Plan) -> None:
+        for decision in plan.decisions:
+            logger.info(
+                "placed",
+                change=decision.change.value,
+                group=decision.group_id,
+                generation=decision.generation,
+                hosts=decision.hosts,
+                reason=decision.reason,
+            )
+
+    async def _give_orders(self) -> None:
+        due = due_orders(
+            self._placement,
+            self._node.fleet.group_observations,
+            self._node.fleet.hosts,
+            self._listed or {},
+            self._node.settings.groups.max_loading,
+        )
+        async with trio.open_nursery() as nursery:
+            for entry in due:
+                nursery.start_soon(self._give_order, entry)
+
+    async def _give_order(self, entry: DueOrder) -> None:
+        """Send one order; to an engine that checks no fence only while the lease holds."""
+        if not entry.checks_fences and not self.is_holding:
+            return
+        timeout_s = self._node.settings.lease.margin_ms / 1000
+        result = await self._endpoints.order(entry.address, entry.order, timeout_s)
+        logger.info(
+            "ordered",
+            host=entry.host_id,
+            group=entry.order.group_id,
+            generation=entry.order.generation,
+            rank=entry.order.rank,
+            reason=result.err() or "accepted",
+        )
+
+    @property
+    def _key(self) -> str:
+        return f"{PLACEMENT_PREFIX}{self._node.data_centre}"
+
+    @property
+    def _placement(self) -> Placement:
+        return self._node.fleet.placement(self._node.data_centre)
+
+
+def _parse_lease(stored: StoredObject) -> Lease:
+    return json_format.Parse(stored.value, Lease(), ignore_unknown_fields=True)
+
+
+def _lease_timing(node: Node) -> LeaseTiming:
+    lease = node.settings.lease
+    return LeaseTiming(
+        lease.duration_ms / 1000, lease.renew_interval_ms / 1000, lease.margin_ms / 1000
+    )
+
+
+def _placement_timing(node: Node) -> PlacementTiming:
+    groups = node.settings.groups
+    return PlacementTiming(
+        groups.freshness_ms / 1000, groups.load_timeout_ms / 1000, groups.settle_ms / 1000
+    )
--- /dev/null
+++ b/yewloom/exchange.py
@@ -0,0 +1,90 @@
+"""Exchange between entry hosts: what one asks, what the other answers, and what is taken in.
+
+Exchange is by asking only. The one that asks counts the age of what it is told from before it
+asked, so a slow or paused peer can make knowledge look older, never fresher.
+"""
+
+from collections.abc import Iterable
+
+import structlog
+
+from yewloom.ids import DataCentreId
+from yewloom.node import Node
+from yewloom.placement import PlacementError
+from yewloom.schema.peer_pb2 import (
+    ExchangeRequest,
+    ExchangeResponse,
+    FetchRowsRequest,
+    FetchRowsResponse,
+)
+from yewloom.schema.records_pb2 import Placement
+from yewloom.schema.table_pb2 import VersionedRow
+
+logger = structlog.get_logger(__name__)
+
+
+def ask(node: Node) -> ExchangeRequest:
+    """Return the question for a peer."""
+    return ExchangeRequest(
+        sender=node.membership.me,
+        table_digest=node.table.digest,
+        placements=node.fleet.placement_versions(),
+    )
+
+
+def answer(node: Node, request: ExchangeRequest, now_s: float) -> ExchangeResponse:
+    """Return what a peer that asks should know."""
+    node.membership.merge([request.sender], now_s)
+    return ExchangeResponse(
+        responder=node.membership.me,
+        members=node.membership.alive(now_s),
+        table_digest=node.table.digest,
+        placements=node.fleet.newer_placements(request.placements),
+        groups=node.fleet.group_reports(now_s),
+        services=node.fleet.service_reports(now_s),
+    )
+
+
+def take_in(node: Node, response: ExchangeResponse, asked_s: float, now_s: float) -> bool:
+    """Take in a peer's answer; tell whether its table differs from the own one."""
+    node.membership.merge([*response.members, response.responder], now_s)
+    apply_placements(node, response.placements)
+    node.fleet.merge_groups(response.groups, asked_s)
+    node.fleet.merge_services(response.services, asked_s)
+    return response.table_digest != node.table.digest
+
+
+def ask_rows(node: Node) -> FetchRowsRequest:
+    """Return the question for the rows that are newer at a peer."""
+    return FetchRowsRequest(known=node.table.versions())
+
+
+def answer_rows(node: Node, request: FetchRowsRequest) -> FetchRowsResponse:
+    """Return the rows that a peer lacks."""
+    return FetchRowsResponse(rows=node.table.newer_than(request.known))
+
+
+def apply_rows(node: Node, rows: Iterable[VersionedRow], source: str) -> None:
+    """Put newer rows in force; older ones are passed over."""
+    for row in rows:
+        if node.table.apply(row):
+            node.has_table = True
+            logger.info("row in force", row=row.name, version=row.version, source=source)
+
+
+def apply_placements(node: Node, placements: Iterable[Placement]) -> None:
+    """Take in newer placements; older ones are passed over."""
+    for placement in placements:
+        try:
+            is_newer = node.fleet.apply_placement(placement)
+        except PlacementError as error:
+            logger.error("placement refused", reason=str(error), data_centre=placement.data_centre)
+            continue
+        if is_newer:
+            logger.info(
+                "placement in force",
+                data_centre=DataCentreId(placement.data_centre),
+                generation=placement.generation,
+                groups=len(placement.groups),
+            )
+    node.prefixes.keep_only(node.fleet.group_ids())
--- /dev/null
+++ b/yewloom/fleet.py
@@ -0,0 +1,237 @@
+"""What one entry host knows of the whole fleet: placements, endpoints and groups.
+
+Joins own probes with what peers report. Times are seconds of the own monotonic clock; a peer's
+report of an age is counted from before the peer was asked, so its age is never understated.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from yewloom.groups import (
+    GroupObservation,
+    HostObservation,
+    is_open,
+    merge_observations,
+    observe_group,
+)
+from yewloom.ids import DataCentreId, GroupId, HostId
+from yewloom.placement import check_placement
+from yewloom.schema.peer_pb2 import GroupReport, PlacementVersion, ServiceReport
+from yewloom.schema.records_pb2 import Group, HostReport, Placement, ServiceEndpoint
+
+
+class Fleet:
+    """Placements of all data centres and the newest observations of their endpoints."""
+
+    def __init__(self, freshness_s: float, give_up_s: float) -> None:
+        self._freshness_s = freshness_s
+        self._give_up_s = give_up_s
+        self._placements: dict[DataCentreId, Placement] = {}
+        self._hosts: dict[HostId, HostObservation] = {}
+        self._groups: dict[GroupId, GroupObservation] = {}
+        self._services: dict[HostId, HostObservation] = {}
+        self._suspected_s: dict[GroupId, float] = {}
+
+    @property
+    def hosts(self) -> dict[HostId, HostObservation]:
+        """Observations from own probes of model engines."""
+        return self._hosts
+
+    @property
+    def group_observations(self) -> dict[GroupId, GroupObservation]:
+        """The newest observation of each group."""
+        return self._groups
+
+    def apply_placement(self, placement: Placement) -> bool:
+        """Take in a placement if it is newer; tell whether it was.
+
+        Raises PlacementError if it breaks a rule that must always hold.
+        """
+        data_centre = DataCentreId(placement.data_centre)
+        current = self._placements.get(data_centre)
+        if current is not None and current.generation >= placement.generation:
+            return False
+        check_placement(placement)
+        self._placements[data_centre] = placement
+        self._forget_groups()
+        return True
+
+    def placement(self, data_centre: DataCentreId) -> Placement:
+        """Return the placement of a data centre; an empty one if none is known."""
+        return self._placements.get(data_centre, Placement(data_centre=data_centre))
+
+    def placement_versions(self) -> list[PlacementVersion]:
+        """Return the generation known for each data centre."""
+        return [
+            PlacementVersion(data_centre=name, generation=placement.generation)
+            for name, placement in self._placements.items()
+        ]
+
+    def newer_placements(self, known: Iterable[PlacementVersion]) -> list[Placement]:
+        """Return the placements that someone with the ``known`` generations lacks."""
+        generations = {entry.data_centre: entry.generation for entry in known}
+        return [
+            placement
+            for name, placement in self._placements.items()
+            if placement.generation > generations.get(name, 0)
+        ]
+
+    def groups(self) -> Iterator[tuple[DataCentreId, Group]]:
+        """Yield all groups that have members, with their data centre."""
+        for data_centre, placement in self._placements.items():
+            for group in placement.groups:
+                if group.members:
+                    yield data_centre, group
+
+    def group_ids(self) -> set[GroupId]:
+        """Return the ids of all groups that have members."""
+        return {GroupId(group.id) for _, group in self.groups()}
+
+    def group(self, group_id: GroupId) -> Group | None:
+        """Return a group by its id."""
+        return next((group for _, group in self.groups() if group.id == group_id), None)
+
+    def is_open(self, group: Group, now_s: float) -> bool:
+        """Tell whether a group may take new work."""
+        observation = self._groups.get(GroupId(group.id))
+        if not is_open(group, observation, now_s, self._freshness_s):
+            return False
+        suspected_s = self._suspected_s.get(GroupId(group.id))
+        return suspected_s is None or self._groups[GroupId(group.id)].observed_s > suspected_s
+
+    def open_groups(self, now_s: float) -> list[tuple[DataCentreId, Group, GroupObservation]]:
+        """Return the groups that may take new work, with their observations."""
+        return [
+            (data_centre, group, self._groups[GroupId(group.id)])
+            for data_centre, group in self.groups()
+            if self.is_open(group, now_s)
+        ]
+
+    def open_services(
+        self, service: str, now_s: float
+    ) -> list[tuple[DataCentreId, ServiceEndpoint]]:
+        """Return the endpoints of a plain service that may take new work."""
+        return [
+            (data_centre, endpoint)
+            for data_centre, placement in self._placements.items()
+            for endpoint in placement.services
+            if endpoint.service == service and self._is_service_open(endpoint, now_s)
+        ]
+
+    def on_host_answered(self, host_id: HostId, report: HostReport, asked_s: float) -> None:
+        """Take in a model engine's answer to an own probe."""
+        known = self._hosts.get(host_id, HostObservation())
+        if asked_s >= known.asked_s:
+            self._hosts[host_id] = known.answered(report, asked_s)
+
+    def on_host_failed(self, host_id: HostId, asked_s: float) -> None:
+        """Take in that an own probe of a model engine failed."""
+        self._hosts[host_id] = self._hosts.get(host_id, HostObservation()).failed(asked_s)
+
+    def on_service_answered(self, host_id: HostId, report: HostReport, asked_s: float) -> None:
+        """Take in a plain service's answer to an own probe."""
+        known = self._services.get(host_id, HostObservation())
+        if asked_s >= known.asked_s:
+            self._services[host_id] = known.answered(report, asked_s)
+
+    def on_service_failed(self, host_id: HostId, asked_s: float) -> None:
+        """Take in that an own probe of a plain service failed."""
+        self._services[host_id] = self._services.get(host_id, HostObservation()).failed(asked_s)
+
+    def sum_up(self, group: Group, now_s: float) -> None:
+        """Sum up own probes of a group that this entry host observes."""
+        self._merge(observe_group(group, self._hosts, now_s, self._give_up_s))
+
+    def on_call_failed(self, group_id: GroupId, now_s: float) -> None:
+        """Close a group after a failed call, until all members are seen again after it."""
+        self._suspected_s[group_id] = now_s
+
+    def merge_groups(self, reports: Iterable[GroupReport], asked_s: float) -> None:
+        """Take in a peer's group reports; ``asked_s`` is from before it was asked."""
+        for report in reports:
+            if self.group(GroupId(report.group_id)) is not None:
+                self._merge(_observation_from(report, asked_s))
+
+    def merge_services(self, reports: Iterable[ServiceReport], asked_s: float) -> None:
+        """Take in a peer's reports of plain services."""
+        for report in reports:
+            seen = HostReport(host_id=report.host_id, leaving=report.leaving)
+            self.on_service_answered(HostId(report.host_id), seen, asked_s - report.age_ms / 1000)
+
+    def group_reports(self, now_s: float) -> list[GroupReport]:
+        """Return the reports that peers are told, with ages instead of times."""
+        return [
+            _report_from(observation, now_s)
+            for observation in self._groups.values()
+            if observation.observed_s > float("-inf") or observation.failed
+        ]
+
+    def service_reports(self, now_s: float) -> list[ServiceReport]:
+        """Return the reports of plain services that peers are told."""
+        return [
+            ServiceReport(
+                host_id=host_id, age_ms=_age_ms(known.asked_s, now_s), leaving=_leaving(known)
+            )
+            for host_id, known in self._services.items()
+            if known.report is not None
+        ]
+
+    def _is_service_open(self, endpoint: ServiceEndpoint, now_s: float) -> bool:
+        known = self._services.get(HostId(endpoint.host_id))
+        if endpoint.leaving or known is None or _leaving(known):
+            return False
+        return known.is_fresh(now_s, self._freshness_s)
+
+    def _merge(self, observation: GroupObservation) -> None:
+        current = self._groups.get(observation.group_id)
+        merged = observation if current is None else merge_observations(observation, current)
+        self._groups[observation.group_id] = merged
+
+    def _forget_groups(self) -> None:
+        present = self.group_ids()
+        for known in (self._groups, self._suspected_s):
+            for group_id in known.keys() - present:
+                del known[group_id]
+
+
+def _leaving(known: HostObservation) -> bool:
+    return known.report is not None and known.report.leaving
+
+
+def _age_ms(observed_s: float, now_s: float) -> int:
+    """Return an age rounded up, so that it is never understated."""
+    return int((now_s - observed_s) * 1000) + 1
+
+
+def _report_from(observation: GroupObservation, now_s: float) -> GroupReport:
+    seen = observation.observed_s > float("-inf")
+    return GroupReport(
+        group_id=observation.group_id,
+        generation=observation.generation,
+        age_ms=_age_ms(observation.observed_s, now_s) if seen else -1,
+        ready=observation.ready,
+        failed=observation.failed,
+        leaving=observation.leaving,
+        running=observation.running,
+        waiting=observation.waiting,
+        capacity=observation.capacity,
+        missing=observation.missing,
+        mismatched=observation.mismatched,
+        was_ready=observation.was_ready,
+    )
+
+
+def _observation_from(report: GroupReport, asked_s: float) -> GroupObservation:
+    return GroupObservation(
+        group_id=GroupId(report.group_id),
+        generation=report.generation,
+        observed_s=asked_s - report.age_ms / 1000 if report.age_ms >= 0 else float("-inf"),
+        ready=report.ready,
+        failed=report.failed,
+        leaving=report.leaving,
+        running=report.running,
+        waiting=report.waiting,
+        capacity=report.capacity,
+        missing=tuple(HostId(host) for host in report.missing),
+        mismatched=tuple(HostId(host) for host in report.mismatched),
+        was_ready=report.was_ready,
+    )
--- /dev/null
+++ b/yewloom/idempotency.py
@@ -0,0 +1,92 @@
+"""Runs unsafe requests at most once, by a claim on the idempotency key before the first byte."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from yewloom.claim_writer import ClaimWriter
+from yewloom.claims import ClaimAnswer, ClaimRequest, ClaimResult, Verdict
+from yewloom.ids import AttemptId, EntryHostId, IdempotencyKey
+from yewloom.problems import Problem, overloaded, unavailable
+from yewloom.schema.records_pb2 import Claim
+from yewloom.states import ClaimState, Outcome
+
+
+@dataclass(frozen=True)
+class KeptAnswer:
+    """A whole answer that can be given again."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class IdempotentRunner:
+    """Runs each idempotency key at most once in the fleet."""
+
+    def __init__(
+        self, claims: ClaimWriter, holder: EntryHostId, new_attempt: Callable[[], AttemptId]
+    ) -> None:
+        self._claims = claims
+        self._holder = holder
+        self._new_attempt = new_attempt
+
+    async def run(
+        self, key: IdempotencyKey, run: Callable[[], Awaitable[KeptAnswer]]
+    ) -> KeptAnswer:
+        """Run a request or return the answer of its earlier run; raises Problem."""
+        claim = ClaimRequest(key, self._new_attempt(), self._holder)
+        earlier = await self.claim(claim)
+        if earlier is not None:
+            return earlier
+        try:
+            answer = await run()
+        except Problem as problem:
+            if problem.outcome is Outcome.NOT_RUN:
+                self.finish(claim, ClaimState.RELEASED)
+            raise
+        self.finish(claim, ClaimState.DONE, answer)
+        return answer
+
+    async def claim(self, claim: ClaimRequest) -> KeptAnswer | None:
+        """Claim a key; return the kept answer if it has run. Raises Problem if it must not run."""
+        match await self._claims.claim(claim):
+            case Ok(answer):
+                return _check_verdict(answer)
+            case Err(error):
+                raise unavailable(
+                    f"The platform can't record the idempotency key now ({error.detail}), so the "
+                    "request was not run.",
+                    Outcome.NOT_RUN,
+                )
+
+    def finish(
+        self, claim: ClaimRequest, state: ClaimState, answer: KeptAnswer | None = None
+    ) -> None:
+        """Record what became of a claimed request."""
+        result = ClaimResult(claim.key, claim.attempt, state)
+        if answer is not None:
+            result = ClaimResult(
+                claim.key, claim.attempt, state, answer.status, answer.content_type, answer.body
+            )
+        self._claims.store(result)
+
+
+def _check_verdict(answer: ClaimAnswer) -> KeptAnswer | None:
+    if answer.verdict is Verdict.RUN:
+        return None
+    if answer.verdict is Verdict.FULL:
+        raise overloaded("The record of idempotency keys is full.", 5.0)
+    assert answer.earlier is not None
+    if answer.verdict is Verdict.ANSWERED:
+        return KeptAnswer(answer.earlier.status, answer.earlier.content_type, answer.earlier.body)
+    raise _taken(answer.earlier)
+
+
+def _taken(earlier: Claim) -> Problem:
+    if earlier.state == ClaimState.DONE.value:
+        detail = "An earlier request with this key has run; its answer was not kept."
+    else:
+        detail = "An earlier request with this key is running, or was cut off while it ran."
+    return Problem(409, "Conflict", detail, Outcome.UNKNOWN, 1.0)
--- /dev/null
+++ b/yewloom/platforms.py
@@ -0,0 +1,208 @@
+"""The platform's object API: the only place where anything is agreed or kept.
+
+``Platform`` is what the rest of the system sees; ``HttpPlatform`` speaks the HTTP form described
+in docs/platform-api.md. Values are JSON objects.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol, TypeVar
+from urllib.parse import quote, urlencode
+
+from google.protobuf import json_format
+from result import Err, Ok, Result
+
+from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
+from yewloom.ids import DataCentreId
+from yewloom.schema.records_pb2 import Host, HostList
+
+_WATCH_SLACK_S = 2.0
+
+T = TypeVar("T")
+
+
+class PlatformFailure(Enum):
+    """What is known after a platform call that gave no answer."""
+
+    CONFLICT = "conflict"
+    NOT_APPLIED = "not_applied"
+    AMBIGUOUS = "ambiguous"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True)
+class PlatformError:
+    """A failed platform call."""
+
+    failure: PlatformFailure
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.failure.value}: {self.detail}"
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """A key, its value as JSON text, and its version, which rises with each write from 1."""
+
+    key: str
+    version: int
+    value: str
+
+
+@dataclass(frozen=True)
+class Listing:
+    """Objects, and the point in the platform's history from which a watch goes on."""
+
+    objects: Sequence[StoredObject]
+    position: int
+
+
+class Platform(Protocol):
+    """The calls that the system makes to the platform."""
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        """Read one object; None if there is none."""
+        ...
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Write an object if its version is the expected one (0: absent); return the new one."""
+        ...
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Read all objects below a prefix."""
+        ...
+
+    async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
+        """Wait for writes below a prefix after a position; the answer may be empty."""
+        ...
+
+    async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
+        """Read the lagging list of a data centre's hosts."""
+        ...
+
+
+class HttpPlatform:
+    """The platform over HTTP. ``calls`` counts what was sent, by kind."""
+
+    def __init__(
+        self, caller: HttpCaller, url: str, timeout_s: float, watch_timeout_s: float
+    ) -> None:
+        self._caller = caller
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._watch_timeout_s = watch_timeout_s
+        self.calls: Counter[str] = Counter()
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        """Read one object; None if there is none."""
+        match await self._call("get", "GET", f"/v1/objects/{quote(key)}"):
+            case Ok(HttpAnswer(status=404)):
+                return Ok(None)
+            case Ok(answer):
+                return _decode(answer, _stored_object)
+            case Err(error):
+                return Err(error)
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Write an object if its version is the expected one (0: absent); return the new one."""
+        condition = (
+            {"if-match": f'"{expected_version}"'} if expected_version else {"if-none-match": "*"}
+        )
+        path = f"/v1/objects/{quote(key)}"
+        match await self._call("update", "PUT", path, value.encode(), condition):
+            case Ok(answer):
+                return _decode(answer, lambda fields: int(fields["version"]))
+            case Err(error):
+                return Err(error)
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Read all objects below a prefix."""
+        match await self._call("list", "GET", f"/v1/objects?{urlencode({'prefix': prefix})}"):
+            case Ok(answer):
+                return _decode(answer, _listing)
+            case Err(error):
+                return Err(error)
+
+    async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
+        """Wait for writes below a prefix after a position; the answer may be empty."""
+        query = urlencode(
+            {
+                "prefix": prefix,
+                "position": position,
+                "timeout_ms": round(self._watch_timeout_s * 1000),
+            }
+        )
+        timeout_s = self._watch_timeout_s + _WATCH_SLACK_S
+        match await self._call("watch", "GET", f"/v1/watch?{query}", timeout_s=timeout_s):
+            case Ok(answer):
+                return _decode(answer, _listing)
+            case Err(error):
+                return Err(error)
+
+    async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
+        """Read the lagging list of a data centre's hosts."""
+        path = f"/v1/hosts?{urlencode({'data_centre': data_centre})}"
+        match await self._call("hosts", "GET", path):
+            case Ok(answer):
+                return _decode(
+                    answer,
+                    lambda fields: list(
+                        json_format.ParseDict(fields, HostList(), ignore_unknown_fields=True).hosts
+                    ),
+                )
+            case Err(error):
+                return Err(error)
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> Result[HttpAnswer, PlatformError]:
+        self.calls[kind] += 1
+        try:
+            answer = await self._caller.call(
+                method, self._url + path, timeout_s or self._timeout_s, body, headers
+            )
+        except HttpCallError as error:
+            sent = error.failure is not HttpFailure.NOT_SENT
+            failure = PlatformFailure.AMBIGUOUS if sent else PlatformFailure.NOT_APPLIED
+            return Err(PlatformError(failure, str(error)))
+        return _check_status(answer)
+
+
+def _check_status(answer: HttpAnswer) -> Result[HttpAnswer, PlatformError]:
+    if answer.status in (200, 201, 404):
+        return Ok(answer)
+    if answer.status in (409, 412):
+        return Err(PlatformError(PlatformFailure.CONFLICT, "the object has another version"))
+    if answer.status in (429, 503):
+        return Err(PlatformError(PlatformFailure.NOT_APPLIED, f"status {answer.status}"))
+    failure = PlatformFailure.AMBIGUOUS if answer.status >= 500 else PlatformFailure.INVALID
+    return Err(PlatformError(failure, f"status {answer.status}"))
+
+
+def _decode(answer: HttpAnswer, build: Callable[[Any], T]) -> Result[T, PlatformError]:
+    try:
+        return Ok(build(answer.json()))
+    except (ValueError, KeyError, TypeError, json_format.ParseError) as error:
+        return Err(PlatformError(PlatformFailure.AMBIGUOUS, f"unreadable answer: {error}"))
+
+
+def _stored_object(fields: Any) -> StoredObject:
+    return StoredObject(fields["key"], int(fields["version"]), json.dumps(fields["value"]))
+
+
+def _listing(fields: Any) -> Listing:
+    return Listing([_stored_object(item) for item in fields["items"]], int(fields["position"]))
--- /dev/null
+++ b/yewloom/problems.py
@@ -0,0 +1,64 @@
+"""Problem documents (RFC 9457) that tell a caller what became of its request."""
+
+import json
+import math
+from dataclasses import dataclass
+
+from starlette.responses import Response
+
+from yewloom.states import Outcome
+
+_MEDIA_TYPE = "application/problem+json"
+
+
+@dataclass
+class Problem(Exception):  # noqa: N818 - the term of RFC 9457
+    """A request's final answer when it is not the one asked for.
+
+    ``detail`` is one sentence; ``retry_after_s`` says when to come back, where that may help.
+    """
+
+    status: int
+    title: str
+    detail: str
+    outcome: Outcome
+    retry_after_s: float | None = None
+
+    def __str__(self) -> str:
+        return f"{self.status} {self.title}: {self.detail}"
+
+    def to_json(self) -> str:
+        """Return the problem document."""
+        fields: dict[str, object] = {
+            "type": "about:blank",
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "outcome": self.outcome.value,
+        }
+        if self.retry_after_s is not None:
+            fields["retry_after_ms"] = math.ceil(self.retry_after_s * 1000)
+        return json.dumps(fields)
+
+    def to_response(self) -> Response:
+        """Return the problem as an HTTP response."""
+        headers = {"x-outcome": self.outcome.value}
+        if self.retry_after_s is not None:
+            headers["retry-after"] = str(math.ceil(self.retry_after_s))
+        return Response(self.to_json(), self.status, headers, media_type=_MEDIA_TYPE)
+
+
+def bad_request(detail: str, status: int = 400) -> Problem:
+    """Return the problem of a request that can't be understood; nothing has run."""
+    titles = {401: "Unauthorized", 404: "Not Found", 413: "Content Too Large"}
+    return Problem(status, titles.get(status, "Bad Request"), detail, Outcome.NOT_RUN)
+
+
+def unavailable(detail: str, outcome: Outcome, retry_after_s: float = 1.0) -> Problem:
+    """Return the problem of a request that was given up for now."""
+    return Problem(503, "Service Unavailable", detail, outcome, retry_after_s)
+
+
+def overloaded(detail: str, retry_after_s: float) -> Problem:
+    """Return the problem of a request that was turned away before it ran."""
+    return Problem(429, "Too Many Requests", detail, Outcome.NOT_RUN, retry_after_s)
--- /dev/null
+++ b/yewloom/settings.py
@@ -0,0 +1,110 @@
+"""Settings of an entry host: reads the INI file, applies defaults and checks bounds.
+
+Source of keys, units, bounds and defaults: ``schema/settings.proto``.
+"""
+
+import configparser
+from dataclasses import dataclass
+from pathlib import Path
+
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from yewloom.schema.settings_pb2 import Settings
+from yewloom.validation import allowed_text, apply_defaults, fields_of, parse_value, rule_of
+
+
+@dataclass(frozen=True)
+class SettingsError:
+    """Why a settings file can't be used, in one sentence with the remedy."""
+
+    sentence: str
+
+    def __str__(self) -> str:
+        return self.sentence
+
+
+def read_settings(path: Path) -> Result[Settings, SettingsError]:
+    """Read and check a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsError(f"{path} can't be read ({error}); give an INI file in UTF-8."))
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
+    """Turn the text of an INI file into settings; ``source`` names the file in errors."""
+    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=("#", ";"))
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        summary = " ".join(str(error).split())
+        return Err(SettingsError(f"{source} is not an INI file ({summary}); mend that line."))
+    settings = Settings()
+    sections = {field.name: field for field in settings.DESCRIPTOR.fields}
+    for name in parser.sections():
+        if name not in sections:
+            known = ", ".join(sorted(sections))
+            return _fail(source, f"[{name}] is not a known section; use one of {known}.")
+    for name in sections:
+        section = getattr(settings, name)
+        section.SetInParent()
+        values = dict(parser[name]) if parser.has_section(name) else {}
+        problem = _fill_section(section, values)
+        if problem is not None:
+            return _fail(source, f"[{name}] {problem}")
+    return _check_together(settings, source)
+
+
+def _fill_section(section: Message, values: dict[str, str]) -> str | None:
+    """Fill one section in place and return what is wrong with it, if anything."""
+    fields = fields_of(section)
+    for key in values:
+        if key not in fields:
+            return f"{key} is not a known key; use one of {', '.join(sorted(fields))}."
+    apply_defaults(section)
+    for key, field in fields.items():
+        if key in values:
+            problem = _fill_field(section, field, values[key])
+            if problem is not None:
+                return problem
+        elif rule_of(field).required:
+            return f"{key} is missing; set it to {allowed_text(field)}."
+    return None
+
+
+def _fill_field(section: Message, field: FieldDescriptor, text: str) -> str | None:
+    match parse_value(field, text):
+        case Err(error):
+            return f"{error}."
+        case Ok(value):
+            if rule_of(field).required and value == "":
+                return f"{field.name} is empty; set it to {allowed_text(field)}."
+            setattr(section, field.name, value)
+    return None
+
+
+def _check_together(settings: Settings, source: str) -> Result[Settings, SettingsError]:
+    """Check the bounds that join several keys."""
+    lease, groups, tls = settings.lease, settings.groups, settings.tls
+    if lease.renew_interval_ms + 2 * lease.margin_ms >= lease.duration_ms:
+        return _fail(
+            source,
+            f"[lease] duration_ms is {lease.duration_ms}; set it above renew_interval_ms "
+            "plus twice margin_ms, so that a renewal comes before the lease ends.",
+        )
+    if groups.give_up_ms < groups.freshness_ms:
+        return _fail(
+            source,
+            f"[groups] give_up_ms is {groups.give_up_ms}; set it to freshness_ms "
+            f"({groups.freshness_ms}) or more, so that a group stops before it is dissolved.",
+        )
+    if bool(tls.certificate_file) != bool(tls.key_file):
+        return _fail(source, "[tls] certificate_file and key_file go together; set both or none.")
+    return Ok(settings)
+
+
+def _fail(source: str, sentence: str) -> Result[Settings, SettingsError]:
+    return Err(SettingsError(f"{source}: {sentence}"))
--- /dev/null
+++ b/yewloom/standins/engine.py
@@ -0,0 +1,355 @@
+"""Stand-in for a model engine: one member of a group.
+
+The first member of a group leads and generates. It computes its tokens from the prompt, so a test
+can tell whether an answer is whole. While it serves it pings the other members; a replica that
+loses one fails, and its streams break.
+
+Switches (``POST /control`` with JSON fields): ``token_ms``, ``load_ms``, ``leaving``,
+``report_lag_ms``, ``break_after`` (streams end early after so many tokens), ``shuffle`` (pieces
+come doubled and out of order), ``lose_events`` (so many cache events are lost), ``frozen``,
+``refuse``, ``checks_fences``.
+"""
+
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import httpcore
+import trio
+import typer
+from google.protobuf import json_format
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from yewloom.hashing import hash64
+from yewloom.prefixes import block_hashes
+from yewloom.schema.records_pb2 import CacheEvent, HostReport, Order
+from yewloom.standins.server import read_json, refuse, serve
+from yewloom.states import EngineState
+
+KEPT_STREAMS = 256
+KEPT_EVENTS = 64
+CACHED_BLOCKS = 2048
+PING_INTERVAL_S = 0.25
+WORDS = ("room ", "plate ", "night ", "star ", "guest ", "survey ", "rate ", "field ")
+
+
+def expected_tokens(prompt: str, count: int) -> list[str]:
+    """Return the tokens that every stand-in generates for a prompt."""
+    seed = hash64(prompt)
+    return [f"{WORDS[(seed >> (i % 60)) % len(WORDS)]}" for i in range(count - 1)] + [f"#{seed:x}"]
+
+
+@dataclass
+class Switches:
+    """Failures and rates that are in force now."""
+
+    token_ms: float = 5.0
+    load_ms: int = 300
+    leaving: bool = False
+    report_lag_ms: int = 0
+    break_after: int = 0
+    shuffle: bool = False
+    lose_events: int = 0
+    frozen: bool = False
+    refuse: bool = False
+    checks_fences: bool = True
+
+
+@dataclass
+class _Generation:
+    """One request that the engine runs."""
+
+    tokens: list[str]
+    finish_at: int
+    produced: int
+    readers: int = 0
+    is_cancelled: bool = False
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def tell(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class EngineStandIn:
+    """One model engine."""
+
+    def __init__(self, host_id: str, capacity: int) -> None:
+        self.host_id = host_id
+        self.capacity = capacity
+        self.switches = Switches()
+        self.state = EngineState.IDLE
+        self.order = Order()
+        self.runs: dict[str, _Generation] = {}
+        self.run_counts: dict[str, int] = {}
+        self.cached_model = ""
+        self._fence = 0
+        self._sequence = 0
+        self._events: deque[CacheEvent] = deque(maxlen=KEPT_EVENTS)
+        self._blocks: dict[int, None] = {}
+        self._last_report: HostReport | None = None
+        self._report_s = float("-inf")
+        self._was_whole = False
+        self._nursery: trio.Nursery | None = None
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/report", self._report),
+                Route("/order", self._take_order, methods=["POST"]),
+                Route("/generate", self._generate, methods=["POST"]),
+                Route("/cancel", self._cancel, methods=["POST"]),
+                Route("/ping", self._ping),
+                Route("/control", self._control, methods=["POST"]),
+                Route("/control/runs", self._runs),
+            ]
+        )
+
+    async def run(self) -> None:
+        """Run loads and generations until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self._watch_members()
+
+    async def _report(self, request: Request) -> Response:
+        await self._thaw()
+        lag_s = self.switches.report_lag_ms / 1000
+        if self._last_report is None or trio.current_time() - self._report_s >= lag_s:
+            self._last_report, self._report_s = self._fresh_report(), trio.current_time()
+        text = json_format.MessageToJson(self._last_report, preserving_proto_field_name=True)
+        return Response(text, media_type="application/json")
+
+    def _fresh_report(self) -> HostReport:
+        active = [g for g in self.runs.values() if g.produced < g.finish_at and not g.is_cancelled]
+        return HostReport(
+            host_id=self.host_id,
+            state=self.state.value,
+            group_id=self.order.group_id,
+            generation=self.order.generation,
+            fence=self._fence,
+            leaving=self.switches.leaving,
+            running=min(len(active), self.capacity),
+            waiting=max(0, len(active) - self.capacity),
+            capacity=self.capacity,
+            cached_model=self.cached_model,
+            cache_sequence=self._sequence,
+            cache_events=self._events,
+        )
+
+    async def _take_order(self, request: Request) -> Response:
+        await self._thaw()
+        order = json_format.Parse(await request.body(), Order(), ignore_unknown_fields=True)
+        if self.switches.checks_fences and order.fence < self._fence:
+            return refuse(f"fence {order.fence} is below {self._fence}")
+        self._fence = max(self._fence, order.fence)
+        if (order.group_id, order.generation) != (self.order.group_id, self.order.generation):
+            self._stop_runs()
+            self.order, self.state = order, EngineState.LOADING
+            self._was_whole = False
+            assert self._nursery is not None
+            self._nursery.start_soon(self._load, order)
+        return JSONResponse({"state": self.state.value})
+
+    async def _load(self, order: Order) -> None:
+        wanted = f"{order.model}@{order.model_version}"
+        if self.cached_model != wanted:
+            await trio.sleep(self.switches.load_ms / 1000)
+        if self.order is order:
+            self.cached_model, self.state = wanted, EngineState.READY
+
+    def _stop_runs(self) -> None:
+        for run in self.runs.values():
+            run.is_cancelled = True
+            run.tell()
+        self.runs.clear()
+        self._blocks.clear()
+
+    async def _watch_members(self) -> None:
+        """Fail the replica when this engine leads and a member does not answer."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                await trio.sleep(PING_INTERVAL_S)
+                if self.state is EngineState.READY and self.order.rank == 0:
+                    order = self.order
+                    is_intact = await self._ping_members(pool, order)
+                    if not is_intact and self.order is order:
+                        self._stop_runs()
+                        self.state = EngineState.FAILED
+
+    async def _ping_members(self, pool: httpcore.AsyncConnectionPool, order: Order) -> bool:
+        results: list[bool] = []
+        placement = f"{order.group_id}@{order.generation}"
+
+        async def ping(address: str) -> None:
+            with trio.move_on_after(4 * PING_INTERVAL_S):
+                try:
+                    answer = await pool.request("GET", f"http://{address}/ping")
+                    results.append(answer.content.decode() == placement)
+                except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+                    return
+
+        async with trio.open_nursery() as nursery:
+            for address in order.member_addresses[1:]:
+                nursery.start_soon(ping, address)
+        is_whole = len(results) == len(order.member_addresses) - 1 and all(results)
+        self._was_whole = self._was_whole or is_whole
+        return is_whole or not self._was_whole
+
+    async def _ping(self, request: Request) -> Response:
+        await self._thaw()
+        return Response(f"{self.order.group_id}@{self.order.generation}")
+
+    async def _generate(self, request: Request) -> Response:
+        await self._thaw()
+        fields = await read_json(request)
+        request_id, offset = fields["request_id"], int(fields["offset"])
+        group = (fields["group_id"], fields["generation"])
+        if group != (self.order.group_id, self.order.generation) or self.order.rank != 0:
+            return refuse("this engine does not lead that group")
+        if self.state is not EngineState.READY or self.switches.refuse:
+            return refuse(f"the engine is {self.state.value}", 503)
+        run = self.runs.get(request_id)
+        if run is None:
+            if fields["resume_only"]:
+                return refuse("the request is not known here")
+            run = self._start(request_id, fields)
+        return StreamingResponse(
+            self._stream(request_id, run, offset), media_type="text/event-stream"
+        )
+
+    def _start(self, request_id: str, fields: dict[str, Any]) -> _Generation:
+        prompt, count = str(fields["prompt"]), int(fields["max_tokens"])
+        tokens = expected_tokens(prompt, count)
+        run = _Generation(tokens, count, produced=len(fields.get("delivered", [])))
+        if len(self.runs) >= KEPT_STREAMS:
+            done = [name for name, g in self.runs.items() if g.produced >= g.finish_at]
+            for name in done[: KEPT_STREAMS // 2]:
+                del self.runs[name]
+        self.runs[request_id] = run
+        self.run_counts[request_id] = self.run_counts.get(request_id, 0) + 1
+        assert self._nursery is not None
+        self._nursery.start_soon(self._produce, run, self._cache(prompt))
+        return run
+
+    def _cache(self, prompt: str) -> int:
+        """Cache a prompt's blocks and return how many were missing."""
+        missing = [block for block in block_hashes(prompt) if block not in self._blocks]
+        for block in block_hashes(prompt):
+            self._blocks.pop(block, None)
+            self._blocks[block] = None
+        removed = list(self._blocks)[: max(0, len(self._blocks) - CACHED_BLOCKS)]
+        for block in removed:
+            del self._blocks[block]
+        if missing:
+            self._sequence += 1
+            if self.switches.lose_events > 0:
+                self.switches.lose_events -= 1
+            else:
+                self._events.append(
+                    CacheEvent(sequence=self._sequence, added=missing, removed=removed)
+                )
+        return len(missing)
+
+    async def _produce(self, run: _Generation, missing_blocks: int) -> None:
+        """Produce tokens at a rate that falls once more run than the capacity."""
+        await trio.sleep(missing_blocks * self.switches.token_ms / 1000)
+        while run.produced < run.finish_at and not run.is_cancelled:
+            crowd = max(1.0, self._fresh_report().running / self.capacity + self._waiting_share())
+            await trio.sleep(self.switches.token_ms / 1000 * crowd)
+            await self._thaw()
+            run.produced += 1
+            run.tell()
+
+    def _waiting_share(self) -> float:
+        return self._fresh_report().waiting / self.capacity
+
+    async def _stream(self, request_id: str, run: _Generation, offset: int) -> AsyncIterator[bytes]:
+        run.readers += 1
+        generation = self.order.generation
+        try:
+            sent = 0
+            while offset < run.finish_at:
+                while run.produced <= offset and not run.is_cancelled:
+                    await run.changed.wait()
+                if run.is_cancelled:
+                    raise ConnectionAbortedError("the replica is gone")
+                ready = min(run.produced, run.finish_at)
+                for event in self._pieces(request_id, generation, run, offset, ready):
+                    yield event
+                sent += ready - offset
+                offset = ready
+                if self.switches.break_after and sent >= self.switches.break_after:
+                    raise ConnectionAbortedError("broken on purpose")
+            if offset >= run.finish_at and sent == 0:
+                yield _encode(request_id, generation, run.finish_at, [], True)
+        finally:
+            run.readers -= 1
+
+    def _pieces(
+        self, request_id: str, generation: int, run: _Generation, start: int, end: int
+    ) -> list[bytes]:
+        pieces = [
+            _encode(request_id, generation, i, run.tokens[i : i + 1], i + 1 == run.finish_at)
+            for i in range(start, end)
+        ]
+        if self.switches.shuffle:
+            foreign = _encode("another-request", generation, start, ["wrong"], False)
+            stale = _encode(request_id, generation - 1, start, ["stale"], False)
+            pieces = [foreign, stale, *reversed(pieces), *pieces[:1]]
+        return pieces
+
+    async def _cancel(self, request: Request) -> Response:
+        await self._thaw()
+        run = self.runs.get((await read_json(request)).get("request_id", ""))
+        if run is not None and run.readers == 0:
+            run.is_cancelled = True
+            run.tell()
+        return JSONResponse({"cancelled": run is not None})
+
+    async def _thaw(self) -> None:
+        while self.switches.frozen:  # noqa: ASYNC110 - a switch, not an event
+            await trio.sleep(0.05)
+
+    async def _control(self, request: Request) -> Response:
+        for name, value in (await read_json(request)).items():
+            if not hasattr(self.switches, name):
+                return JSONResponse({"detail": f"no switch {name}"}, 400)
+            setattr(self.switches, name, value)
+        return JSONResponse(vars(self.switches))
+
+    async def _runs(self, request: Request) -> Response:
+        cancelled = [name for name, run in self.runs.items() if run.is_cancelled]
+        return JSONResponse({"runs": self.run_counts, "cancelled": cancelled})
+
+
+def _encode(request_id: str, generation: int, offset: int, tokens: list[str], last: bool) -> bytes:
+    fields = {
+        "request_id": request_id,
+        "generation": generation,
+        "offset": offset,
+        "tokens": tokens,
+        "last": last,
+        "finish_reason": "length" if last else "",
+    }
+    return b"data: " + JSONResponse(fields).body + b"\n\n"
+
+
+def main(
+    address: Annotated[str, typer.Option(help="ip:port to serve on.")],
+    host_id: Annotated[str, typer.Option(help="Name of the host in the platform's list.")],
+    capacity: Annotated[int, typer.Option(help="Requests that run at full rate.")] = 8,
+    token_ms: Annotated[float, typer.Option(help="Time for one token.")] = 5.0,
+) -> None:
+    """Run the stand-in for a model engine."""
+    stand_in = EngineStandIn(host_id, capacity)
+    stand_in.switches.token_ms = token_ms
+    trio.run(serve, stand_in.application(), address, stand_in.run)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/yewloom/standins/platform.py
@@ -0,0 +1,215 @@
+"""Stand-in for the platform: object API, watches and a lagging host list.
+
+Switches (``POST /control`` with JSON fields): ``outage``, ``delay_ms``, ``lose_answers`` (so many
+writes take effect but their answers are lost), ``host_lag_ms`` and the rates that are allowed.
+"""
+
+import configparser
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import trio
+import typer
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from yewloom.standins.server import read_json, serve
+
+
+@dataclass
+class Switches:
+    """Failures that are brought about now."""
+
+    outage: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    host_lag_ms: int = 0
+    writes_a_s: int = 500
+    reads_a_s: int = 2000
+
+
+@dataclass
+class ObjectStore:
+    """Objects with versions, and a history that watches go on from."""
+
+    objects: dict[str, tuple[int, Any, int]] = field(default_factory=dict)
+    position: int = 0
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def write(self, key: str, value: Any, expected: int) -> int | None:
+        """Write an object if its version is the expected one; return the new version."""
+        version = self.objects.get(key, (0, None, 0))[0]
+        if version != expected:
+            return None
+        self.position += 1
+        self.objects[key] = (version + 1, value, self.position)
+        self.changed.set()
+        self.changed = trio.Event()
+        return version + 1
+
+    def changes(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        """Return the objects below a prefix that were written after a position."""
+        return [
+            {"key": key, "version": version, "value": value}
+            for key, (version, value, position) in sorted(self.objects.items())
+            if key.startswith(prefix) and position > after
+        ]
+
+
+class PlatformStandIn:
+    """The platform's HTTP interface."""
+
+    def __init__(self, hosts: list[dict[str, Any]]) -> None:
+        self.store = ObjectStore()
+        self.switches = Switches()
+        self.counts: Counter[str] = Counter()
+        self._hosts = {host["id"]: host for host in hosts}
+        self._used: Counter[tuple[str, int]] = Counter()
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/objects/{key:path}", self._get, methods=["GET"]),
+                Route("/v1/objects/{key:path}", self._put, methods=["PUT"]),
+                Route("/v1/objects", self._list),
+                Route("/v1/watch", self._watch),
+                Route("/v1/hosts", self._list_hosts),
+                Route("/control", self._control, methods=["POST"]),
+                Route("/control/hosts", self._set_host, methods=["POST"]),
+                Route("/control/counts", self._counts),
+            ]
+        )
+
+    async def _refusal(self, kind: str, is_write: bool) -> Response | None:
+        """Count a call, and refuse it in an outage or over the rate."""
+        self.counts[kind] += 1
+        if self.switches.outage:
+            return JSONResponse({"detail": "outage"}, 503)
+        bucket = ("write" if is_write else "read", int(trio.current_time()))
+        self._used[bucket] += 1
+        limit = self.switches.writes_a_s if is_write else self.switches.reads_a_s
+        if self._used[bucket] > limit:
+            self.counts["limited"] += 1
+            return JSONResponse({"detail": "rate limit"}, 429, {"retry-after": "1"})
+        if self.switches.delay_ms:
+            await trio.sleep(self.switches.delay_ms / 1000)
+        return None
+
+    async def _get(self, request: Request) -> Response:
+        refusal = await self._refusal("get", is_write=False)
+        if refusal is not None:
+            return refusal
+        key = request.path_params["key"]
+        if key not in self.store.objects:
+            return JSONResponse({"detail": "not found"}, 404)
+        version, value, _ = self.store.objects[key]
+        return JSONResponse({"key": key, "version": version, "value": value})
+
+    async def _put(self, request: Request) -> Response:
+        refusal = await self._refusal("update", is_write=True)
+        if refusal is not None:
+            return refusal
+        condition = request.headers.get("if-match", "0").strip('"')
+        version = self.store.write(request.path_params["key"], await request.json(), int(condition))
+        if version is None:
+            return JSONResponse({"detail": "another version"}, 412)
+        if self.switches.lose_answers > 0:
+            self.switches.lose_answers -= 1
+            return JSONResponse({"detail": "lost"}, 500)
+        return JSONResponse({"version": version})
+
+    async def _list(self, request: Request) -> Response:
+        refusal = await self._refusal("list", is_write=False)
+        if refusal is not None:
+            return refusal
+        return self._changes(request.query_params.get("prefix", ""), 0)
+
+    async def _watch(self, request: Request) -> Response:
+        refusal = await self._refusal("watch", is_write=False)
+        if refusal is not None:
+            return refusal
+        prefix = request.query_params.get("prefix", "")
+        after = int(request.query_params["position"])
+        with trio.move_on_after(int(request.query_params["timeout_ms"]) / 1000):
+            while not self.store.changes(prefix, after):
+                await self.store.changed.wait()
+                if self.switches.outage:
+                    return JSONResponse({"detail": "outage"}, 503)
+        return self._changes(prefix, after)
+
+    def _changes(self, prefix: str, after: int) -> Response:
+        items = self.store.changes(prefix, after)
+        return JSONResponse({"position": self.store.position, "items": items})
+
+    async def _list_hosts(self, request: Request) -> Response:
+        refusal = await self._refusal("hosts", is_write=False)
+        if refusal is not None:
+            return refusal
+        place = request.query_params.get("data_centre")
+        hosts = [h for h in self._hosts.values() if place in (None, h["data_centre"])]
+        return JSONResponse({"hosts": hosts})
+
+    async def _control(self, request: Request) -> Response:
+        for name, value in (await read_json(request)).items():
+            if not hasattr(self.switches, name):
+                return JSONResponse({"detail": f"no switch {name}"}, 400)
+            setattr(self.switches, name, value)
+        if self.switches.outage:
+            self.store.changed.set()
+            self.store.changed = trio.Event()
+        return JSONResponse(vars(self.switches))
+
+    async def _set_host(self, request: Request) -> Response:
+        """Add, change or remove a host; it shows in the list after the lag."""
+        fields = await read_json(request)
+        await trio.sleep(self.switches.host_lag_ms / 1000)
+        if fields.get("state") == "gone":
+            self._hosts.pop(fields["id"], None)
+        else:
+            self._hosts[fields["id"]] = {**self._hosts.get(fields["id"], {}), **fields}
+        return JSONResponse({"hosts": len(self._hosts)})
+
+    async def _counts(self, request: Request) -> Response:
+        return JSONResponse(dict(self.counts))
+
+
+def read_hosts(path: Path) -> list[dict[str, Any]]:
+    """Read an INI file with a section for each host."""
+    parser = configparser.ConfigParser()
+    parser.read_string(path.read_text(encoding="utf-8"))
+    return [
+        {
+            "id": name,
+            "address": section["address"],
+            "data_centre": section["data_centre"],
+            "fabric_domain": section.get("fabric_domain", ""),
+            "state": section.get("state", "live"),
+            "service": section.get("service", ""),
+            "checks_fences": section.getboolean("checks_fences", True),
+        }
+        for name, section in parser.items()
+        if name != parser.default_section
+    ]
+
+
+def main(
+    address: Annotated[str, typer.Option(help="ip:port to serve on.")],
+    hosts: Annotated[Path, typer.Option(help="INI file with a section for each host.")],
+    rows: Annotated[Path | None, typer.Option(help="JSON file with objects to start from.")] = None,
+) -> None:
+    """Run the stand-in for the platform."""
+    stand_in = PlatformStandIn(read_hosts(hosts))
+    if rows is not None:
+        for key, value in json.loads(rows.read_text(encoding="utf-8")).items():
+            stand_in.store.write(key, value, 0)
+    trio.run(serve, stand_in.application(), address)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/yewloom/standins/server.py
@@ -0,0 +1,44 @@
+"""What all stand-ins share: serving an application and reading JSON bodies."""
+
+import signal
+from typing import Any
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+
+async def serve(application: Starlette, address: str, *tasks: Any) -> None:
+    """Serve an application, and run tasks beside it, until a signal."""
+    config = Config()
+    config.bind = [address]
+    config.errorlog = None
+    config.graceful_timeout = 0.2
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        for task in tasks:
+            nursery.start_soon(task)
+        nursery.start_soon(_serve, application, config, stopped)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        stopped.set()
+        nursery.cancel_scope.cancel()
+
+
+async def _serve(application: Starlette, config: Config, stopped: trio.Event) -> None:
+    await hypercorn.trio.serve(application, config, shutdown_trigger=stopped.wait)
+
+
+async def read_json(request: Request) -> dict[str, Any]:
+    """Return the body as a JSON object; an empty one if there is no body."""
+    body = await request.body()
+    return dict(await request.json()) if body else {}
+
+
+def refuse(reason: str, status: int = 409) -> Response:
+    """Return the answer by which an endpoint says that it ran nothing."""
+    return JSONResponse({"detail": reason}, status, {"x-outcome": "not_run"})
--- /dev/null
+++ b/yewloom/standins/service.py
@@ -0,0 +1,108 @@
+"""Stand-in for a plain service: counts each run of each call.
+
+Switches (``POST /control`` with JSON fields): ``delay_ms``, ``leaving``, ``refuse``,
+``drop_answers`` (so many calls run but their connections break before the answer), ``frozen``.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Annotated
+
+import trio
+import typer
+from google.protobuf import json_format
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from yewloom.schema.records_pb2 import HostReport
+from yewloom.standins.server import read_json, refuse, serve
+from yewloom.states import EngineState
+
+
+@dataclass
+class Switches:
+    """Failures that are brought about now."""
+
+    delay_ms: int = 0
+    leaving: bool = False
+    refuse: bool = False
+    drop_answers: int = 0
+    frozen: bool = False
+
+
+class ServiceStandIn:
+    """One endpoint of a plain service."""
+
+    def __init__(self, host_id: str) -> None:
+        self.host_id = host_id
+        self.switches = Switches()
+        self.runs: Counter[str] = Counter()
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/report", self._report),
+                Route("/control", self._control, methods=["POST"]),
+                Route("/control/runs", self._count_runs),
+                Route("/{path:path}", self._run, methods=["GET", "POST", "PUT", "DELETE"]),
+            ]
+        )
+
+    async def _report(self, request: Request) -> Response:
+        await self._thaw()
+        report = HostReport(
+            host_id=self.host_id,
+            state=EngineState.READY.value,
+            leaving=self.switches.leaving,
+            capacity=64,
+        )
+        return Response(json_format.MessageToJson(report, preserving_proto_field_name=True))
+
+    async def _run(self, request: Request) -> Response:
+        await self._thaw()
+        if self.switches.refuse:
+            return refuse("the service takes no calls now", 503)
+        body = await request.body()
+        name = request.headers.get("idempotency-key") or request.path_params["path"]
+        self.runs[name] += 1
+        await trio.sleep(self.switches.delay_ms / 1000)
+        if self.switches.drop_answers > 0:
+            self.switches.drop_answers -= 1
+            return StreamingResponse(_break())
+        fields = {"path": request.path_params["path"], "run": self.runs[name], "bytes": len(body)}
+        return JSONResponse({**fields, "host": self.host_id})
+
+    async def _thaw(self) -> None:
+        while self.switches.frozen:  # noqa: ASYNC110 - a switch, not an event
+            await trio.sleep(0.05)
+
+    async def _control(self, request: Request) -> Response:
+        for name, value in (await read_json(request)).items():
+            if not hasattr(self.switches, name):
+                return JSONResponse({"detail": f"no switch {name}"}, 400)
+            setattr(self.switches, name, value)
+        return JSONResponse(vars(self.switches))
+
+    async def _count_runs(self, request: Request) -> Response:
+        return JSONResponse({"runs": dict(self.runs)})
+
+
+async def _break() -> AsyncIterator[bytes]:
+    yield b"{"
+    raise ConnectionAbortedError("dropped on purpose")
+
+
+def main(
+    address: Annotated[str, typer.Option(help="ip:port to serve on.")],
+    host_id: Annotated[str, typer.Option(help="Name of the host in the platform's list.")],
+) -> None:
+    """Run the stand-in for a plain service."""
+    trio.run(serve, ServiceStandIn(host_id).application(), address)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/yewloom/status.py
@@ -0,0 +1,54 @@
+"""Descriptions of an entry host's state for operators and for Prometheus."""
+
+from typing import Any
+
+from prometheus_client import generate_latest
+
+from yewloom.groups import group_state
+from yewloom.ids import GroupId
+from yewloom.node import Node
+
+
+def describe(node: Node, now_s: float) -> dict[str, Any]:
+    """Return what this entry host knows as JSON fields."""
+    return {
+        "entry_host": node.id,
+        "data_centre": node.data_centre,
+        "is_ready": node.is_ready,
+        "table_digest": node.table.digest.hex(),
+        "rows": {row.name: row.version for row in node.table.versions()},
+        "members": [
+            {"id": member.id, "data_centre": member.data_centre, "is_leaving": member.leaving}
+            for member in node.membership.alive(now_s)
+        ],
+        "groups": _describe_groups(node, now_s),
+        "placements": {p.data_centre: p.generation for p in node.fleet.placement_versions()},
+    }
+
+
+def metrics_text(node: Node) -> bytes:
+    """Return all metrics in the Prometheus text form."""
+    return generate_latest(node.metrics.registry)
+
+
+def _describe_groups(node: Node, now_s: float) -> list[dict[str, Any]]:
+    freshness_s = node.settings.groups.freshness_ms / 1000
+    described = []
+    for data_centre, group in node.fleet.groups():
+        seen = node.fleet.group_observations.get(GroupId(group.id))
+        described.append(
+            {
+                "id": group.id,
+                "data_centre": data_centre,
+                "policy": group.policy,
+                "model": group.model,
+                "generation": group.generation,
+                "state": group_state(group, seen, now_s, freshness_s).value,
+                "is_open": node.fleet.is_open(group, now_s),
+                "members": [member.host_id for member in group.members],
+                "running": seen.running if seen is not None else 0,
+                "waiting": seen.waiting if seen is not None else 0,
+                "capacity": seen.capacity if seen is not None else 0,
+            }
+        )
+    return described
--- /dev/null
+++ b/yewloom/tables.py
@@ -0,0 +1,205 @@
+"""The operators' table: rows with versions that never go back, and edits of single cells.
+
+The platform's version of a row decides which value is newer. A node applies a row only when its
+version is above the one that it has, so neither a restart nor a stale peer can revert a change.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from yewloom.hashing import hash64
+from yewloom.ids import AttemptId, CustomerId, ModelName, PolicyName, RowName, ServiceName
+from yewloom.schema.peer_pb2 import RowVersion
+from yewloom.schema.table_pb2 import (
+    CustomerRow,
+    ExperimentRow,
+    PolicyRow,
+    Row,
+    RowChange,
+    ServiceRow,
+    VersionedRow,
+)
+from yewloom.states import RowKind
+from yewloom.validation import apply_defaults, check_message, fields_of, parse_value
+
+HISTORY_LENGTH = 16
+"""Edits that a row remembers, so that an editor whose answer was lost can find its own."""
+
+TABLE_PREFIX = "table/"
+"""Prefix of the platform keys that hold rows."""
+
+CellsT = TypeVar("CellsT", bound=Message)
+
+
+@dataclass(frozen=True)
+class TableError:
+    """Why an edit can't be accepted, in one sentence with the remedy."""
+
+    sentence: str
+
+    def __str__(self) -> str:
+        return self.sentence
+
+
+class Table:
+    """The rows that a node has in force.
+
+    ``digest`` is 8 bytes over all names and versions; equal digests mean equal tables.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[RowName, VersionedRow] = {}
+        self._digest = 0
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    @property
+    def digest(self) -> bytes:
+        """Digest over the names and versions of all rows, deleted ones included."""
+        return self._digest.to_bytes(8, "big")
+
+    def apply(self, row: VersionedRow) -> bool:
+        """Put a row in force if it is newer than the one in force; tell whether it was."""
+        name = RowName(row.name)
+        current = self._rows.get(name)
+        if current is not None and current.version >= row.version:
+            return False
+        if current is not None:
+            self._digest ^= _row_hash(name, current.version)
+        self._digest ^= _row_hash(name, row.version)
+        self._rows[name] = row
+        return True
+
+    def versions(self) -> list[RowVersion]:
+        """Return name and version of every row."""
+        return [RowVersion(name=row.name, version=row.version) for row in self._rows.values()]
+
+    def newer_than(self, known: Iterable[RowVersion]) -> list[VersionedRow]:
+        """Return the rows that someone with the ``known`` versions lacks."""
+        versions = {entry.name: entry.version for entry in known}
+        return [row for row in self._rows.values() if row.version > versions.get(row.name, 0)]
+
+    def get(self, name: RowName) -> VersionedRow | None:
+        """Return a row in force, or nothing if it is unknown or deleted."""
+        row = self._rows.get(name)
+        return None if row is None or row.row.deleted else row
+
+    def rows(self) -> Iterator[VersionedRow]:
+        """Yield the rows that are not deleted, in order of name."""
+        return (row for _, row in sorted(self._rows.items()) if not row.row.deleted)
+
+    def policies(self) -> dict[PolicyName, PolicyRow]:
+        """Return the policies in order of name."""
+        return {PolicyName(n): row.policy for n, row in self._named(RowKind.POLICY)}
+
+    def policies_for(self, model: ModelName) -> dict[PolicyName, PolicyRow]:
+        """Return the policies that serve a model, in order of name."""
+        return {name: row for name, row in self.policies().items() if row.model == model}
+
+    def customers(self) -> dict[CustomerId, CustomerRow]:
+        """Return the customers in order of name."""
+        return {CustomerId(n): row.customer for n, row in self._named(RowKind.CUSTOMER)}
+
+    def services(self) -> dict[ServiceName, ServiceRow]:
+        """Return the plain services in order of name."""
+        return {ServiceName(n): row.service for n, row in self._named(RowKind.SERVICE)}
+
+    def experiments(self) -> dict[str, ExperimentRow]:
+        """Return the experiments in order of name."""
+        return {n: row.experiment for n, row in self._named(RowKind.EXPERIMENT)}
+
+    def _named(self, kind: RowKind) -> Iterator[tuple[str, Row]]:
+        prefix = f"{kind.value}/"
+        for row in self.rows():
+            if row.name.startswith(prefix) and row.row.WhichOneof("cells") == kind.value:
+                yield row.name.removeprefix(prefix), row.row
+
+
+def _row_hash(name: str, version: int) -> int:
+    return hash64(f"{name}@{version}")
+
+
+def parse_row_name(text: str) -> Result[RowName, TableError]:
+    """Check the form ``kind/name`` of a row's name."""
+    kind, _, name = text.partition("/")
+    kinds = [kind.value for kind in RowKind]
+    if kind not in kinds or not name or "/" in name or name != name.strip():
+        choice = ", ".join(f"{word}/NAME" for word in kinds)
+        return Err(TableError(f"{text!r} does not name a row; use one of {choice}."))
+    return Ok(RowName(text))
+
+
+def edit_row(
+    name: RowName, current: Row | None, cells: Mapping[str, str], change: RowChange
+) -> Result[Row, TableError]:
+    """Return the row that results from setting cells by their dotted names.
+
+    A row that does not exist yet starts from the defaults in the schema.
+    """
+    edited = _new_version(current, change)
+    kind = name.partition("/")[0]
+    target = getattr(edited, kind)
+    if current is None or current.deleted or not edited.HasField(kind):
+        apply_defaults(target)
+        target.SetInParent()
+    for path, text in cells.items():
+        error = _set_cell(target, path, text)
+        if error is not None:
+            return Err(TableError(f"{name}: {error}."))
+    for broken in check_message(target):
+        return Err(TableError(f"{name}: {broken}."))
+    return Ok(edited)
+
+
+def delete_row(current: Row, change: RowChange) -> Row:
+    """Return the row that marks its name as deleted; the record itself stays."""
+    edited = _new_version(current, change)
+    edited.deleted = True
+    return edited
+
+
+def contains_attempt(row: Row, attempt: AttemptId) -> bool:
+    """Tell whether a write is among the latest of a row."""
+    return any(change.attempt_id == attempt for change in row.history)
+
+
+def _new_version(current: Row | None, change: RowChange) -> Row:
+    edited = Row()
+    if current is not None:
+        edited.CopyFrom(current)
+    edited.history.append(change)
+    del edited.history[:-HISTORY_LENGTH]
+    edited.deleted = False
+    return edited
+
+
+def _set_cell(target: Message, path: str, text: str) -> str | None:
+    """Set one cell in place and return what is wrong with it, if anything."""
+    head, _, rest = path.partition(".")
+    fields = fields_of(target)
+    field = fields.get(head)
+    if field is None:
+        known = ", ".join(sorted(fields))
+        return f"{path} is not a known cell; use one of {known}"
+    if field.message_type is None:
+        return _set_scalar(target, field, text)
+    nested = getattr(target, head)
+    if not target.HasField(head):
+        apply_defaults(nested)
+        nested.SetInParent()
+    return _set_cell(nested, rest, text) if rest else None
+
+
+def _set_scalar(target: Message, field: FieldDescriptor, text: str) -> str | None:
+    match parse_value(field, text):
+        case Err(error):
+            return str(error)
+        case Ok(value):
+            setattr(target, field.name, value)
+    return None
--- /dev/null
+++ b/yewloom/tests/test_leases.py
@@ -0,0 +1,122 @@
+"""Tests of the coordinator's lease: never two holders, whatever is slow, lost or paused."""
+
+import unittest
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from yewloom.ids import AttemptId, EntryHostId
+from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
+from yewloom.schema.records_pb2 import Lease
+
+TIMING = LeaseTiming(duration_s=6.0, renew_interval_s=2.0, margin_s=1.0)
+HOLDERS = 3
+
+
+@dataclass
+class _InFlight:
+    """A write on its way; it may be applied and answered at any later time, or never."""
+
+    holder: int
+    action: WriteLease
+    sent_s: float
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Several keepers, one record, and a network that delays and loses what it likes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.keepers = [LeaseKeeper(EntryHostId(f"e{i}"), TIMING) for i in range(HOLDERS)]
+        self.record: Lease | None = None
+        self.version = 0
+        self.flights: list[_InFlight] = []
+        self.attempts = 0
+
+    @rule(seconds=st.floats(0.1, 8.0))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass; a keeper that takes no step meanwhile is paused."""
+        self.now_s += seconds
+
+    @rule(holder=st.integers(0, HOLDERS - 1))
+    def step(self, holder: int) -> None:
+        """Let one keeper take its next step."""
+        self.attempts += 1
+        attempt = AttemptId(f"a{self.attempts}")
+        action = self.keepers[holder].next_action(self.now_s, attempt)
+        if isinstance(action, ReadLease):
+            self.keepers[holder].on_read(self.record, self.version, self.now_s)
+        elif isinstance(action, WriteLease):
+            self.flights.append(_InFlight(holder, action, self.now_s))
+
+    @rule(data=st.data(), is_answered=st.booleans())
+    def deliver(self, data: st.DataObject, is_answered: bool) -> None:
+        """Let a write reach the platform; its answer may be lost."""
+        if not self.flights:
+            return
+        flight = data.draw(st.sampled_from(self.flights))
+        self.flights.remove(flight)
+        applied = flight.action.expected_version == self.version
+        if applied:
+            self.version += 1
+            self.record = flight.action.lease
+        if not is_answered:
+            return
+        keeper = self.keepers[flight.holder]
+        if applied:
+            keeper.on_written(flight.action.lease, self.version, flight.sent_s, self.now_s)
+        else:
+            keeper.on_conflict()
+
+    @invariant()
+    def at_most_one_holds(self) -> None:
+        """No two keepers may act at the same time."""
+        holding = [keeper for keeper in self.keepers if keeper.holds(self.now_s)]
+        assert len(holding) <= 1, f"{len(holding)} hold the lease"
+
+
+TestLeaseMachine = LeaseMachine.TestCase
+
+
+class TestLeaseKeeper(unittest.TestCase):
+    """Single steps of one keeper."""
+
+    def setUp(self) -> None:
+        self.keeper = LeaseKeeper(EntryHostId("e1"), TIMING)
+
+    def test_an_absent_lease_is_taken_after_one_read(self) -> None:
+        self.assertEqual(self.keeper.next_action(0.0, AttemptId("a")), ReadLease())
+        self.keeper.on_read(None, 0, 0.0)
+        action = self.keeper.next_action(2.0, AttemptId("b"))
+        assert isinstance(action, WriteLease)
+        self.keeper.on_written(action.lease, 1, sent_s=2.0, now_s=2.5)
+        self.assertTrue(self.keeper.holds(6.9))
+        self.assertFalse(self.keeper.holds(7.0))
+
+    def test_another_holders_lease_is_taken_only_after_it_lapsed_unchanged(self) -> None:
+        other = Lease(holder="e2", term=4, duration_ms=6000)
+        self.keeper.next_action(0.0, AttemptId("a"))
+        self.keeper.on_read(other, 9, 0.0)
+        self.assertEqual(self.keeper.next_action(6.9, AttemptId("b")), ReadLease())
+        self.keeper.on_read(other, 9, 6.9)
+        action = self.keeper.next_action(9.0, AttemptId("c"))
+        assert isinstance(action, WriteLease)
+        self.assertEqual((action.expected_version, action.lease.term), (9, 5))
+
+    def test_a_renewed_lease_starts_the_wait_again(self) -> None:
+        self.keeper.next_action(0.0, AttemptId("a"))
+        self.keeper.on_read(Lease(holder="e2", term=4, duration_ms=6000), 9, 0.0)
+        self.keeper.next_action(6.0, AttemptId("b"))
+        self.keeper.on_read(Lease(holder="e2", term=4, duration_ms=6000), 10, 6.0)
+        self.assertEqual(self.keeper.next_action(9.0, AttemptId("c")), ReadLease())
+
+    def test_a_released_lease_is_not_held(self) -> None:
+        self.keeper.next_action(0.0, AttemptId("a"))
+        self.keeper.on_read(None, 0, 0.0)
+        action = self.keeper.next_action(2.0, AttemptId("b"))
+        assert isinstance(action, WriteLease)
+        self.keeper.on_written(action.lease, 1, 2.0, 2.0)
+        self.keeper.release()
+        self.assertFalse(self.keeper.holds(2.1))
--- /dev/null
+++ b/yewloom/tests/test_settings.py
@@ -0,0 +1,63 @@
+"""Tests of the settings file."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from yewloom.schema.settings_pb2 import Settings
+from yewloom.settings import parse_settings
+
+GOOD = """
+[host]
+id = entry-1
+data_centre = hall-a
+caller_port = 8080
+peer_port = 8081
+[platform]
+url = http://127.0.0.1:7100
+"""
+
+
+def _error(text: str) -> str:
+    match parse_settings(text, "x.ini"):
+        case Err(error):
+            return str(error)
+        case Ok():
+            raise AssertionError("the settings were accepted")
+
+
+class TestSettings(unittest.TestCase):
+    """What is accepted, and the sentence for what is not."""
+
+    def test_defaults_fill_what_the_file_leaves_out(self) -> None:
+        settings = parse_settings(GOOD, "x.ini").unwrap()
+        self.assertEqual(settings.lease.duration_ms, 6000)
+        self.assertEqual(settings.host.listen_ip, "127.0.0.1")
+
+    def test_each_mistake_names_file_section_key_and_remedy(self) -> None:
+        cases = {
+            GOOD + "[hosts]\n": ["[hosts]", "use one of"],
+            GOOD + "colour = red\n": ["[platform]", "colour", "use one of"],
+            GOOD.replace("8080", "many"): ["[host]", "caller_port", "from 0 to 65535"],
+            GOOD.replace("8080", "70000"): ["[host]", "caller_port", "from 0 to 65535"],
+            GOOD.replace("id = entry-1\n", ""): ["[host]", "id", "is missing"],
+            GOOD.replace("entry-1", ""): ["[host]", "id", "is empty"],
+            GOOD + "[lease]\nmargin_ms = 3000\n": ["[lease]", "duration_ms", "set it above"],
+            GOOD + "[groups]\ngive_up_ms = 100\n": ["[groups]", "give_up_ms", "or more"],
+            GOOD + "[tls]\nkey_file = k\n": ["[tls]", "certificate_file", "both or none"],
+            "no section": ["not an INI file"],
+        }
+        for text, words in cases.items():
+            with self.subTest(words=words):
+                sentence = _error(text)
+                self.assertIn("x.ini", sentence)
+                self.assertNotIn("\n", sentence)
+                for word in words:
+                    self.assertIn(word, sentence)
+
+    @given(st.text(max_size=200))
+    def test_any_text_gives_settings_or_one_sentence(self, text: str) -> None:
+        result = parse_settings(text, "x.ini")
+        self.assertTrue(isinstance(result.ok(), Settings) or str(result.err()))
--- /dev/null
+++ b/yewloom/tests/test_streams.py
@@ -0,0 +1,81 @@
+"""Tests of stream assembly."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.ids import GroupId, RequestId
+from yewloom.streams import StreamAssembler, StreamPiece, StreamPosition, parse_position
+
+REQUEST = RequestId("r1")
+GENERATION = 3
+ANSWER = tuple(f"t{i}" for i in range(12))
+
+
+def _piece(start: int, end: int) -> StreamPiece:
+    return StreamPiece(REQUEST, GENERATION, start, ANSWER[start:end], is_last=end == len(ANSWER))
+
+
+@st.composite
+def _deliveries(draw: st.DrawFn) -> list[StreamPiece]:
+    """Pieces that cover the answer, doubled, overlapping, foreign and in any order."""
+    cuts = sorted(draw(st.sets(st.integers(1, len(ANSWER) - 1), max_size=6)))
+    edges = [0, *cuts, len(ANSWER)]
+    pieces = [_piece(a, b) for a, b in zip(edges, edges[1:], strict=False)]
+    starts = draw(st.lists(st.integers(0, len(ANSWER) - 2), max_size=4))
+    pieces += [_piece(start, draw(st.integers(start + 1, len(ANSWER)))) for start in starts]
+    pieces += [
+        StreamPiece(RequestId("other"), GENERATION, 0, ("wrong",), is_last=True),
+        StreamPiece(REQUEST, GENERATION - 1, 0, ("stale",), is_last=True),
+    ]
+    return draw(st.permutations(pieces))
+
+
+class TestStreamAssembler(unittest.TestCase):
+    """Whole answers, in order and once."""
+
+    @given(_deliveries())
+    def test_any_order_gives_the_whole_answer_once(self, pieces: list[StreamPiece]) -> None:
+        assembler = StreamAssembler(REQUEST, GENERATION)
+        tokens = [token for piece in pieces for token in assembler.accept(piece)]
+        self.assertEqual(tuple(tokens), ANSWER)
+        self.assertTrue(assembler.is_whole)
+
+    @given(_deliveries(), st.integers(0, len(ANSWER) - 1))
+    def test_a_missing_token_leaves_the_answer_unfinished(
+        self, pieces: list[StreamPiece], lost: int
+    ) -> None:
+        assembler = StreamAssembler(REQUEST, GENERATION)
+        kept = [p for p in pieces if not p.offset <= lost < p.offset + len(p.tokens)]
+        own = [p for p in kept if p.request_id == REQUEST and p.generation == GENERATION]
+        for piece in [*own, *(p for p in kept if p not in own)]:
+            assembler.accept(piece)
+        self.assertFalse(assembler.is_whole)
+        self.assertLessEqual(assembler.offset, lost)
+
+    def test_a_resumed_stream_goes_on_at_its_offset(self) -> None:
+        assembler = StreamAssembler(REQUEST, GENERATION, offset=4)
+        self.assertEqual(assembler.accept(_piece(2, 6)), ["t4", "t5"])
+
+    def test_another_replica_ends_the_stream_it_took_over(self) -> None:
+        assembler = StreamAssembler(REQUEST, GENERATION)
+        assembler.accept(_piece(0, 5))
+        assembler.move_to(GENERATION + 1)
+        self.assertEqual(assembler.accept(_piece(5, 12)), [])
+        rest = StreamPiece(REQUEST, GENERATION + 1, 5, ANSWER[5:], is_last=True)
+        self.assertEqual(tuple(assembler.accept(rest)), ANSWER[5:])
+        self.assertTrue(assembler.is_whole)
+
+
+class TestStreamPosition(unittest.TestCase):
+    """Event ids that callers send back."""
+
+    def test_a_position_survives_the_event_id(self) -> None:
+        position = StreamPosition(GroupId("g-1"), 7, REQUEST, 42)
+        self.assertEqual(parse_position(str(position)), position)
+
+    @given(st.text(max_size=40))
+    def test_any_other_text_is_refused_without_an_error(self, text: str) -> None:
+        parsed = parse_position(text)
+        self.assertTrue(parsed is None or str(parsed).count(":") == 3)
--- /dev/null
+++ b/yewloom/watchers.py
@@ -0,0 +1,85 @@
+"""Watching the platform for the table and the placements.
+
+Only a few entry hosts of each data centre watch; the others learn by exchange. Rows and
+placements are applied by version, so it does not matter who brings them or how often.
+"""
+
+import structlog
+import trio
+from google.protobuf import json_format
+from result import Err, Ok
+
+from yewloom import exchange
+from yewloom.node import WATCH_DUTY, Node
+from yewloom.platforms import Platform, StoredObject
+from yewloom.schema.records_pb2 import Placement
+from yewloom.schema.table_pb2 import Row, VersionedRow
+from yewloom.tables import TABLE_PREFIX
+
+logger = structlog.get_logger(__name__)
+
+PLACEMENT_PREFIX = "placements/"
+
+
+class Watcher:
+    """Follows one prefix of the platform while this entry host has the duty to."""
+
+    def __init__(self, node: Node, platform: Platform, prefix: str) -> None:
+        self._node = node
+        self._platform = platform
+        self._prefix = prefix
+        self._position: int | None = None
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        pause_s = self._node.settings.platform.poll_interval_ms / 1000
+        while True:
+            if not self._has_duty() or not await self._step():
+                self._position = None
+                await trio.sleep(pause_s)
+
+    def _has_duty(self) -> bool:
+        count = self._node.settings.platform.watchers
+        is_new = not self._node.has_table
+        return is_new or self._node.membership.has_duty(WATCH_DUTY, count, trio.current_time())
+
+    async def _step(self) -> bool:
+        """List once, then watch; tell whether the platform answered."""
+        if self._position is None:
+            listing = await self._platform.list(self._prefix)
+        else:
+            listing = await self._platform.watch(self._prefix, self._position)
+        match listing:
+            case Ok(found):
+                for stored in found.objects:
+                    take_in_object(self._node, stored)
+                if self._prefix == TABLE_PREFIX:
+                    self._node.has_table = True
+                self._position = found.position
+                return True
+            case Err(error):
+                logger.warning("platform not answering", prefix=self._prefix, reason=str(error))
+        return False
+
+
+def take_in_object(node: Node, stored: StoredObject) -> None:
+    """Apply one object that the platform holds."""
+    try:
+        if stored.key.startswith(TABLE_PREFIX):
+            exchange.apply_rows(node, [parse_row(stored)], "platform")
+        elif stored.key.startswith(PLACEMENT_PREFIX):
+            exchange.apply_placements(node, [parse_placement(stored)])
+    except json_format.ParseError as error:
+        logger.error("object unreadable", key=stored.key, reason=str(error))
+
+
+def parse_row(stored: StoredObject) -> VersionedRow:
+    """Decode a table row; raises json_format.ParseError."""
+    row = json_format.Parse(stored.value, Row(), ignore_unknown_fields=True)
+    name = stored.key.removeprefix(TABLE_PREFIX)
+    return VersionedRow(name=name, version=stored.version, row=row)
+
+
+def parse_placement(stored: StoredObject) -> Placement:
+    """Decode a placement record; raises json_format.ParseError."""
+    return json_format.Parse(stored.value, Placement(), ignore_unknown_fields=True)
--- /dev/null
+++ b/yewloom/writes.py
@@ -0,0 +1,94 @@
+"""Conditional writes whose lost answers are settled.
+
+A write to the platform may take effect although its answer is lost, even later than a read that
+follows. So a write of unknown effect is sent again under the same condition until the platform
+gives a definite answer: at most one of the sendings can take effect.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from google.protobuf import json_format
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from yewloom.platforms import Platform, PlatformFailure, StoredObject
+
+_PAUSE_S = 0.1
+
+
+@dataclass(frozen=True)
+class WriteConflict:
+    """Another write came first; ``current`` is what stands now, if it could be read."""
+
+    current: StoredObject | None
+
+
+@dataclass(frozen=True)
+class WriteNotApplied:
+    """The write is known to have had no effect."""
+
+    detail: str
+
+
+@dataclass(frozen=True)
+class WriteUnsettled:
+    """The write may have had an effect or may still have one."""
+
+    detail: str
+
+
+WriteError = WriteConflict | WriteNotApplied | WriteUnsettled
+
+
+def to_json(message: Message) -> str:
+    """Return a record as the JSON text kept in the platform."""
+    return json_format.MessageToJson(message, preserving_proto_field_name=True, indent=None)
+
+
+async def write_settled(
+    platform: Platform,
+    key: str,
+    record: Message,
+    expected_version: int,
+    is_ours: Callable[[StoredObject], bool],
+    timeout_s: float,
+) -> Result[StoredObject, WriteError]:
+    """Write a record conditionally and return what stands in the platform then.
+
+    ``is_ours`` tells whether a stored object came from, or after, this very write; what stands
+    may then be a later value than the one written.
+    """
+    deadline_s = trio.current_time() + timeout_s
+    value = to_json(record)
+    is_ambiguous = False
+    while True:
+        match await platform.update(key, value, expected_version):
+            case Ok(version):
+                return Ok(StoredObject(key, version, value))
+            case Err(error):
+                pass
+        if error.failure is PlatformFailure.CONFLICT:
+            return await _settle_conflict(platform, key, is_ours, is_ambiguous)
+        if error.failure is PlatformFailure.AMBIGUOUS:
+            is_ambiguous = True
+        if not is_ambiguous:
+            return Err(WriteNotApplied(error.detail))
+        if trio.current_time() >= deadline_s:
+            return Err(WriteUnsettled(error.detail))
+        await trio.sleep(_PAUSE_S)
+
+
+async def _settle_conflict(
+    platform: Platform, key: str, is_ours: Callable[[StoredObject], bool], is_ambiguous: bool
+) -> Result[StoredObject, WriteError]:
+    match await platform.get(key):
+        case Ok(current):
+            if is_ambiguous and current is not None and is_ours(current):
+                return Ok(current)
+            return Err(WriteConflict(current))
+        case Err(error):
+            if is_ambiguous:
+                return Err(WriteUnsettled(error.detail))
+            return Err(WriteConflict(None))
