--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -38,6 +38,7 @@
 
 _PASSED_HEADERS = {"content-type", "accept", "idempotency-key"}
 _SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_CLIENT_GONE = 499
 _TRUE_WORDS = {"1", "true", "yes"}
 
 
@@ -88,7 +89,9 @@
             return await self._resume(completion, model_request, last_event)
         if completion.is_stream:
             return await self._stream(completion, model_request, key)
-        return await self._answer_whole(completion, model_request, key)
+        answer = self._answer_whole(completion, model_request, key)
+        # An unsafe request runs to its end, so that its answer can be kept for a repeat.
+        return await (answer if key is not None else self._while_connected(request, answer))
 
     async def _answer_whole(
         self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
@@ -105,6 +108,15 @@
 
         return await self._run_counted(request.customer, key, run)
 
+    async def _while_connected(self, request: Request, answer: Awaitable[Response]) -> Response:
+        """Return an answer, or stop working on it when the caller has gone."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_gone, request, nursery.cancel_scope)
+            response = await answer
+            nursery.cancel_scope.cancel()
+            return response
+        return Response(status_code=_CLIENT_GONE)
+
     async def _stream(
         self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
     ) -> Response:
@@ -305,6 +317,12 @@
             await super().stream_response(send)
 
 
+async def _cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
+    while (await request.receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
 def _event(writer: ChunkWriter, part: Tokens) -> bytes:
     return writer.event(str(part.position), "".join(part.tokens), part.finish_reason)
 
--- a/yewloom/placement.py
+++ b/yewloom/placement.py
@@ -92,12 +92,18 @@
 
 @dataclass
 class Planner:
-    """Plans the next placement; keeps only when it first saw a group loading or idle."""
+    """Plans the next placement.
+
+    Keeps only when it first saw a group loading or idle, and a host free. A host that checks no
+    fence can't refuse work for its earlier group, so it stays free until every entry host's view
+    of that group has run out.
+    """
 
     writer: EntryHostId
     timing: PlacementTiming
     _loading_since_s: dict[GroupId, float] = field(default_factory=dict)
     _idle_since_s: dict[GroupId, float] = field(default_factory=dict)
+    _free_since_s: dict[HostId, float] = field(default_factory=dict)
 
     def plan(self, current: Placement, fleet: FleetState, now_s: float, attempt: AttemptId) -> Plan:
         """Return the placement that should follow the current one."""
@@ -107,7 +113,7 @@
         self._retire_groups(draft, fleet, now_s)
         if fleet.listed is not None:
             self._drain_superseded(draft, fleet)
-            _form_groups(draft, fleet, now_s, self.timing.freshness_s)
+            _form_groups(draft, fleet, self._free_hosts(draft, fleet, now_s))
             _list_services(draft, fleet)
         self._forget_times(draft)
         return draft.finish()
@@ -166,6 +172,17 @@
             if PolicyName(group.policy) not in fleet.policies:
                 draft.forget(group)
 
+    def _free_hosts(self, draft: "_Draft", fleet: FleetState, now_s: float) -> list[Host]:
+        """Return the hosts that a group can be formed from, in order of id."""
+        free = _free_hosts(draft, fleet, now_s, self.timing.freshness_s)
+        known = self._free_since_s
+        self._free_since_s = {HostId(h.id): known.get(HostId(h.id), now_s) for h in free}
+        return [host for host in free if self._may_be_used(host, now_s)]
+
+    def _may_be_used(self, host: Host, now_s: float) -> bool:
+        waited_s = now_s - self._free_since_s[HostId(host.id)]
+        return host.checks_fences or waited_s > self.timing.freshness_s
+
     def _forget_times(self, draft: "_Draft") -> None:
         present = {GroupId(group.id) for group in draft.groups}
         for times in (self._loading_since_s, self._idle_since_s):
@@ -347,9 +364,8 @@
     )
 
 
-def _form_groups(draft: _Draft, fleet: FleetState, now_s: float, freshness_s: float) -> None:
+def _form_groups(draft: _Draft, fleet: FleetState, free: list[Host]) -> None:
     """Form groups from free hosts, the policy that is furthest behind first."""
-    free = _free_hosts(draft, fleet, now_s, freshness_s)
     stuck: set[PolicyName] = set()
     while len(stuck) < len(fleet.policies):
         name = _next_policy(draft, fleet.policies, stuck)
--- a/yewloom/standins/platform.py
+++ b/yewloom/standins/platform.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform: object API, watches and a lagging host list.
 
 Switches (``POST /control`` with JSON fields): ``outage``, ``delay_ms``, ``lose_answers`` (so many
-writes take effect but their answers are lost), ``host_lag_ms`` and the rates that are allowed.
+writes take effect but their answers are lost), ``host_lag_ms``, ``cut_ports`` (calls to these ports
+are refused, as from a data centre that is cut off) and the rates that are allowed.
 """
 
 import configparser
@@ -29,6 +30,7 @@
     delay_ms: int = 0
     lose_answers: int = 0
     host_lag_ms: int = 0
+    cut_ports: list[int] = field(default_factory=list)
     writes_a_s: int = 500
     reads_a_s: int = 2000
 
@@ -86,10 +88,13 @@
             ]
         )
 
-    async def _refusal(self, kind: str, is_write: bool) -> Response | None:
+    def _is_cut(self, request: Request) -> bool:
+        return request.scope["server"][1] in self.switches.cut_ports
+
+    async def _refusal(self, request: Request, kind: str, is_write: bool) -> Response | None:
         """Count a call, and refuse it in an outage or over the rate."""
         self.counts[kind] += 1
-        if self.switches.outage:
+        if self.switches.outage or self._is_cut(request):
             return JSONResponse({"detail": "outage"}, 503)
         bucket = ("write" if is_write else "read", int(trio.current_time()))
         self._used[bucket] += 1
@@ -102,7 +107,7 @@
         return None
 
     async def _get(self, request: Request) -> Response:
-        refusal = await self._refusal("get", is_write=False)
+        refusal = await self._refusal(request, "get", is_write=False)
         if refusal is not None:
             return refusal
         key = request.path_params["key"]
@@ -112,7 +117,7 @@
         return JSONResponse({"key": key, "version": version, "value": value})
 
     async def _put(self, request: Request) -> Response:
-        refusal = await self._refusal("update", is_write=True)
+        refusal = await self._refusal(request, "update", is_write=True)
         if refusal is not None:
             return refusal
         condition = request.headers.get("if-match", "0").strip('"')
@@ -125,13 +130,13 @@
         return JSONResponse({"version": version})
 
     async def _list(self, request: Request) -> Response:
-        refusal = await self._refusal("list", is_write=False)
+        refusal = await self._refusal(request, "list", is_write=False)
         if refusal is not None:
             return refusal
         return self._changes(request.query_params.get("prefix", ""), 0)
 
     async def _watch(self, request: Request) -> Response:
-        refusal = await self._refusal("watch", is_write=False)
+        refusal = await self._refusal(request, "watch", is_write=False)
         if refusal is not None:
             return refusal
         prefix = request.query_params.get("prefix", "")
@@ -139,7 +144,7 @@
         with trio.move_on_after(int(request.query_params["timeout_ms"]) / 1000):
             while not self.store.changes(prefix, after):
                 await self.store.changed.wait()
-                if self.switches.outage:
+                if self.switches.outage or self._is_cut(request):
                     return JSONResponse({"detail": "outage"}, 503)
         return self._changes(prefix, after)
 
@@ -148,7 +153,7 @@
         return JSONResponse({"position": self.store.position, "items": items})
 
     async def _list_hosts(self, request: Request) -> Response:
-        refusal = await self._refusal("hosts", is_write=False)
+        refusal = await self._refusal(request, "hosts", is_write=False)
         if refusal is not None:
             return refusal
         place = request.query_params.get("data_centre")
@@ -160,7 +165,7 @@
             if not hasattr(self.switches, name):
                 return JSONResponse({"detail": f"no switch {name}"}, 400)
             setattr(self.switches, name, value)
-        if self.switches.outage:
+        if self.switches.outage or self.switches.cut_ports:
             self.store.changed.set()
             self.store.changed = trio.Event()
         return JSONResponse(vars(self.switches))
@@ -199,7 +204,7 @@
 
 
 def main(
-    address: Annotated[str, typer.Option(help="ip:port to serve on.")],
+    address: Annotated[list[str], typer.Option(help="ip:port to serve on; may be repeated.")],
     hosts: Annotated[Path, typer.Option(help="INI file with a section for each host.")],
     rows: Annotated[Path | None, typer.Option(help="JSON file with objects to start from.")] = None,
 ) -> None:
--- a/yewloom/standins/server.py
+++ b/yewloom/standins/server.py
@@ -11,10 +11,10 @@
 from starlette.responses import JSONResponse, Response
 
 
-async def serve(application: Starlette, address: str, *tasks: Any) -> None:
+async def serve(application: Starlette, address: str | list[str], *tasks: Any) -> None:
     """Serve an application, and run tasks beside it, until a signal."""
     config = Config()
-    config.bind = [address]
+    config.bind = [address] if isinstance(address, str) else address
     config.errorlog = None
     config.graceful_timeout = 0.2
     stopped = trio.Event()
--- /dev/null
+++ b/yewloom/tests/processes.py
@@ -0,0 +1,277 @@
+"""A small fleet of real processes on loopback, for the tests that are about processes."""
+
+import hashlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpcore
+
+CUSTOMER_KEY = "test-key"
+MODEL = "m"
+WAIT_S = 30.0
+"""Longest wait for a state that must come; reaching it fails the test."""
+
+_ENTRY_SETTINGS = """
+[host]
+id = {name}
+data_centre = {place}
+caller_port = {caller_port}
+peer_port = {peer_port}
+[platform]
+url = http://127.0.0.1:{platform_port}
+timeout_ms = 1000
+watch_timeout_ms = 5000
+poll_interval_ms = 200
+[peers]
+seeds = {seeds}
+exchange_interval_ms = 200
+dead_after_ms = 3000
+[lease]
+duration_ms = 3000
+renew_interval_ms = 600
+margin_ms = 600
+[groups]
+probe_interval_ms = 200
+freshness_ms = 1500
+give_up_ms = 2000
+settle_ms = 1500
+[requests]
+stall_timeout_ms = 2000
+reconnect_grace_ms = 500
+"""
+
+_ROWS: dict[str, Any] = {
+    "table/policy/p": {
+        "policy": {
+            "model": MODEL,
+            "model_version": "1",
+            "group_size": 4,
+            "min_groups": 1,
+            "max_groups": 10,
+            "weight": 1,
+            "downtime": {"spare_hosts": 1},
+            "score": {"prefix_weight": 1, "distance_weight": 1},
+        }
+    },
+    "table/customer/c": {
+        "customer": {
+            "key_digest": hashlib.sha256(CUSTOMER_KEY.encode()).hexdigest(),
+            "weight": 1,
+            "max_in_flight": 100,
+        }
+    },
+    "table/service/s": {"service": {"unsafe_paths": "/update", "timeout_ms": 8000}},
+}
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+@dataclass
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def call(method: str, url: str, body: Any = None, headers: dict[str, str] | None = None) -> Answer:
+    """Make one HTTP call on a connection of its own."""
+    content = json.dumps(body).encode() if body is not None else b""
+    all_headers = [(b"connection", b"close")]
+    all_headers += [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
+    timeouts = {"connect": 5.0, "read": WAIT_S}
+    with httpcore.ConnectionPool() as pool:
+        response = pool.request(
+            method, url, headers=all_headers, content=content, extensions={"timeout": timeouts}
+        )
+    names = {name.decode().lower(): value.decode() for name, value in response.headers}
+    return Answer(response.status, names, response.content)
+
+
+def authorized(**headers: str) -> dict[str, str]:
+    """Return headers with the customer's key; underscores stand for hyphens."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return {"authorization": f"Bearer {CUSTOMER_KEY}", **named}
+
+
+def wait_for(condition: Callable[[], Any], what: str) -> Any:
+    """Return the first true value of a condition; fail after a generous time."""
+    deadline_s = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline_s:
+        try:
+            value = condition()
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            value = None
+        if value:
+            return value
+        time.sleep(0.1)
+    raise AssertionError(f"{what} did not come")
+
+
+@dataclass
+class _Program:
+    process: subprocess.Popen[bytes]
+    port: int
+    log: Path
+
+
+@dataclass
+class Fleet:
+    """Stand-ins and entry hosts; entry hosts e1 and e2 are in place ``a``, e3 in ``b``."""
+
+    members_a: int = 5
+    members_b: int = 4
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    programs: dict[str, _Program] = field(default_factory=dict)
+    platform_ports: dict[str, int] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Start everything and wait until a group serves in each place."""
+        self.platform_ports = {place: free_port() for place in "ab"}
+        self._start_engines()
+        self._start_platform()
+        seeds = {name: free_port() for name in ("e1", "e2", "e3")}
+        self._seeds = " ".join(f"127.0.0.1:{port}" for port in seeds.values())
+        for name, peer_port in seeds.items():
+            self.start_entry(name, "b" if name == "e3" else "a", peer_port)
+        for name in seeds:
+            self._wait_until_serving(name)
+
+    def _wait_until_serving(self, name: str) -> None:
+        wait_for(lambda: len(self.open_groups(name)) >= 2, f"groups at {name}")
+        wait_for(lambda: self.service(name, "GET", "x").status == 200, f"the service at {name}")
+
+    def start_entry(self, name: str, place: str, peer_port: int | None = None) -> None:
+        """Start one entry host."""
+        caller_port = free_port()
+        text = _ENTRY_SETTINGS.format(
+            name=name,
+            place=place,
+            caller_port=caller_port,
+            peer_port=peer_port or free_port(),
+            platform_port=self.platform_ports[place],
+            seeds=self._seeds,
+        )
+        path = self.folder / f"{name}.ini"
+        path.write_text(text)
+        self._run(name, caller_port, "yewloom.daemon", "--config", str(path))
+
+    def _start_engines(self) -> None:
+        hosts = []
+        names = [f"a{i}" for i in range(self.members_a)]
+        names += [f"b{i}" for i in range(self.members_b)]
+        for name in names:
+            port = free_port()
+            address = f"127.0.0.1:{port}"
+            place, rack = name[0], f"rack-{name[0]}"
+            hosts.append(
+                f"[{name}]\naddress={address}\ndata_centre={place}\nfabric_domain={rack}\n"
+            )
+            self._run(
+                name, port, "yewloom.standins.engine", "--address", address, "--host-id", name
+            )
+        for place in "ab":
+            name, port = f"s{place}", free_port()
+            address = f"127.0.0.1:{port}"
+            hosts.append(f"[{name}]\naddress={address}\ndata_centre={place}\nservice=s\n")
+            self._run(
+                name, port, "yewloom.standins.service", "--address", address, "--host-id", name
+            )
+        (self.folder / "hosts.ini").write_text("".join(hosts))
+
+    def _start_platform(self) -> None:
+        (self.folder / "rows.json").write_text(json.dumps(_ROWS))
+        addresses = []
+        for port in self.platform_ports.values():
+            addresses += ["--address", f"127.0.0.1:{port}"]
+        files = ["--hosts", str(self.folder / "hosts.ini")]
+        files += ["--rows", str(self.folder / "rows.json")]
+        port = self.platform_ports["a"]
+        self._run("platform", port, "yewloom.standins.platform", *addresses, *files)
+
+    def _run(self, name: str, port: int, module: str, *arguments: str) -> None:
+        log = self.folder / f"{name}-{len(self.programs)}.log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=output,
+                stderr=output,
+                cwd=self.folder,
+            )
+        self.programs[name] = _Program(process, port, log)
+
+    def url(self, name: str) -> str:
+        return f"http://127.0.0.1:{self.programs[name].port}"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.programs[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without a word, and reap it."""
+        self.signal(name, signal.SIGKILL)
+        self.programs[name].process.wait()
+
+    def control(self, name: str, **switches: Any) -> None:
+        """Set switches of a stand-in."""
+        answer = call("POST", f"{self.url(name)}/control", switches)
+        assert answer.status == 200, answer.body
+
+    def status(self, entry: str) -> Any:
+        return call("GET", f"{self.url(entry)}/status").json()
+
+    def groups(self, entry: str) -> list[Any]:
+        return list(self.status(entry)["groups"])
+
+    def open_groups(self, entry: str) -> list[Any]:
+        return [group for group in self.groups(entry) if group["is_open"]]
+
+    def runs(self, *names: str) -> dict[str, int]:
+        """Return how often each call ran, summed over stand-ins that are alive."""
+        total: dict[str, int] = {}
+        for name in names:
+            for key, count in call("GET", f"{self.url(name)}/control/runs").json()["runs"].items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def service(self, entry: str, method: str, path: str, **headers: str) -> Answer:
+        url = f"{self.url(entry)}/services/s/{path}"
+        return call(method, url, headers=authorized(**headers))
+
+    def chat(self, entry: str, prompt: str, max_tokens: int = 8, **headers: str) -> Answer:
+        """Send a chat request that is not streamed."""
+        body = {
+            "model": MODEL,
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        }
+        return call("POST", f"{self.url(entry)}/v1/chat/completions", body, authorized(**headers))
+
+    def log_text(self, name: str) -> str:
+        return self.programs[name].log.read_text(errors="replace")
+
+    def stop(self) -> None:
+        """Stop everything that still runs."""
+        for program in self.programs.values():
+            if program.process.poll() is None:
+                program.process.send_signal(signal.SIGCONT)
+                program.process.kill()
+        for program in self.programs.values():
+            program.process.wait()
--- /dev/null
+++ b/yewloom/tests/support.py
@@ -0,0 +1,235 @@
+"""Fakes at the interfaces, and what several tests share."""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from enum import Enum
+from typing import TypeVar
+
+import trio
+import trio.testing
+from result import Err, Ok, Result
+
+from yewloom.endpoints import EndpointError, GenerateCall, ServiceCall
+from yewloom.http_calls import HttpAnswer
+from yewloom.ids import DataCentreId, RequestId
+from yewloom.platforms import Listing, PlatformError, PlatformFailure, StoredObject
+from yewloom.retries import CallFailure
+from yewloom.schema.records_pb2 import Host, HostReport, Order
+from yewloom.schema.table_pb2 import DowntimePlacement, PolicyRow, ScoreRouting
+from yewloom.states import HostState
+from yewloom.streams import StreamPiece
+
+T = TypeVar("T")
+
+
+class Fault(Enum):
+    """What a fake platform does to one write."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    LOSE_ANSWER = "lose_answer"
+    LOSE_WRITE = "lose_write"
+    APPLY_LATE = "apply_late"
+
+
+class FakePlatform:
+    """An object API in memory, with faults for the next writes and an outage switch."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoredObject] = {}
+        self.faults: list[Fault] = []
+        self.is_down = False
+        self.late: list[tuple[str, str, int]] = []
+        self.calls: Counter[str] = Counter()
+        self.history: list[StoredObject] = []
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        self.calls["get"] += 1
+        await trio.lowlevel.checkpoint()
+        return _DOWN if self.is_down else Ok(self.objects.get(key))
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        self.calls["update"] += 1
+        await trio.lowlevel.checkpoint()
+        fault = self.faults.pop(0) if self.faults else Fault.NONE
+        if self.is_down or fault is Fault.REFUSE:
+            return _DOWN
+        if fault is Fault.APPLY_LATE:
+            self.late.append((key, value, expected_version))
+        if fault in (Fault.APPLY_LATE, Fault.LOSE_WRITE):
+            return _LOST
+        version = self._apply(key, value, expected_version)
+        if fault is Fault.LOSE_ANSWER:
+            return _LOST
+        if version is None:
+            return Err(PlatformError(PlatformFailure.CONFLICT, "another version"))
+        return Ok(version)
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        self.calls["list"] += 1
+        await trio.lowlevel.checkpoint()
+        if self.is_down:
+            return _DOWN
+        return Ok(Listing(self._below(prefix, 0), len(self.history)))
+
+    async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
+        self.calls["watch"] += 1
+        await trio.sleep(0.1)
+        if self.is_down:
+            return _DOWN
+        return Ok(Listing(self._below(prefix, position), len(self.history)))
+
+    async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
+        self.calls["hosts"] += 1
+        await trio.lowlevel.checkpoint()
+        return _DOWN if self.is_down else Ok([])
+
+    def apply_late_writes(self) -> None:
+        """Let the writes that were thought lost take effect now."""
+        for write in self.late:
+            self._apply(*write)
+        self.late.clear()
+
+    def _below(self, prefix: str, position: int) -> Sequence[StoredObject]:
+        return [stored for stored in self.history[position:] if stored.key.startswith(prefix)]
+
+    def _apply(self, key: str, value: str, expected_version: int) -> int | None:
+        current = self.objects[key].version if key in self.objects else 0
+        if current != expected_version:
+            return None
+        self.objects[key] = StoredObject(key, current + 1, value)
+        self.history.append(self.objects[key])
+        return current + 1
+
+
+_DOWN: Err[PlatformError] = Err(PlatformError(PlatformFailure.NOT_APPLIED, "down"))
+_LOST: Err[PlatformError] = Err(PlatformError(PlatformFailure.AMBIGUOUS, "no answer"))
+
+
+def make_host(name: str, domain: str = "rack-1", checks_fences: bool = True) -> Host:
+    """Return a live host of the platform's list."""
+    return Host(
+        id=name,
+        address=f"{name}:1",
+        data_centre="hall-a",
+        fabric_domain=domain,
+        state=HostState.LIVE.value,
+        checks_fences=checks_fences,
+    )
+
+
+def make_policy(size: int = 2, spare: int = 0, **cells: object) -> PolicyRow:
+    """Return a policy that serves the model ``m``."""
+    row = PolicyRow(
+        model="m",
+        model_version="1",
+        group_size=size,
+        max_groups=1000,
+        weight=1,
+        downtime=DowntimePlacement(spare_hosts=spare),
+        score=ScoreRouting(prefix_weight=1, distance_weight=1),
+    )
+    for name, value in cells.items():
+        setattr(row, name, value)
+    return row
+
+
+def run_on_mock_clock(test: Callable[[], Awaitable[T]]) -> T:
+    """Run a test in trio with a clock that jumps ahead whenever nothing can run."""
+    return trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class CallFault(Enum):
+    """What a fake engine does to one call."""
+
+    NONE = "none"
+    CONNECT = "connect"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    BREAK = "break"
+    BREAK_LATER = "break_later"
+    STALL = "stall"
+    LOSE_STATE = "lose_state"
+
+
+class FakeEngines:
+    """Model engines and services in memory; a list of faults tells what befalls each call."""
+
+    def __init__(self, answer: Sequence[str], faults: Sequence[CallFault] = ()) -> None:
+        self.answer = tuple(answer)
+        self.faults = list(faults)
+        self.running: set[tuple[str, str]] = set()
+        self.runs: Counter[str] = Counter()
+        self.cancelled: list[str] = []
+        self.token_s = 0.01
+
+    async def probe(self, address: str) -> Result[HostReport, EndpointError]:
+        return Err(EndpointError(CallFailure.CONNECT, "not asked in these tests"))
+
+    async def order(self, address: str, order: Order, timeout_s: float) -> Result[None, str]:
+        return Ok(None)
+
+    async def cancel(self, address: str, request_id: RequestId) -> None:
+        self.cancelled.append(request_id)
+
+    @asynccontextmanager
+    async def generate(
+        self, address: str, call: GenerateCall, stall_timeout_s: float
+    ) -> AsyncIterator[AsyncIterator[StreamPiece]]:
+        fault = self._next_fault()
+        known = (address, call.request_id) in self.running
+        if not known and call.resume_only:
+            raise EndpointError(CallFailure.REFUSED, "the request is not known here")
+        if not known:
+            self.running.add((address, call.request_id))
+            self.runs[call.request_id] += 1
+        if fault is CallFault.LOSE_STATE:
+            self.running.discard((address, call.request_id))
+        yield self._stream(call, fault, stall_timeout_s)
+
+    async def call_service(
+        self, address: str, call: ServiceCall, timeout_s: float, is_unsafe: bool
+    ) -> HttpAnswer:
+        fault = self._next_fault()
+        self.runs[call.path] += 1
+        if fault is CallFault.FAIL:
+            raise EndpointError(CallFailure.ENDPOINT_ERROR, "status 500")
+        if fault is not CallFault.NONE:
+            raise EndpointError(CallFailure.BROKEN, "cut")
+        return HttpAnswer(200, {}, b"ok")
+
+    def _next_fault(self) -> CallFault:
+        """Return what befalls this call, or raise if it does not reach an engine."""
+        fault = self.faults.pop(0) if self.faults else CallFault.NONE
+        if fault is CallFault.CONNECT:
+            raise EndpointError(CallFailure.CONNECT, "refused")
+        if fault is CallFault.REFUSE:
+            raise EndpointError(CallFailure.REFUSED, "status 503")
+        return fault
+
+    async def _stream(
+        self, call: GenerateCall, fault: CallFault, stall_timeout_s: float
+    ) -> AsyncIterator[StreamPiece]:
+        if fault is CallFault.FAIL:
+            raise EndpointError(CallFailure.ENDPOINT_ERROR, "status 500")
+        cuts = {CallFault.BREAK: 0, CallFault.STALL: 1, CallFault.LOSE_STATE: 1}
+        cut = cuts.get(fault, 2 if fault is CallFault.BREAK_LATER else len(self.answer))
+        for sent, offset in enumerate(range(call.offset, len(self.answer))):
+            if sent == cut:
+                break
+            await trio.sleep(self.token_s)
+            yield self._piece(call, offset)
+            yield self._piece(call, max(0, offset - 1))
+        if fault is CallFault.STALL:
+            await trio.sleep(stall_timeout_s)
+            raise EndpointError(CallFailure.STALLED, "silence")
+        if cut < len(self.answer):
+            raise EndpointError(CallFailure.BROKEN, "cut")
+
+    def _piece(self, call: GenerateCall, offset: int) -> StreamPiece:
+        is_last = offset + 1 == len(self.answer)
+        tokens = (self.answer[offset],)
+        return StreamPiece(call.request_id, call.generation, offset, tokens, is_last, "length")
--- /dev/null
+++ b/yewloom/tests/test_claims.py
@@ -0,0 +1,234 @@
+"""Tests of claims: an unsafe request runs at most once, whatever the platform and hosts do."""
+
+import unittest
+from collections import Counter
+from dataclasses import dataclass
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yewloom.claim_writer import ClaimWriter
+from yewloom.claims import (
+    MAX_SHARD_CLAIMS,
+    ClaimRequest,
+    ClaimResult,
+    Verdict,
+    add_claims,
+)
+from yewloom.idempotency import IdempotentRunner, KeptAnswer
+from yewloom.ids import AttemptId, EntryHostId, IdempotencyKey
+from yewloom.problems import Problem, unavailable
+from yewloom.schema.records_pb2 import ClaimShard
+from yewloom.states import ClaimState, Outcome
+from yewloom.tests.support import FakePlatform, Fault, run_on_mock_clock
+
+RETENTION_MS = 1000
+
+
+@dataclass(frozen=True)
+class _Sending:
+    """One sending of a key to one entry host; the caller may go before it is answered."""
+
+    key: IdempotencyKey
+    entry: int
+    start_s: float
+    patience_s: float
+    is_refused: bool
+
+
+_SENDINGS = st.builds(
+    _Sending,
+    key=st.sampled_from([IdempotencyKey("k1"), IdempotencyKey("k2")]),
+    entry=st.integers(0, 2),
+    start_s=st.floats(0, 3),
+    patience_s=st.sampled_from([0.05, 1.0, 30.0]),
+    is_refused=st.booleans(),
+)
+_FAULTS = st.lists(st.sampled_from(list(Fault)), max_size=12)
+_TIMES = st.lists(st.floats(0, 4), max_size=3)
+
+
+class _Trial:
+    """Entry hosts that share one platform, and the endpoint that counts what runs."""
+
+    def __init__(self, platform: FakePlatform) -> None:
+        self.platform = platform
+        self.runs: Counter[IdempotencyKey] = Counter()
+        self.told: list[tuple[IdempotencyKey, Outcome]] = []
+        self.attempts = 0
+
+    def new_attempt(self) -> AttemptId:
+        self.attempts += 1
+        return AttemptId(str(self.attempts))
+
+    def runner(self, name: str, nursery: trio.Nursery) -> IdempotentRunner:
+        writer = ClaimWriter(self.platform, nursery, 1, RETENTION_MS, 0.5, lambda: 0)
+        return IdempotentRunner(writer, EntryHostId(name), self.new_attempt)
+
+    async def send(self, runner: IdempotentRunner, sending: _Sending) -> None:
+        async def run() -> KeptAnswer:
+            if sending.is_refused:
+                raise unavailable("refused", Outcome.NOT_RUN)
+            self.runs[sending.key] += 1
+            await trio.sleep(0.2)
+            return KeptAnswer(200, "text/plain", b"done")
+
+        await trio.sleep(sending.start_s)
+        with trio.move_on_after(sending.patience_s):
+            try:
+                await runner.run(sending.key, run)
+                self.told.append((sending.key, Outcome.ANSWERED))
+            except Problem as problem:
+                self.told.append((sending.key, problem.outcome))
+
+
+class TestAtMostOnce(unittest.TestCase):
+    """Two or more sendings of one key, over several entry hosts, with failures doubled."""
+
+    @settings(max_examples=150)
+    @given(st.lists(_SENDINGS, min_size=2, max_size=6), _FAULTS, _TIMES, _TIMES, _TIMES)
+    def test_a_key_runs_at_most_once(
+        self,
+        sendings: list[_Sending],
+        faults: list[Fault],
+        outages: list[float],
+        late_times: list[float],
+        kills: list[float],
+    ) -> None:
+        async def scenario() -> _Trial:
+            platform = FakePlatform()
+            platform.faults = list(faults)
+            trial = _Trial(platform)
+            async with trio.open_nursery() as nursery:
+                for outage_s in outages:
+                    nursery.start_soon(_outage, platform, outage_s)
+                for late_s in late_times:
+                    nursery.start_soon(_apply_late, platform, late_s)
+                for entry in range(3):
+                    own = [sending for sending in sendings if sending.entry == entry]
+                    kill_s = kills[entry] if entry < len(kills) else 60.0
+                    nursery.start_soon(_entry_host, trial, entry, own, kill_s)
+            return trial
+
+        trial = run_on_mock_clock(scenario)
+        for key, count in trial.runs.items():
+            self.assertLessEqual(count, 1, f"{key} ran {count} times")
+        answered = {key for key, outcome in trial.told if outcome is Outcome.ANSWERED}
+        self.assertLessEqual(answered, set(trial.runs))
+
+    def test_a_repeat_gets_the_kept_answer_at_another_entry_host(self) -> None:
+        async def scenario() -> _Trial:
+            trial = _Trial(FakePlatform())
+            async with trio.open_nursery() as nursery:
+                for name in ("e0", "e1"):
+                    runner = trial.runner(name, nursery)
+                    sending = _Sending(IdempotencyKey("k"), 0, 0, 30, False)
+                    await trial.send(runner, sending)
+                    await trio.sleep(1)
+            return trial
+
+        trial = run_on_mock_clock(scenario)
+        self.assertEqual(trial.runs[IdempotencyKey("k")], 1)
+        self.assertEqual([outcome for _, outcome in trial.told], [Outcome.ANSWERED] * 2)
+
+    def test_an_outage_is_told_as_not_run_at_once(self) -> None:
+        async def scenario() -> tuple[_Trial, float]:
+            platform = FakePlatform()
+            platform.is_down = True
+            trial = _Trial(platform)
+            async with trio.open_nursery() as nursery:
+                runner = trial.runner("e0", nursery)
+                await trial.send(runner, _Sending(IdempotencyKey("k"), 0, 0, 30, False))
+                waited_s = trio.current_time()
+                nursery.cancel_scope.cancel()
+            return trial, waited_s
+
+        trial, waited_s = run_on_mock_clock(scenario)
+        self.assertEqual(trial.told, [("k", Outcome.NOT_RUN)])
+        self.assertEqual(trial.runs[IdempotencyKey("k")], 0)
+        self.assertLess(waited_s, 0.1)
+
+    def test_a_refused_request_may_be_sent_again(self) -> None:
+        async def scenario() -> _Trial:
+            trial = _Trial(FakePlatform())
+            async with trio.open_nursery() as nursery:
+                runner = trial.runner("e0", nursery)
+                for is_refused in (True, False):
+                    await trial.send(runner, _Sending(IdempotencyKey("k"), 0, 0, 30, is_refused))
+            return trial
+
+        trial = run_on_mock_clock(scenario)
+        outcomes = [outcome for _, outcome in trial.told]
+        self.assertEqual(outcomes, [Outcome.NOT_RUN, Outcome.ANSWERED])
+
+    def test_claims_that_wait_together_go_in_one_write(self) -> None:
+        async def scenario() -> FakePlatform:
+            platform = FakePlatform()
+            trial = _Trial(platform)
+            async with trio.open_nursery() as nursery:
+                runner = trial.runner("e0", nursery)
+                for number in range(50):
+                    key = IdempotencyKey(f"k{number}")
+                    nursery.start_soon(trial.send, runner, _Sending(key, 0, 0, 30, False))
+            return platform
+
+        platform = run_on_mock_clock(scenario)
+        self.assertLessEqual(platform.calls["update"], 6)
+
+
+class TestAddClaims(unittest.TestCase):
+    """Single changes of a record."""
+
+    def _claim(self, key: str, attempt: str) -> ClaimRequest:
+        return ClaimRequest(IdempotencyKey(key), AttemptId(attempt), EntryHostId("e"))
+
+    def test_a_full_record_takes_no_more_claims(self) -> None:
+        claims = [self._claim(f"k{i}", f"a{i}") for i in range(MAX_SHARD_CLAIMS + 1)]
+        _, answers = add_claims(ClaimShard(), claims, [], 0, RETENTION_MS)
+        verdicts = Counter(answer.verdict for answer in answers.values())
+        self.assertEqual(verdicts, {Verdict.RUN: MAX_SHARD_CLAIMS, Verdict.FULL: 1})
+
+    def test_a_result_of_another_attempt_is_not_stored(self) -> None:
+        record, _ = add_claims(ClaimShard(), [self._claim("k", "a1")], [], 0, RETENTION_MS)
+        stray = ClaimResult(IdempotencyKey("k"), AttemptId("a2"), ClaimState.RELEASED)
+        record, _ = add_claims(record, [], [stray], 0, RETENTION_MS)
+        self.assertEqual(record.claims[0].state, ClaimState.CLAIMED.value)
+
+    def test_a_large_answer_is_not_kept_but_the_claim_is(self) -> None:
+        record, _ = add_claims(ClaimShard(), [self._claim("k", "a1")], [], 0, RETENTION_MS)
+        big = ClaimResult(
+            IdempotencyKey("k"), AttemptId("a1"), ClaimState.DONE, 200, "text/plain", b"x" * 9999
+        )
+        record, _ = add_claims(record, [], [big], 0, RETENTION_MS)
+        _, answers = add_claims(record, [self._claim("k", "a2")], [], 0, RETENTION_MS)
+        self.assertEqual(answers[AttemptId("a2")].verdict, Verdict.TAKEN)
+
+    def test_claims_are_forgotten_after_the_retention(self) -> None:
+        record, _ = add_claims(ClaimShard(), [self._claim("k", "a1")], [], 0, RETENTION_MS)
+        record, _ = add_claims(record, [], [], RETENTION_MS + 1, RETENTION_MS)
+        self.assertEqual(len(record.claims), 0)
+
+
+async def _entry_host(trial: _Trial, entry: int, sendings: list[_Sending], kill_s: float) -> None:
+    """Run one entry host until its sendings are answered or it is killed."""
+    with trio.move_on_after(kill_s):
+        async with trio.open_nursery() as nursery:
+            runner = trial.runner(f"e{entry}", nursery)
+            async with trio.open_nursery() as senders:
+                for sending in sendings:
+                    senders.start_soon(trial.send, runner, sending)
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+
+
+async def _outage(platform: FakePlatform, start_s: float) -> None:
+    await trio.sleep(start_s)
+    platform.is_down = True
+    await trio.sleep(0.7)
+    platform.is_down = False
+
+
+async def _apply_late(platform: FakePlatform, start_s: float) -> None:
+    await trio.sleep(start_s)
+    platform.apply_late_writes()
--- /dev/null
+++ b/yewloom/tests/test_dispatch.py
@@ -0,0 +1,285 @@
+"""Tests of dispatch: whole answers, honest outcomes, at most one run of an unsafe request."""
+
+import random
+import unittest
+from contextlib import aclosing
+from dataclasses import dataclass
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yewloom.admission import Admission
+from yewloom.dispatch import Dispatcher, ModelRequest, ServiceRequest
+from yewloom.endpoints import ServiceCall
+from yewloom.ids import CustomerId, HostId, ModelName, RequestId
+from yewloom.node import Node, build_node
+from yewloom.places import Places
+from yewloom.problems import Problem
+from yewloom.schema.records_pb2 import (
+    Group,
+    GroupMember,
+    HostReport,
+    Placement,
+    ServiceEndpoint,
+)
+from yewloom.schema.settings_pb2 import Settings
+from yewloom.schema.table_pb2 import CustomerRow, Row, VersionedRow
+from yewloom.settings import parse_settings
+from yewloom.states import EngineState, GroupIntent, Outcome
+from yewloom.streams import StreamPosition
+from yewloom.tests.support import CallFault, FakeEngines, make_policy, run_on_mock_clock
+
+ANSWER = ("one ", "two ", "three ", "four ", "five ")
+CUSTOMER = CustomerRow(weight=1, max_in_flight=10, priority=5)
+SETTINGS = """
+[host]
+id = entry-1
+data_centre = hall-a
+caller_port = 0
+peer_port = 0
+[platform]
+url = http://127.0.0.1:1
+[requests]
+timeout_ms = 20000
+stall_timeout_ms = 1000
+"""
+
+
+def _settings() -> Settings:
+    return parse_settings(SETTINGS, "test").unwrap()
+
+
+def _node(groups: int) -> Node:
+    """Return an entry host that sees so many open groups and two service endpoints."""
+    node = build_node(_settings(), random.Random(1), 1)
+    node.table.apply(VersionedRow(name="policy/p", version=1, row=Row(policy=make_policy())))
+    placed = [
+        Group(
+            id=f"g{i}",
+            policy="p",
+            model="m",
+            generation=1,
+            intent=GroupIntent.ACTIVE.value,
+            members=[GroupMember(host_id=f"h{i}", address=f"h{i}:1")],
+        )
+        for i in range(groups)
+    ]
+    services = [ServiceEndpoint(service="s", host_id=f"s{i}", address=f"s{i}:1") for i in range(2)]
+    node.fleet.apply_placement(
+        Placement(data_centre="hall-a", generation=1, groups=placed, services=services)
+    )
+    return node
+
+
+def _see_all(node: Node) -> None:
+    now_s = trio.current_time()
+    for _, group in list(node.fleet.groups()):
+        report = HostReport(
+            state=EngineState.READY.value, group_id=group.id, generation=1, capacity=8
+        )
+        node.fleet.on_host_answered(HostId(group.members[0].host_id), report, now_s)
+        node.fleet.sum_up(group, now_s)
+    for name in ("s0", "s1"):
+        node.fleet.on_service_answered(HostId(name), HostReport(), now_s)
+
+
+@dataclass
+class _Result:
+    tokens: tuple[str, ...]
+    problem: Problem | None
+    ended_s: float
+
+
+class _Trial:
+    """One dispatcher over fake engines; runs on the mock clock."""
+
+    def __init__(self, engines: FakeEngines, groups: int = 2, places: int = 8) -> None:
+        self.engines = engines
+        self.groups = groups
+        self.places = Places(Admission(places, 10))
+        self.node = _node(groups)
+
+    def dispatcher(self, nursery: trio.Nursery) -> Dispatcher:
+        return Dispatcher(
+            self.node.settings,
+            self.node.table,
+            self.node.fleet,
+            self.node.prefixes,
+            self.places,
+            self.engines,
+            self.node.metrics,
+            nursery,
+            self.node.rng,
+            lambda customer, row: row.max_in_flight,
+        )
+
+    async def keep_seeing(self) -> None:
+        while True:
+            _see_all(self.node)
+            await trio.sleep(0.2)
+
+    def generate(self, is_unsafe: bool = False) -> _Result:
+        async def scenario() -> _Result:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.keep_seeing)
+                await trio.sleep(0.01)
+                tokens: list[str] = []
+                problem = None
+                stream = self.dispatcher(nursery).generate(_request(is_unsafe))
+                try:
+                    async with aclosing(stream):
+                        async for part in stream:
+                            tokens += part.tokens
+                except Problem as error:
+                    problem = error
+                ended_s = trio.current_time()
+                nursery.cancel_scope.cancel()
+            return _Result(tuple(tokens), problem, ended_s)
+
+        return run_on_mock_clock(scenario)
+
+
+def _request(is_unsafe: bool = False) -> ModelRequest:
+    return ModelRequest(
+        request_id=RequestId("r1"),
+        customer=CustomerId("c"),
+        customer_row=CUSTOMER,
+        model=ModelName("m"),
+        prompt="user: hello",
+        max_tokens=len(ANSWER),
+        session="s",
+        deadline_s=trio.current_time() + 20,
+        is_unsafe=is_unsafe,
+    )
+
+
+class TestGenerate(unittest.TestCase):
+    """Model requests, with any faults one after the other."""
+
+    @settings(max_examples=200)
+    @given(st.lists(st.sampled_from(list(CallFault)), max_size=8), st.booleans())
+    def test_answers_are_whole_and_outcomes_true(
+        self, faults: list[CallFault], is_unsafe: bool
+    ) -> None:
+        engines = FakeEngines(ANSWER, faults)
+        result = _Trial(engines).generate(is_unsafe)
+        self.assertEqual(result.tokens, ANSWER[: len(result.tokens)])
+        if result.problem is None:
+            self.assertEqual(result.tokens, ANSWER)
+        elif result.problem.outcome is Outcome.NOT_RUN:
+            self.assertEqual(engines.runs["r1"], 0)
+        if is_unsafe:
+            self.assertLessEqual(engines.runs["r1"], 1)
+
+    def test_a_broken_stream_is_resumed_where_it_broke(self) -> None:
+        engines = FakeEngines(ANSWER, [CallFault.BREAK_LATER, CallFault.BREAK_LATER])
+        result = _Trial(engines).generate(is_unsafe=True)
+        self.assertEqual(result.tokens, ANSWER)
+        self.assertEqual(engines.runs["r1"], 1)
+
+    def test_a_lost_replica_is_followed_by_another_group(self) -> None:
+        engines = FakeEngines(ANSWER, [CallFault.LOSE_STATE])
+        result = _Trial(engines).generate()
+        self.assertEqual(result.tokens, ANSWER)
+        self.assertEqual(engines.runs["r1"], 2)
+
+    def test_an_unsafe_request_on_a_lost_replica_is_told_as_unknown(self) -> None:
+        engines = FakeEngines(ANSWER, [CallFault.LOSE_STATE])
+        result = _Trial(engines).generate(is_unsafe=True)
+        assert result.problem is not None
+        self.assertEqual(result.problem.outcome, Outcome.UNKNOWN)
+
+    def test_a_request_given_up_is_answered_at_once_with_the_time_to_come_back(self) -> None:
+        engines = FakeEngines(ANSWER, [CallFault.FAIL])
+        result = _Trial(engines).generate(is_unsafe=True)
+        assert result.problem is not None
+        self.assertLess(result.ended_s, 0.5)
+        self.assertIsNotNone(result.problem.retry_after_s)
+
+    def test_no_open_group_is_told_as_not_run_at_once(self) -> None:
+        result = _Trial(FakeEngines(ANSWER), groups=0).generate()
+        assert result.problem is not None
+        self.assertEqual(result.problem.outcome, Outcome.NOT_RUN)
+        self.assertLess(result.ended_s, 0.5)
+
+    def test_retries_stop_when_the_budget_is_spent(self) -> None:
+        engines = FakeEngines(ANSWER, [CallFault.REFUSE] * 100)
+        result = _Trial(engines).generate()
+        assert result.problem is not None
+        self.assertGreater(len(engines.faults), 80)
+        self.assertEqual(result.problem.outcome, Outcome.NOT_RUN)
+
+    def test_a_caller_that_goes_has_its_stream_cancelled_after_the_grace(self) -> None:
+        engines = FakeEngines(ANSWER)
+        trial = _Trial(engines)
+
+        async def scenario() -> tuple[int, int]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trial.keep_seeing)
+                await trio.sleep(0.01)
+                async with aclosing(trial.dispatcher(nursery).generate(_request())) as stream:
+                    await anext(stream)
+                await trio.sleep(0.5)
+                before = len(engines.cancelled)
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            return before, len(engines.cancelled)
+
+        self.assertEqual(run_on_mock_clock(scenario), (0, 1))
+        self.assertEqual(trial.places.admission.in_flight, 0)
+
+    def test_a_stream_is_resumed_at_another_entry_host(self) -> None:
+        engines = FakeEngines(ANSWER)
+        engines.running.add(("h1:1", "r0"))
+        trial = _Trial(engines)
+
+        async def scenario() -> list[str]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trial.keep_seeing)
+                await trio.sleep(0.01)
+                group = next(g for _, g in trial.node.fleet.groups() if g.id == "g1")
+                position = StreamPosition(group.id, 1, RequestId("r0"), 2)  # type: ignore[arg-type]
+                stream = trial.dispatcher(nursery).resume(_request(), position)
+                tokens = [token async for part in stream for token in part.tokens]
+                nursery.cancel_scope.cancel()
+            return tokens
+
+        self.assertEqual(tuple(run_on_mock_clock(scenario)), ANSWER[2:])
+        self.assertEqual(engines.runs["r0"], 0)
+
+
+class TestCallService(unittest.TestCase):
+    """Plain services, whose unsafe calls may not be repeated."""
+
+    @settings(max_examples=100)
+    @given(st.lists(st.sampled_from(list(CallFault)), max_size=5), st.booleans())
+    def test_unsafe_calls_run_at_most_once_and_outcomes_are_true(
+        self, faults: list[CallFault], is_unsafe: bool
+    ) -> None:
+        engines = FakeEngines(ANSWER, faults)
+        trial = _Trial(engines)
+
+        async def scenario() -> Outcome:
+            async with trio.open_nursery() as nursery:
+                _see_all(trial.node)
+                request = ServiceRequest(
+                    request_id=RequestId("r"),
+                    customer=CustomerId("c"),
+                    customer_row=CUSTOMER,
+                    service="s",
+                    call=ServiceCall("POST", "/x", {}, b""),
+                    deadline_s=trio.current_time() + 5,
+                    is_unsafe=is_unsafe,
+                )
+                try:
+                    await trial.dispatcher(nursery).call_service(request)
+                except Problem as problem:
+                    return problem.outcome
+                return Outcome.ANSWERED
+
+        outcome = run_on_mock_clock(scenario)
+        if is_unsafe:
+            self.assertLessEqual(engines.runs["/x"], 1)
+        if outcome is Outcome.NOT_RUN:
+            self.assertEqual(engines.runs["/x"], 0)
--- /dev/null
+++ b/yewloom/tests/test_placement.py
@@ -0,0 +1,478 @@
+"""Tests of placement and of the serving gate, with failures mixed in and doubled."""
+
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from yewloom.fleet import Fleet
+from yewloom.groups import HostObservation
+from yewloom.ids import AttemptId, DataCentreId, EntryHostId, GroupId, HostId, PolicyName
+from yewloom.orders import DueOrder, due_orders
+from yewloom.placement import (
+    FleetState,
+    PlacementError,
+    PlacementTiming,
+    Plan,
+    Planner,
+    check_placement,
+    choose_members,
+)
+from yewloom.schema.records_pb2 import Group, GroupMember, Host, HostReport, Placement
+from yewloom.schema.table_pb2 import DowntimePlacement, PolicyRow, StrandedPlacement
+from yewloom.states import EngineState, GroupIntent, HostState
+from yewloom.tests.support import make_host, make_policy
+
+FRESHNESS_S = 2.0
+GIVE_UP_S = 4.0
+TIMING = PlacementTiming(FRESHNESS_S, load_timeout_s=30.0, settle_s=3.0)
+PLACE = DataCentreId("hall-a")
+HOSTS = [f"h{i}" for i in range(7)]
+POLICY = PolicyName("p")
+
+
+@dataclass
+class _Engine:
+    """A model engine as it is, whatever anyone has heard of it."""
+
+    host: Host
+    is_alive: bool = True
+    fence: int = 0
+    group: tuple[str, int] = ("", 0)
+    is_ready: bool = False
+    running: int = 0
+
+    def report(self) -> HostReport:
+        state = EngineState.READY if self.is_ready else EngineState.LOADING
+        return HostReport(
+            host_id=self.host.id,
+            state=(state if self.group[0] else EngineState.IDLE).value,
+            group_id=self.group[0],
+            generation=self.group[1],
+            running=self.running,
+            capacity=4,
+        )
+
+    def take_order(self, due: DueOrder) -> None:
+        if not self.is_alive or (self.host.checks_fences and due.order.fence < self.fence):
+            return
+        self.fence = max(self.fence, due.order.fence)
+        if self.group != (due.order.group_id, due.order.generation):
+            self.group = (due.order.group_id, due.order.generation)
+            self.is_ready = False
+            self.running = 0
+
+
+@dataclass
+class _EntryHost:
+    """One entry host: what it knows, its planner, and a placement that it may yet write."""
+
+    name: str
+    fleet: Fleet = field(default_factory=lambda: Fleet(FRESHNESS_S, GIVE_UP_S))
+    planner: Planner = field(init=False)
+    pending: tuple[Plan, int] | None = None
+
+    def __post_init__(self) -> None:
+        self.planner = Planner(EntryHostId(self.name), TIMING)
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Entry hosts that all believe they coordinate, engines that die, pause and come back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.engines = {HostId(n): _Engine(make_host(n)) for n in HOSTS}
+        self.entries = [_EntryHost("e0"), _EntryHost("e1")]
+        self.record = Placement(data_centre=PLACE)
+        self.version = 0
+        self.orders: list[DueOrder] = []
+        self.last_true_s: dict[tuple[str, str, int], float] = {}
+        self.attempts = 0
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5, 5.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now_s += seconds
+
+    @rule(name=st.sampled_from(HOSTS))
+    def kill(self, name: str) -> None:
+        self.engines[HostId(name)].is_alive = False
+
+    @rule(name=st.sampled_from(HOSTS), has_state=st.booleans())
+    def come_back(self, name: str, has_state: bool) -> None:
+        """Bring a host back, with its state after a pause or without after a restart."""
+        engine = self.engines[HostId(name)]
+        if not has_state:
+            engine.group, engine.is_ready, engine.fence = ("", 0), False, 0
+        engine.is_alive = True
+
+    @rule(name=st.sampled_from(HOSTS))
+    def load(self, name: str) -> None:
+        engine = self.engines[HostId(name)]
+        engine.is_ready = engine.is_alive and bool(engine.group[0])
+
+    @rule()
+    def load_all(self) -> None:
+        for name in HOSTS:
+            self.load(name)
+
+    @rule(name=st.sampled_from(HOSTS), state=st.sampled_from(list(HostState)))
+    def list_as(self, name: str, state: HostState) -> None:
+        self.engines[HostId(name)].host.state = state.value
+
+    @rule(who=st.integers(0, 1), seen=st.sets(st.sampled_from(HOSTS), min_size=3))
+    def probe(self, who: int, seen: set[str]) -> None:
+        """Probe all hosts; those not ``seen`` are cut off from this entry host."""
+        self._note_what_is_true()
+        fleet = self.entries[who].fleet
+        for name, engine in self.engines.items():
+            if engine.is_alive and name in seen:
+                fleet.on_host_answered(name, engine.report(), self.now_s)
+            else:
+                fleet.on_host_failed(name, self.now_s)
+        for _, group in list(fleet.groups()):
+            fleet.sum_up(group, self.now_s)
+
+    @rule(who=st.integers(0, 1))
+    def probe_all(self, who: int) -> None:
+        self.probe(who, set(HOSTS))
+
+    @rule(to=st.integers(0, 1))
+    def exchange(self, to: int) -> None:
+        source, target = self.entries[1 - to].fleet, self.entries[to].fleet
+        for placement in source.newer_placements(target.placement_versions()):
+            target.apply_placement(placement)
+        target.merge_groups(source.group_reports(self.now_s), self.now_s)
+
+    @rule(who=st.integers(0, 1))
+    def plan(self, who: int) -> None:
+        """Read the record and plan; the write comes later, if ever."""
+        entry = self.entries[who]
+        entry.fleet.apply_placement(self.record)
+        state = FleetState(
+            listed={name: engine.host for name, engine in self.engines.items()},
+            hosts=entry.fleet.hosts,
+            groups=entry.fleet.group_observations,
+            policies={POLICY: make_policy(size=3, spare=1)},
+        )
+        self.attempts += 1
+        attempt = AttemptId(str(self.attempts))
+        entry.pending = (
+            entry.planner.plan(self.record, state, self.now_s, attempt),
+            self.version,
+        )
+
+    @rule(who=st.integers(0, 1))
+    def write(self, who: int) -> None:
+        entry, pending = self.entries[who], self.entries[who].pending
+        entry.pending = None
+        if pending is None or pending[0].placement is None or pending[1] != self.version:
+            return
+        assert pending[0].placement.generation > self.record.generation
+        self.record, self.version = pending[0].placement, self.version + 1
+        entry.fleet.apply_placement(self.record)
+
+    @rule(who=st.integers(0, 1))
+    def send_orders(self, who: int) -> None:
+        fleet = self.entries[who].fleet
+        listed = {name: engine.host for name, engine in self.engines.items()}
+        self.orders += due_orders(
+            fleet.placement(PLACE), fleet.group_observations, fleet.hosts, listed, 2
+        )
+
+    @rule(data=st.data())
+    def deliver_order(self, data: st.DataObject) -> None:
+        """Deliver one order, however old."""
+        if self.orders:
+            due = data.draw(st.sampled_from(self.orders))
+            self.engines[due.host_id].take_order(due)
+
+    @rule()
+    def deliver_all_orders(self) -> None:
+        for due in self.orders:
+            self.engines[due.host_id].take_order(due)
+
+    @rule()
+    def settle(self) -> None:
+        """A quiet round in which all goes well, so that groups do come to serve."""
+        self.plan(0)
+        self.write(0)
+        self.probe_all(0)
+        self.send_orders(0)
+        self.deliver_all_orders()
+        self.load_all()
+        self.probe_all(0)
+        self.exchange(1)
+
+    def _note_what_is_true(self) -> None:
+        for name, engine in self.engines.items():
+            if engine.is_alive and engine.is_ready:
+                self.last_true_s[(name, *engine.group)] = self.now_s
+
+    @invariant()
+    def no_host_is_in_two_groups(self) -> None:
+        check_placement(self.record)
+        for entry in self.entries:
+            open_groups = [group for _, group, _ in entry.fleet.open_groups(self.now_s)]
+            members = [member.host_id for group in open_groups for member in group.members]
+            assert len(members) == len(set(members))
+
+    @invariant()
+    def no_group_is_open_while_a_member_is_missing(self) -> None:
+        """Each member was alive and ready in this generation within the freshness bound."""
+        self._note_what_is_true()
+        for entry in self.entries:
+            for _, group, _ in entry.fleet.open_groups(self.now_s):
+                for member in group.members:
+                    known = (member.host_id, group.id, group.generation)
+                    true_s = self.last_true_s.get(known, float("-inf"))
+                    assert self.now_s - true_s <= FRESHNESS_S, f"{member.host_id} is missing"
+
+
+TestPlacementMachine = PlacementMachine.TestCase
+TestPlacementMachine.settings = settings(max_examples=60, stateful_step_count=60)
+
+
+class TestCheckPlacement(unittest.TestCase):
+    """Records that must never be acted on."""
+
+    def test_a_host_in_two_groups_is_refused(self) -> None:
+        member = GroupMember(host_id="h1")
+        groups = [Group(id="a", members=[member]), Group(id="b", members=[member])]
+        with self.assertRaises(PlacementError):
+            check_placement(Placement(groups=groups))
+
+    def test_a_generation_above_the_record_is_refused(self) -> None:
+        with self.assertRaises(PlacementError):
+            check_placement(Placement(generation=1, groups=[Group(id="a", generation=2)]))
+
+
+class _Trial:
+    """One planner over engines that do as they are told."""
+
+    def __init__(self, policy: PolicyRow, hosts: list[Host]) -> None:
+        self.policy: PolicyRow | None = policy
+        self.engines = {HostId(host.id): _Engine(host) for host in hosts}
+        self.fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
+        self.planner = Planner(EntryHostId("e"), TIMING)
+        self.record = Placement(data_centre=PLACE)
+        self.now_s = 0.0
+        self.reasons: list[str] = []
+
+    def round(self, seconds: float = 0.5) -> None:
+        """Probe, plan, write, order and load once."""
+        self.now_s += seconds
+        self._probe()
+        plan = self.planner.plan(self.record, self._state(), self.now_s, AttemptId("a"))
+        self.reasons += [f"{d.change.value}: {d.reason}" for d in plan.decisions]
+        if plan.placement is not None:
+            self.record = plan.placement
+            self.fleet.apply_placement(self.record)
+        listed = {name: engine.host for name, engine in self.engines.items()}
+        groups, hosts = self.fleet.group_observations, self.fleet.hosts
+        for due in due_orders(self.record, groups, hosts, listed, max_loading=9):
+            self.engines[due.host_id].take_order(due)
+        for engine in self.engines.values():
+            engine.is_ready = engine.is_alive and bool(engine.group[0])
+        self._probe()
+
+    def open_members(self) -> list[set[str]]:
+        """Return the members of each group that may take new work."""
+        found = self.fleet.open_groups(self.now_s)
+        return [{member.host_id for member in group.members} for _, group, _ in found]
+
+    def _probe(self) -> None:
+        for name, engine in self.engines.items():
+            if engine.is_alive:
+                self.fleet.on_host_answered(name, engine.report(), self.now_s)
+            else:
+                self.fleet.on_host_failed(name, self.now_s)
+        for _, group in list(self.fleet.groups()):
+            self.fleet.sum_up(group, self.now_s)
+
+    def _state(self) -> FleetState:
+        return FleetState(
+            listed={name: engine.host for name, engine in self.engines.items()},
+            hosts=self.fleet.hosts,
+            groups=self.fleet.group_observations,
+            policies={POLICY: self.policy} if self.policy is not None else {},
+        )
+
+
+class TestPlanner(unittest.TestCase):
+    """The life of groups in single cases."""
+
+    def _trial(self, count: int, policy: PolicyRow, domains: int = 1) -> _Trial:
+        hosts = [make_host(f"h{i}", f"rack-{i % domains}") for i in range(count)]
+        trial = _Trial(policy, hosts)
+        trial.round()
+        return trial
+
+    def test_spares_are_left_and_replace_a_lost_member_at_once(self) -> None:
+        trial = self._trial(7, make_policy(size=3, spare=1))
+        self.assertEqual(len(trial.open_members()), 2)
+        trial.engines[HostId("h0")].is_alive = False
+        for _ in range(10):
+            trial.round()
+        self.assertEqual(len(trial.open_members()), 2)
+        self.assertNotIn("h0", set().union(*trial.open_members()))
+
+    def test_a_returning_member_of_a_given_up_group_is_not_served_by(self) -> None:
+        trial = self._trial(7, make_policy(size=3, spare=1))
+        trial.engines[HostId("h0")].is_alive = False
+        for _ in range(10):
+            trial.round()
+        trial.engines[HostId("h0")].is_alive = True
+        trial.round()
+        self.assertEqual(len(trial.open_members()), 2)
+        self.assertNotIn("h0", set().union(*trial.open_members()))
+
+    def test_a_restarted_member_ends_its_group_and_a_new_generation_forms(self) -> None:
+        trial = self._trial(3, make_policy(size=3))
+        generation = trial.record.groups[0].generation
+        trial.engines[HostId("h1")].group = ("", 0)
+        trial.round()
+        trial.round()
+        self.assertTrue(any("was restarted" in reason for reason in trial.reasons))
+        self.assertGreater(trial.record.groups[0].generation, generation)
+        self.assertEqual(len(trial.open_members()), 1)
+
+    def test_a_leaving_member_drains_its_group_and_requests_in_progress_end_first(self) -> None:
+        trial = self._trial(6, make_policy(size=3))
+        busy = trial.engines[HostId("h0")]
+        busy.running = 1
+        busy.host.state = HostState.LEAVING.value
+        for _ in range(20):
+            trial.round()
+        self.assertEqual(busy.running, 1, "the drained group was dissolved while it ran")
+        self.assertEqual(len(trial.open_members()), 1)
+        busy.running = 0
+        for _ in range(10):
+            trial.round()
+        self.assertTrue(any(r == "dissolve: drained" for r in trial.reasons))
+
+    def test_a_replacement_forms_while_the_leaving_members_group_drains(self) -> None:
+        trial = self._trial(7, make_policy(size=3, spare=3))
+        self.assertEqual(len(trial.open_members()), 1)
+        busy = trial.engines[HostId("h0")]
+        busy.running = 1
+        busy.host.state = HostState.LEAVING.value
+        trial.round()
+        trial.round()
+        self.assertEqual(len(trial.open_members()), 1)
+        self.assertNotIn("h0", trial.open_members()[0])
+
+    def test_versions_change_one_group_at_a_time(self) -> None:
+        trial = self._trial(6, make_policy(size=3))
+        trial.policy = make_policy(size=3, model_version="2")
+        trial.round()
+        draining = [g for g in trial.record.groups if g.intent == GroupIntent.DRAINING.value]
+        self.assertEqual(len(draining), 1)
+        for _ in range(60):
+            trial.round()
+        versions = {group.model_version for group in trial.record.groups if group.members}
+        self.assertEqual(versions, {"2"})
+
+    def test_groups_of_a_deleted_policy_drain_and_go(self) -> None:
+        trial = self._trial(3, make_policy(size=3))
+        trial.policy = None
+        for _ in range(20):
+            trial.round()
+        self.assertEqual(list(trial.record.groups), [])
+
+    def test_a_blind_coordinator_gives_nothing_up(self) -> None:
+        trial = self._trial(3, make_policy(size=3))
+        for engine in trial.engines.values():
+            engine.is_alive = False
+        for _ in range(20):
+            trial.round()
+        self.assertEqual(len(trial.record.groups), 1)
+
+    def test_a_host_that_checks_no_fence_is_used_again_only_after_stale_views_ran_out(self) -> None:
+        hosts = [make_host(f"h{i}", checks_fences=False) for i in range(3)]
+        trial = _Trial(make_policy(size=3), hosts)
+        trial.round()
+        self.assertEqual(list(trial.record.groups), [])
+        for _ in range(6):
+            trial.round()
+        self.assertEqual(len(trial.open_members()), 1)
+
+    def test_the_policy_below_its_least_number_of_groups_comes_first(self) -> None:
+        trial = _Trial(make_policy(size=2), [make_host(f"h{i}") for i in range(4)])
+        policies = {
+            PolicyName("a"): make_policy(size=2, weight=100.0),
+            PolicyName("b"): make_policy(size=2, min_groups=1),
+        }
+        trial._probe()
+        state = FleetState(
+            listed={n: e.host for n, e in trial.engines.items()},
+            hosts=trial.fleet.hosts,
+            groups={},
+            policies=policies,
+        )
+        plan = trial.planner.plan(trial.record, state, trial.now_s, AttemptId("a"))
+        assert plan.placement is not None
+        self.assertEqual([g.policy for g in plan.placement.groups], ["b", "a"])
+
+
+class TestChooseMembers(unittest.TestCase):
+    """Which hosts form the next group."""
+
+    def test_downtime_placement_keeps_spares_unless_the_group_is_needed(self) -> None:
+        free = [make_host(f"h{i}") for i in range(4)]
+        placement = DowntimePlacement(spare_hosts=1)
+        self.assertEqual(choose_members(placement, free, 4, False), [])
+        self.assertEqual(len(choose_members(placement, free, 4, True)), 4)
+
+    def test_stranded_placement_joins_domains_only_where_allowed(self) -> None:
+        free = [make_host(f"h{i}", f"rack-{i % 2}") for i in range(4)]
+        self.assertEqual(choose_members(StrandedPlacement(), free, 3, False), [])
+        joined = choose_members(StrandedPlacement(cross_domain=True), free, 3, False)
+        self.assertEqual(len(joined), 3)
+
+    def test_a_fabric_domain_is_used_whole_before_domains_are_joined(self) -> None:
+        free = [make_host("h0", "rack-0")] + [make_host(f"h{i}", "rack-1") for i in range(1, 4)]
+        chosen = choose_members(StrandedPlacement(cross_domain=True), free, 3, False)
+        self.assertEqual({host.fabric_domain for host in chosen}, {"rack-1"})
+
+
+class TestObservation(unittest.TestCase):
+    """Reports about one group from several observers."""
+
+    def test_a_peers_delay_never_makes_a_group_look_fresher(self) -> None:
+        fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
+        group = Group(
+            id="g",
+            generation=1,
+            intent=GroupIntent.ACTIVE.value,
+            members=[GroupMember(host_id="h0")],
+        )
+        fleet.apply_placement(Placement(data_centre=PLACE, generation=1, groups=[group]))
+        peer = Fleet(FRESHNESS_S, GIVE_UP_S)
+        peer.apply_placement(fleet.placement(PLACE))
+        report = HostReport(host_id="h0", state=EngineState.READY.value, group_id="g", generation=1)
+        peer.on_host_answered(HostId("h0"), report, 0.0)
+        peer.sum_up(group, 0.0)
+        fleet.merge_groups(peer.group_reports(1.5), asked_s=1.0)
+        self.assertTrue(fleet.is_open(group, 1.4))
+        self.assertFalse(fleet.is_open(group, 2.1))
+
+    def test_a_failed_call_closes_a_group_until_it_is_seen_again(self) -> None:
+        fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
+        trial = _Trial(make_policy(size=2), [make_host("h0"), make_host("h1")])
+        trial.round()
+        fleet = trial.fleet
+        group = next(group for _, group in fleet.groups())
+        fleet.on_call_failed(GroupId(group.id), trial.now_s)
+        self.assertFalse(fleet.is_open(group, trial.now_s))
+        trial.round()
+        self.assertTrue(fleet.is_open(group, trial.now_s))
+
+    def test_an_older_answer_does_not_replace_a_newer_one(self) -> None:
+        fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
+        fleet.on_host_answered(HostId("h"), HostReport(running=2), 5.0)
+        fleet.on_host_answered(HostId("h"), HostReport(running=1), 4.0)
+        self.assertEqual(fleet.hosts[HostId("h")].asked_s, 5.0)
+        self.assertEqual(HostObservation().failed(1.0).failed(2.0).failing_since_s, 1.0)
--- /dev/null
+++ b/yewloom/tests/test_processes.py
@@ -0,0 +1,280 @@
+"""Tests through real processes: kills, pauses, cuts and outages."""
+
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+from typing import Any
+
+import openai
+
+from yewloom.standins.engine import expected_tokens
+from yewloom.tests.processes import CUSTOMER_KEY, MODEL, Fleet, call, free_port, wait_for
+
+
+def _expected(prompt: str, count: int) -> str:
+    return "".join(expected_tokens(f"user: {prompt}", count))
+
+
+def _client(fleet: Fleet, entry: str) -> openai.OpenAI:
+    return openai.OpenAI(
+        base_url=f"{fleet.url(entry)}/v1", api_key=CUSTOMER_KEY, max_retries=0, timeout=60
+    )
+
+
+def _stream_text(client: openai.OpenAI, prompt: str, count: int) -> str:
+    stream = client.chat.completions.create(
+        model=MODEL,
+        messages=[{"role": "user", "content": prompt}],
+        max_tokens=count,
+        stream=True,
+    )
+    return "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+
+
+class _FleetCase(unittest.TestCase):
+    """Starts a fleet for each test."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def in_background(self, work: Any, *arguments: Any) -> tuple[threading.Thread, list[Any]]:
+        """Run a blocking call in a thread of the test; its result lands in the list."""
+        results: list[Any] = []
+
+        def run() -> None:
+            try:
+                results.append(work(*arguments))
+            except Exception as error:  # noqa: BLE001 - handed to the test
+                results.append(error)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread, results
+
+    def group_of(self, place: str) -> Any:
+        groups = self.fleet.open_groups("e1")
+        return next(group for group in groups if group["data_centre"] == place)
+
+
+class TestRequests(_FleetCase):
+    """The caller interface, with an unmodified client library."""
+
+    def test_answers_are_whole_and_bad_requests_run_nothing(self) -> None:
+        fleet, client = self.fleet, _client(self.fleet, "e1")
+        self.assertEqual(_stream_text(client, "hello", 12), _expected("hello", 12))
+        whole = client.chat.completions.create(
+            model=MODEL, messages=[{"role": "user", "content": "hi"}], max_tokens=5
+        )
+        self.assertEqual(whole.choices[0].message.content, _expected("hi", 5))
+        text = client.completions.create(model=MODEL, prompt="plain", max_tokens=4)
+        self.assertEqual(text.choices[0].text, "".join(expected_tokens("plain", 4)))
+        self.assertEqual([model.id for model in client.models.list()], [MODEL])
+        engines = [member for group in fleet.groups("e1") for member in group["members"]]
+        before = fleet.runs(*engines)
+        self._send_bad_requests()
+        self.assertEqual(fleet.runs(*engines), before)
+
+    def _send_bad_requests(self) -> None:
+        url = f"{self.fleet.url('e1')}/v1/chat/completions"
+        good = {"model": MODEL, "messages": [{"role": "user", "content": "x"}]}
+        key = {"authorization": f"Bearer {CUSTOMER_KEY}"}
+        cases: list[tuple[Any, dict[str, str], int]] = [
+            ("not an object", key, 400),
+            ({**good, "model": "unknown"}, key, 404),
+            ({**good, "messages": []}, key, 400),
+            ({**good, "max_tokens": "many"}, key, 400),
+            ({**good, "user": "x" * 2_000_000}, key, 413),
+            (good, {"authorization": "Bearer wrong"}, 401),
+            (good, {}, 401),
+            (good, {**key, "x-timeout-ms": "-1"}, 400),
+            (good, {**key, "last-event-id": "nonsense"}, 400),
+        ]
+        for body, headers, status in cases:
+            answer = call("POST", url, body, headers)
+            with self.subTest(status=status, headers=headers):
+                self.assertEqual(answer.status, status)
+                self.assertEqual(answer.headers["content-type"], "application/problem+json")
+                self.assertEqual(answer.json()["outcome"], "not_run")
+                self.assertTrue(answer.json()["detail"])
+
+    def test_a_killed_member_ends_its_group_and_no_answer_is_cut_short(self) -> None:
+        fleet, group = self.fleet, self.group_of("a")
+        for name in group["members"]:
+            fleet.control(name, token_ms=30)
+        work = (_stream_text, _client(fleet, "e1"), "long", 100)
+        threads = [self.in_background(*work) for _ in range(4)]
+        time.sleep(1)
+        fleet.kill(group["members"][2])
+        for thread, results in threads:
+            thread.join()
+            self.assertEqual(results, [_expected("long", 100)])
+        ids = wait_for(
+            lambda: (
+                {g["id"] for g in fleet.open_groups("e1") if g["data_centre"] == "a"}
+                - {group["id"]}
+            ),
+            "the replacement group",
+        )
+        members = next(g["members"] for g in fleet.groups("e1") if g["id"] in ids)
+        self.assertNotIn(group["members"][2], members)
+
+    def test_shuffled_doubled_and_broken_streams_give_whole_answers(self) -> None:
+        for group in self.fleet.groups("e1"):
+            self.fleet.control(group["members"][0], shuffle=True, break_after=3)
+        text = _stream_text(_client(self.fleet, "e1"), "odd", 10)
+        self.assertEqual(text, _expected("odd", 10))
+
+    def test_a_caller_that_goes_frees_the_engine(self) -> None:
+        fleet = self.fleet
+        leaders = [group["members"][0] for group in fleet.open_groups("e1")]
+        for name in leaders:
+            fleet.control(name, token_ms=100)
+        stream = _client(fleet, "e1").chat.completions.create(
+            model=MODEL,
+            messages=[{"role": "user", "content": "forget it"}],
+            max_tokens=1000,
+            stream=True,
+        )
+        next(iter(stream))
+        stream.response.close()
+        wait_for(
+            lambda: any(
+                call("GET", f"{fleet.url(name)}/control/runs").json()["cancelled"]
+                for name in leaders
+            ),
+            "the cancellation",
+        )
+
+
+class TestEntryHosts(_FleetCase):
+    """Entry hosts that are killed, paused, stopped and replaced."""
+
+    def test_an_unsafe_call_runs_once_though_its_entry_host_dies(self) -> None:
+        fleet = self.fleet
+        fleet.control("sa", delay_ms=1500)
+        fleet.control("sb", delay_ms=1500)
+        send = (fleet.service, "e1", "POST", "update/1")
+        thread, _ = self.in_background(lambda: send[0](*send[1:], idempotency_key="k1"))
+        wait_for(lambda: fleet.runs("sa", "sb").get("k1"), "the call at the endpoint")
+        fleet.kill("e1")
+        thread.join()
+        again = fleet.service("e2", "POST", "update/1", idempotency_key="k1")
+        self.assertEqual(again.json()["outcome"], "unknown")
+        self.assertIn("retry-after", again.headers)
+        self.assertEqual(fleet.runs("sa", "sb")["k1"], 1)
+
+    def test_a_dropped_answer_of_an_unsafe_call_is_unknown_and_not_repeated(self) -> None:
+        fleet = self.fleet
+        for name in ("sa", "sb"):
+            fleet.control(name, drop_answers=5)
+        answer = fleet.service("e1", "POST", "update/2", idempotency_key="k2")
+        self.assertEqual(answer.json()["outcome"], "unknown")
+        self.assertEqual(fleet.runs("sa", "sb")["k2"], 1)
+        again = fleet.service("e3", "POST", "update/2", idempotency_key="k2")
+        self.assertEqual(again.json()["outcome"], "unknown")
+        self.assertEqual(fleet.runs("sa", "sb")["k2"], 1)
+
+    def test_a_planned_stop_cuts_off_no_request(self) -> None:
+        fleet = self.fleet
+        for group in fleet.open_groups("e1"):
+            fleet.control(group["members"][0], token_ms=20)
+        thread, results = self.in_background(_stream_text, _client(fleet, "e1"), "calm", 150)
+        time.sleep(1)
+        fleet.signal("e1", signal.SIGTERM)
+        wait_for(lambda: call("GET", f"{fleet.url('e1')}/readyz").status == 503, "unreadiness")
+        thread.join()
+        self.assertEqual(results, [_expected("calm", 150)])
+        self.assertEqual(fleet.programs["e1"].process.wait(timeout=30), 0)
+
+    def test_a_paused_coordinator_is_replaced_and_changes_nothing_when_it_wakes(self) -> None:
+        fleet = self.fleet
+        holder = wait_for(self._coordinator, "a coordinator")
+        other = "e2" if holder == "e1" else "e1"
+        fleet.signal(holder, signal.SIGSTOP)
+        wait_for(lambda: self._is_coordinator(other), "another coordinator")
+        generation = fleet.status(other)["placements"]["a"]
+        victim = self._group_seen_by(other)["members"][1]
+        fleet.kill(victim)
+        wait_for(lambda: fleet.status(other)["placements"]["a"] > generation, "a new placement")
+        latest = fleet.status(other)["placements"]["a"]
+        fleet.signal(holder, signal.SIGCONT)
+        wait_for(lambda: fleet.status(holder)["placements"]["a"] >= latest, "the new placement")
+        self.assertTrue(self._is_coordinator(other))
+        self.assertFalse(self._is_coordinator(holder))
+
+    def test_a_replaced_entry_host_serves_during_an_outage_of_the_platform(self) -> None:
+        fleet = self.fleet
+        fleet.control("platform", outage=True)
+        fleet.kill("e2")
+        fleet.start_entry("e4", "a", free_port())
+        wait_for(lambda: call("GET", f"{fleet.url('e4')}/readyz").status == 200, "readiness")
+        wait_for(lambda: fleet.open_groups("e4"), "open groups")
+        self.assertEqual(fleet.chat("e4", "still here").status, 200)
+        unsafe = fleet.service("e4", "POST", "update/3", idempotency_key="k3")
+        self.assertEqual(unsafe.json()["outcome"], "not_run")
+        self.assertEqual(fleet.runs("sa", "sb").get("k3", 0), 0)
+        members = wait_for(lambda: self._members("e1") == {"e1", "e3", "e4"}, "membership")
+        self.assertTrue(members)
+
+    def _members(self, entry: str) -> set[str]:
+        return {member["id"] for member in self.fleet.status(entry)["members"]}
+
+    def _group_seen_by(self, entry: str) -> Any:
+        return next(g for g in self.fleet.groups(entry) if g["data_centre"] == "a")
+
+    def _coordinator(self) -> str | None:
+        return next((name for name in ("e1", "e2") if self._is_coordinator(name)), None)
+
+    def _is_coordinator(self, name: str) -> bool:
+        text = call("GET", f"{self.fleet.url(name)}/metrics").body.decode()
+        return "yewloom_is_coordinator 1.0" in text
+
+
+class TestTable(_FleetCase):
+    """Changes of the table on their way to every entry host."""
+
+    def test_a_change_reaches_a_data_centre_that_is_cut_from_the_platform(self) -> None:
+        fleet = self.fleet
+        fleet.control("platform", cut_ports=[fleet.platform_ports["b"]])
+        self._cli("table", "set", "customer/c", "weight=3")
+        version = 2
+        for entry in ("e1", "e2", "e3"):
+            self._wait_for_version(entry, "customer/c", version)
+        self.assertEqual(fleet.chat("e3", "cut off").status, 200)
+        conflict = self._cli(
+            "table", "set", "customer/c", "weight=4", "--expect-version", "1", code=3
+        )
+        self.assertIn("weight=3.0", conflict)
+
+    def test_a_leaving_endpoint_gets_no_new_work_and_its_group_is_drained(self) -> None:
+        fleet, group = self.fleet, self.group_of("a")
+        leader = group["members"][0]
+        fleet.control(group["members"][3], leaving=True)
+        wait_for(lambda: self._is_closed_everywhere(group["id"]), "closed groups")
+        before = sum(fleet.runs(leader).values())
+        for number in range(6):
+            self.assertEqual(fleet.chat("e1", f"after {number}").status, 200)
+        self.assertEqual(sum(fleet.runs(leader).values()), before)
+        wait_for(
+            lambda: all(g["id"] != group["id"] for g in fleet.groups("e1")), "the dissolved group"
+        )
+
+    def _wait_for_version(self, entry: str, row: str, version: int) -> None:
+        wait_for(lambda: self.fleet.status(entry)["rows"][row] == version, f"{row} at {entry}")
+
+    def _is_closed_everywhere(self, group_id: str) -> bool:
+        entries = ("e1", "e2", "e3")
+        return not any(g["id"] == group_id for e in entries for g in self.fleet.open_groups(e))
+
+    def _cli(self, *arguments: str, code: int = 0) -> str:
+
+        platform = f"http://127.0.0.1:{self.fleet.platform_ports['a']}"
+        command = [sys.executable, "-m", "yewloom.cli", *arguments, "--platform", platform]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, code, done.stderr)
+        return done.stdout + done.stderr
