Share limits among entry hosts, and compare more groups when routing

Cause: each entry host divided a customer's limit by the members it saw, so two sides of a cut summed past it. Change: one record a data centre grants parts, lowered in two steps with the holder's word; hosts lend what they do not use; a silent host keeps its part until the platform lists it no more. Found on the way: a refusal raised inside a nursery was answered with status 500; test_callers.

--- a/yewloom/admission.py
+++ b/yewloom/admission.py
@@ -66,6 +66,7 @@
     waiting: deque[tuple[float, Arrival]] = field(default_factory=deque)
     finish_tag: float = 0.0
     in_flight: int = 0
+    refused: int = 0
 
 
 class Admission:
@@ -90,9 +91,17 @@
         """Requests that wait."""
         return self._queued
 
-    def demand(self) -> dict[CustomerId, int]:
-        """Return what each customer holds and waits for."""
-        return {name: c.in_flight + len(c.waiting) for name, c in self._customers.items()}
+    def in_flight_by_customer(self) -> dict[CustomerId, int]:
+        """Return how many places each customer holds."""
+        return {name: customer.in_flight for name, customer in self._customers.items()}
+
+    def take_demand(self) -> dict[CustomerId, int]:
+        """Return what each customer holds, waits for, and was refused since the last call."""
+        demand = {}
+        for name, customer in self._customers.items():
+            demand[name] = customer.in_flight + len(customer.waiting) + customer.refused
+            customer.refused = 0
+        return demand
 
     def set_places(self, places: int) -> None:
         """Change the number of places, as groups come and go."""
@@ -102,6 +111,7 @@
         """Decide on a request as it arrives."""
         customer = self._customers.setdefault(arrival.customer, _Customer())
         if arrival.share <= 0 or self._places <= 0:
+            customer.refused += 1
             return self._shed(arrival, "no capacity is left for this customer")
         if not customer.waiting and self._has_place(customer, arrival):
             self._start(customer, arrival, self._tag(customer, arrival), now_s)
--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -114,12 +114,16 @@
 
     async def _while_connected(self, request: Request, answer: Awaitable[Response]) -> Response:
         """Return an answer, or stop working on it when the caller has gone."""
+        response = Response(status_code=_CLIENT_GONE)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, request, nursery.cancel_scope)
-            response = await answer
+            try:
+                response = await answer
+            except Problem as problem:
+                # A nursery would hand it on inside an exception group.
+                response = problem.to_response()
             nursery.cancel_scope.cancel()
-            return response
-        return Response(status_code=_CLIENT_GONE)
+        return response
 
     async def _stream(
         self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -23,6 +23,7 @@
 from yewloom.placement import FleetState, PlacementTiming, Planner
 from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.records_pb2 import GroupMember, Host, Lease, Placement
+from yewloom.share_balancer import ShareBalancer
 from yewloom.watchers import PLACEMENT_PREFIX, parse_placement, take_in_object
 from yewloom.writes import WriteConflict, write_settled
 
@@ -54,6 +55,7 @@
         self._version = 0
         self._is_current = False
         self._was_holding = False
+        self._balancer = ShareBalancer(node, platform, new_attempt)
 
     @property
     def is_holding(self) -> bool:
@@ -135,6 +137,8 @@
             await self._write_placement(plan)
         if self.is_holding:
             await self._give_orders()
+        if self.is_holding:
+            await self._balancer.run_if_due((self._listed or {}).values())
 
     async def _read_placement(self) -> bool:
         """Read the record itself: what exchange brought may be behind it."""
@@ -164,7 +168,7 @@
         ]
         taken = {member.host_id for group in placement.groups for member in group.members}
         listed = (self._listed or {}).values()
-        free = [h for h in listed if not h.service and h.id not in taken]
+        free = [h for h in listed if not (h.service or h.is_entry_host or h.id in taken)]
         return members + [GroupMember(host_id=host.id, address=host.address) for host in free]
 
     def _plan(self) -> Plan:
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -16,7 +16,6 @@
 from starlette.applications import Starlette
 
 from yewloom import log
-from yewloom.admission import Admission
 from yewloom.callers import CallerInterface
 from yewloom.claim_writer import ClaimWriter
 from yewloom.coordinators import Coordinator
@@ -36,7 +35,7 @@
 from yewloom.service_dispatch import ServiceDispatcher
 from yewloom.settings import read_settings
 from yewloom.tables import TABLE_PREFIX
-from yewloom.watchers import PLACEMENT_PREFIX, Watcher
+from yewloom.watchers import PLACEMENT_PREFIX, SHARES_PREFIX, Watcher
 
 logger = structlog.get_logger(__name__)
 
@@ -58,7 +57,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._node = build_node(settings, random.Random(), unix_ms())
-        self._places = Places(Admission(0, settings.requests.max_queued))
+        self._places = Places(self._node.admission)
 
     async def run(self) -> None:
         """Run until a signal asks for a planned stop and requests in progress have ended."""
@@ -87,6 +86,8 @@
             nursery.start_soon(PeerExchange(self._node).run)
             nursery.start_soon(Watcher(self._node, platform, TABLE_PREFIX).run)
             nursery.start_soon(Watcher(self._node, platform, PLACEMENT_PREFIX).run)
+            shares_key = f"{SHARES_PREFIX}{self._node.data_centre}"
+            nursery.start_soon(Watcher(self._node, platform, shares_key).run)
             nursery.start_soon(observer.run, lambda: self._after_probes(platform))
             nursery.start_soon(coordinator.run)
             await self._wait_for_stop(coordinator)
@@ -113,8 +114,7 @@
 
     def _share_of(self, customer: CustomerId, row: CustomerRow) -> int:
         """Return this entry host's part of a customer's limit."""
-        members = len(self._node.membership.alive(trio.current_time()))
-        return -(-row.max_in_flight // max(members, 1))
+        return self._node.shares.usable(customer, trio.current_time())
 
     def _after_probes(self, platform: HttpPlatform) -> None:
         """Adapt to the groups that are open now, and bring the gauges up to date."""
--- a/yewloom/dispatch.py
+++ b/yewloom/dispatch.py
@@ -23,9 +23,15 @@
 from yewloom.recovery import next_step
 from yewloom.requests import ModelRequest, ShareOf, Tokens, arrival_of
 from yewloom.retries import AttemptTracker, CallFailure, NextStep, RetryBudget
-from yewloom.routing import Candidate, RouteRequest, TurnCounter, choose_group
+from yewloom.routing import (
+    Candidate,
+    RouteRequest,
+    TurnCounter,
+    choose_group,
+    default_routing,
+)
 from yewloom.schema.records_pb2 import Group
-from yewloom.schema.table_pb2 import PolicyRow, ScoreRouting
+from yewloom.schema.table_pb2 import PolicyRow
 from yewloom.states import Outcome
 from yewloom.streams import StreamAssembler, StreamOverflowError, StreamPosition
 
@@ -66,6 +72,7 @@
         self._table = node.table
         self._fleet = node.fleet
         self._prefixes = node.prefixes
+        self._membership = node.membership
         self._places = places
         self._endpoints = endpoints
         self._metrics = node.metrics
@@ -238,12 +245,11 @@
             data_centre=self._data_centre,
             prompt_characters=len(request.prompt),
             avoid=frozenset(progress.avoid),
+            entry_hosts=len(self._membership.alive_in(self._data_centre, trio.current_time())),
         )
         policy = self._table.policies()[progress.policy]
         kind = policy.WhichOneof("routing")
-        routing = (
-            getattr(policy, kind) if kind else ScoreRouting(prefix_weight=1, distance_weight=1)
-        )
+        routing = getattr(policy, kind) if kind else default_routing()
         route = choose_group(routing, wanted, candidates, self._rng, self._turns)
         if route is None:
             raise unavailable("No group is open for this model now.", progress.tracker.outcome)
--- a/yewloom/exchange.py
+++ b/yewloom/exchange.py
@@ -23,19 +23,21 @@
 logger = structlog.get_logger(__name__)
 
 
-def ask(node: Node) -> ExchangeRequest:
+def ask(node: Node, now_s: float) -> ExchangeRequest:
     """Return the question for a peer."""
     return ExchangeRequest(
         sender=node.membership.me,
         table_digest=node.table.digest,
         placements=node.fleet.placement_versions(),
+        share_state=node.share_state(now_s),
+        shares_generation=node.shares.shares.generation,
     )
 
 
 def answer(node: Node, request: ExchangeRequest, now_s: float) -> ExchangeResponse:
     """Return what a peer that asks should know."""
     node.membership.merge([request.sender], now_s)
-    return ExchangeResponse(
+    response = ExchangeResponse(
         responder=node.membership.me,
         members=node.membership.alive(now_s),
         table_digest=node.table.digest,
@@ -43,6 +45,21 @@
         groups=node.fleet.group_reports(now_s),
         services=node.fleet.service_reports(now_s),
     )
+    if request.sender.data_centre == node.data_centre:
+        _answer_shares(node, request, response, now_s)
+    return response
+
+
+def _answer_shares(
+    node: Node, request: ExchangeRequest, response: ExchangeResponse, now_s: float
+) -> None:
+    """Tell a peer of the own data centre of the shares, and lend it what it lacks."""
+    node.obeyed_shares[request.share_state.instance] = request.share_state.obeyed_generation
+    response.share_state.CopyFrom(node.share_state(now_s))
+    if node.shares.shares.generation > request.shares_generation:
+        response.shares.CopyFrom(node.shares.shares)
+    in_flight = node.admission.in_flight_by_customer()
+    response.loans.extend(node.shares.lend(request.share_state, in_flight, now_s))
 
 
 def take_in(node: Node, response: ExchangeResponse, asked_s: float, now_s: float) -> bool:
@@ -51,6 +68,10 @@
     apply_placements(node, response.placements)
     node.fleet.merge_groups(response.groups, asked_s)
     node.fleet.merge_services(response.services, asked_s)
+    if response.responder.data_centre == node.data_centre:
+        node.obeyed_shares[response.share_state.instance] = response.share_state.obeyed_generation
+        node.shares.apply(response.shares)
+        node.shares.borrow(response.loans, asked_s)
     return response.table_digest != node.table.digest
 
 
--- a/yewloom/node.py
+++ b/yewloom/node.py
@@ -4,12 +4,14 @@
 import time
 from dataclasses import dataclass, field
 
+from yewloom.admission import Admission
 from yewloom.fleet import Fleet
 from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.limits import ShareBook
 from yewloom.membership import Membership
 from yewloom.metrics import Metrics
 from yewloom.prefixes import PrefixIndex
-from yewloom.schema.peer_pb2 import Member
+from yewloom.schema.peer_pb2 import Member, ShareState
 from yewloom.schema.settings_pb2 import Settings
 from yewloom.tables import Table
 
@@ -31,11 +33,14 @@
     table: Table
     fleet: Fleet
     prefixes: PrefixIndex
+    admission: Admission
+    shares: ShareBook
     metrics: Metrics
     rng: random.Random
     is_leaving: bool = False
     is_closed: bool = False
-    has_table: bool = field(default=False)
+    has_table: bool = False
+    obeyed_shares: dict[str, int] = field(default_factory=dict)
 
     @property
     def id(self) -> EntryHostId:
@@ -47,6 +52,21 @@
         """Data centre of this entry host."""
         return DataCentreId(self.settings.host.data_centre)
 
+    @property
+    def instance(self) -> str:
+        """Name of this process: the entry host and its start."""
+        return self.instance_of(self.membership.me)
+
+    @staticmethod
+    def instance_of(member: Member) -> str:
+        """Return the name of a member's process."""
+        return f"{member.id}/{member.incarnation}"
+
+    def share_state(self, now_s: float) -> ShareState:
+        """Return what peers should know of the shares in use here."""
+        demand = dict.fromkeys(self.table.customers(), 0) | self.admission.take_demand()
+        return self.shares.state(self.admission.in_flight_by_customer(), demand, now_s)
+
     @property
     def accepts_requests(self) -> bool:
         """Tell whether requests are taken in; for a moment longer than the balancer is told."""
@@ -73,6 +93,8 @@
         table=Table(),
         fleet=Fleet(settings.groups.freshness_ms / 1000, settings.groups.give_up_ms / 1000),
         prefixes=PrefixIndex(),
+        admission=Admission(0, settings.requests.max_queued),
+        shares=ShareBook(Node.instance_of(me), settings.limits.loan_ms / 1000),
         metrics=Metrics(),
         rng=rng,
     )
--- a/yewloom/peers.py
+++ b/yewloom/peers.py
@@ -97,7 +97,7 @@
         asked_s = trio.current_time()
         stub = peer_pb2_grpc.PeerStub(self._channel(address))  # type: ignore[no-untyped-call]
         try:
-            response = await self._call(stub.Exchange, exchange.ask(self._node))
+            response = await self._call(stub.Exchange, exchange.ask(self._node, asked_s))
             if exchange.take_in(self._node, response, asked_s, trio.current_time()):
                 rows = await self._call(stub.FetchRows, exchange.ask_rows(self._node))
                 exchange.apply_rows(self._node, rows.rows, f"peer {response.responder.id}")
--- a/yewloom/placement.py
+++ b/yewloom/placement.py
@@ -188,7 +188,12 @@
     free = []
     for host_id, host in sorted((fleet.listed or {}).items()):
         known = fleet.hosts.get(host_id)
-        if host.service or host_id in taken or host.state != HostState.LIVE.value:
+        if (
+            host.service
+            or host.is_entry_host
+            or host_id in taken
+            or host.state != HostState.LIVE.value
+        ):
             continue
         if known is None or known.report is None or not known.is_fresh(now_s, freshness_s):
             continue
--- a/yewloom/routing.py
+++ b/yewloom/routing.py
@@ -1,8 +1,8 @@
 """Routing: which open group or service endpoint gets a request.
 
 Reported load lags, so it is corrected by the requests that this entry host itself has in flight,
-and two random candidates are compared instead of all, so that hosts with the same stale view do
-not rush to one group. The group with the longest cached prefix is always compared too.
+and a few random candidates are compared, so that hosts with the same stale view do not all rush to
+one group. The group with the longest cached prefix is always compared too.
 """
 
 import random
@@ -15,14 +15,9 @@
 from yewloom.ids import DataCentreId, GroupId, ModelName
 from yewloom.prefixes import BLOCK_CHARACTERS
 from yewloom.schema.table_pb2 import LeastLoadRouting, RoundRobinRouting, ScoreRouting
+from yewloom.validation import apply_defaults
 
 CHARACTERS_A_TOKEN = 4
-PREFILL_S_A_TOKEN = 0.0002
-"""Estimated prefill time of one token that is not cached, in seconds."""
-
-SERVICE_TIME_S = 1.0
-"""Estimated time for which one running request holds its place, in seconds."""
-
 BUSY_S = 0.03
 """Penalty in seconds for a group whose places are all taken, so that load spreads before it queues.
 
@@ -35,12 +30,16 @@
 
 @dataclass(frozen=True)
 class RouteRequest:
-    """What routing needs to know of a request."""
+    """What routing needs to know of a request.
+
+    ``entry_hosts`` are those that see the same reports and send to the same groups.
+    """
 
     model: ModelName
     data_centre: DataCentreId
     prompt_characters: int
     avoid: frozenset[GroupId] = frozenset()
+    entry_hosts: int = 1
 
 
 @dataclass(frozen=True)
@@ -58,10 +57,9 @@
     own_unreported: int
     matched_blocks: int
 
-    @property
-    def load(self) -> int:
-        """Requests that the group is believed to hold."""
-        return self.reported + self.own_unreported
+    def load(self, entry_hosts: int) -> int:
+        """Requests that the group is believed to hold, if others sent as many as this one."""
+        return self.reported + self.own_unreported * entry_hosts
 
 
 @dataclass(frozen=True)
@@ -72,6 +70,13 @@
     reason: str
 
 
+def default_routing() -> ScoreRouting:
+    """Return the routing of a policy that names none."""
+    routing = ScoreRouting()
+    apply_defaults(routing)
+    return routing
+
+
 class TurnCounter:
     """Counts turns for round-robin routing."""
 
@@ -143,36 +148,45 @@
     rng: random.Random,
     turns: TurnCounter,
 ) -> Route:
-    compared = _sample(candidates, request.data_centre, rng)
+    compared = _sample(policy, candidates, request.data_centre, rng)
     scored = [(estimate_s(policy, request, c), c.group_id, c) for c in compared]
     cost_s, _, chosen = min(scored)
+    load = chosen.load(request.entry_hosts)
     return Route(
         chosen.group_id,
         f"score {cost_s * 1000:.0f} ms of {len(compared)} compared, "
-        f"load {chosen.load}/{chosen.capacity}, {chosen.matched_blocks} blocks cached",
+        f"load {load}/{chosen.capacity}, {chosen.matched_blocks} blocks cached",
     )
 
 
 def estimate_s(policy: ScoreRouting, request: RouteRequest, candidate: Candidate) -> float:
     """Estimate the time to the first token in seconds: queue, prefill left, load and distance."""
     capacity = max(candidate.capacity, 1)
-    queued = max(0, candidate.load + 1 - capacity)
-    busy = min(candidate.load / capacity, 1.0)
+    load = candidate.load(request.entry_hosts)
+    queued = max(0, load + 1 - capacity)
+    busy = min(load / capacity, 1.0)
     prompt_tokens = request.prompt_characters / CHARACTERS_A_TOKEN
     cached_tokens = candidate.matched_blocks * BLOCK_CHARACTERS / CHARACTERS_A_TOKEN
-    prefill_s = (prompt_tokens - policy.prefix_weight * cached_tokens) * PREFILL_S_A_TOKEN
+    left_tokens = prompt_tokens - policy.prefix_weight * cached_tokens
+    prefill_s = left_tokens * policy.prefill_us_a_token / 1_000_000
     remote = candidate.data_centre != request.data_centre
     distance_s = policy.distance_weight * REMOTE_DISTANCE_S if remote else 0.0
-    return queued / capacity * SERVICE_TIME_S + prefill_s + busy * BUSY_S + distance_s
+    queue_s = queued / capacity * policy.service_time_ms / 1000
+    return queue_s + prefill_s + busy * BUSY_S + distance_s
 
 
 def _sample(
-    candidates: Sequence[Candidate], data_centre: DataCentreId, rng: random.Random
+    policy: ScoreRouting,
+    candidates: Sequence[Candidate],
+    data_centre: DataCentreId,
+    rng: random.Random,
 ) -> list[Candidate]:
-    """Return two random local groups, one remote one, and the one with the longest prefix."""
+    """Return some random local groups, one remote one, and the one with the longest prefix."""
     local = [c for c in candidates if c.data_centre == data_centre]
     remote = [c for c in candidates if c.data_centre != data_centre]
-    compared = rng.sample(local, min(2, len(local))) + rng.sample(remote, min(1, len(remote)))
+    compared = rng.sample(local, min(max(policy.choices, 1), len(local))) + rng.sample(
+        remote, min(1, len(remote))
+    )
     best = max(candidates, key=lambda candidate: candidate.matched_blocks)
     if best.matched_blocks and best not in compared:
         compared.append(best)
--- /dev/null
+++ b/yewloom/share_balancer.py
@@ -0,0 +1,106 @@
+"""Writes the record of shares for a data centre, as part of its coordinator."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+import trio
+from result import Err, Ok
+
+from yewloom.ids import AttemptId, CustomerId
+from yewloom.limits import part_of, plan_shares
+from yewloom.node import Node
+from yewloom.platforms import Platform
+from yewloom.schema.peer_pb2 import Member
+from yewloom.schema.records_pb2 import Host, Shares
+from yewloom.watchers import SHARES_PREFIX, parse_shares
+from yewloom.writes import write_settled
+
+logger = structlog.get_logger(__name__)
+
+
+class ShareBalancer:
+    """Divides the data centre's parts of all limits among its entry hosts."""
+
+    def __init__(
+        self, node: Node, platform: Platform, new_attempt: Callable[[], AttemptId]
+    ) -> None:
+        self._node = node
+        self._platform = platform
+        self._new_attempt = new_attempt
+        self._next_s = float("-inf")
+
+    async def run_if_due(self, listed: Iterable[Host]) -> None:
+        """Bring the record up to date, if the pause since the last time is over."""
+        now_s = trio.current_time()
+        if now_s < self._next_s:
+            return
+        self._next_s = now_s + self._node.settings.limits.rebalance_interval_ms / 1000
+        match await self._platform.get(self._key):
+            case Ok(stored):
+                current = parse_shares(stored) if stored is not None else Shares()
+                self._node.shares.apply(current)
+                await self._write(current, stored.version if stored is not None else 0, listed)
+            case Err(error):
+                logger.warning("shares not read", reason=str(error))
+
+    async def _write(self, current: Shares, version: int, listed: Iterable[Host]) -> None:
+        node = self._node
+        alive = {node.instance_of(m) for m in self._living() if not m.leaving}
+        following = plan_shares(
+            current,
+            self._parts(),
+            alive,
+            self._gone(current, listed),
+            self._obeyed(),
+            self._new_attempt(),
+        )
+        if following is None:
+            return
+        attempt = following.attempt_id
+        written = await write_settled(
+            self._platform,
+            self._key,
+            following,
+            version,
+            lambda stored: parse_shares(stored).attempt_id == attempt,
+            node.settings.platform.timeout_ms / 1000,
+        )
+        match written:
+            case Ok():
+                node.shares.apply(following)
+                holders = [holder.instance for holder in following.holders]
+                logger.info("shares granted", generation=following.generation, holders=holders)
+                self._next_s = float("-inf")
+            case Err(error):
+                logger.warning("shares not written", reason=str(error))
+
+    def _living(self) -> list[Member]:
+        return self._node.membership.alive_in(self._node.data_centre, trio.current_time())
+
+    def _parts(self) -> dict[CustomerId, int]:
+        places = self._node.settings.limits.data_centres.split()
+        return {
+            name: part_of(row.max_in_flight, self._node.data_centre, places)
+            for name, row in self._node.table.customers().items()
+        }
+
+    def _obeyed(self) -> dict[str, int]:
+        own = self._node.share_state(trio.current_time())
+        return {**self._node.obeyed_shares, own.instance: own.obeyed_generation}
+
+    def _gone(self, current: Shares, listed: Iterable[Host]) -> set[str]:
+        """Return holders that the platform lists no more, or that a later process replaced."""
+        names = {host.id for host in listed if host.is_entry_host}
+        latest = {member.id: member.incarnation for member in self._living()}
+        gone = set()
+        for holder in current.holders:
+            name, _, incarnation = holder.instance.rpartition("/")
+            is_replaced = latest.get(name, 0) > int(incarnation)
+            is_unlisted = bool(names) and name not in names and name not in latest
+            if is_replaced or is_unlisted:
+                gone.add(holder.instance)
+        return gone
+
+    @property
+    def _key(self) -> str:
+        return f"{SHARES_PREFIX}{self._node.data_centre}"
--- a/yewloom/standins/platform.py
+++ b/yewloom/standins/platform.py
@@ -196,6 +196,7 @@
             "fabric_domain": section.get("fabric_domain", ""),
             "state": section.get("state", "live"),
             "service": section.get("service", ""),
+            "is_entry_host": section.getboolean("is_entry_host", False),
             "checks_fences": section.getboolean("checks_fences", True),
         }
         for name, section in parser.items()
--- a/yewloom/tests/processes.py
+++ b/yewloom/tests/processes.py
@@ -44,11 +44,22 @@
 freshness_ms = 1500
 give_up_ms = 2000
 settle_ms = 1500
+[limits]
+data_centres = a b
+rebalance_interval_ms = 500
+loan_ms = 1500
 [requests]
 stall_timeout_ms = 2000
 reconnect_grace_ms = 500
 """
 
+_SCORE = {
+    "prefix_weight": 1,
+    "distance_weight": 1,
+    "prefill_us_a_token": 200,
+    "service_time_ms": 1000,
+    "choices": 2,
+}
 _ROWS: dict[str, Any] = {
     "table/policy/p": {
         "policy": {
@@ -59,7 +70,7 @@
             "max_groups": 10,
             "weight": 1,
             "downtime": {"spare_hosts": 1},
-            "score": {"prefix_weight": 1, "distance_weight": 1},
+            "score": _SCORE,
         }
     },
     "table/customer/c": {
@@ -195,6 +206,8 @@
             self._run(
                 name, port, "yewloom.standins.service", "--address", address, "--host-id", name
             )
+        for name, place in {"e1": "a", "e2": "a", "e3": "b"}.items():
+            hosts.append(f"[{name}]\naddress=-\ndata_centre={place}\nis_entry_host=true\n")
         (self.folder / "hosts.ini").write_text("".join(hosts))
 
     def _start_platform(self) -> None:
@@ -243,6 +256,11 @@
     def open_groups(self, entry: str) -> list[Any]:
         return [group for group in self.groups(entry) if group["is_open"]]
 
+    def list_entry(self, name: str, state: str, place: str = "a") -> None:
+        """Change an entry host in the platform's list; ``gone`` removes it."""
+        fields = {"id": name, "state": state, "data_centre": place, "is_entry_host": True}
+        call("POST", f"{self.url('platform')}/control/hosts", fields)
+
     def runs(self, *names: str) -> dict[str, int]:
         """Return how often each call ran, summed over stand-ins that are alive."""
         total: dict[str, int] = {}
--- a/yewloom/tests/support.py
+++ b/yewloom/tests/support.py
@@ -15,8 +15,9 @@
 from yewloom.ids import DataCentreId, RequestId
 from yewloom.platforms import Listing, PlatformError, PlatformFailure, StoredObject
 from yewloom.retries import CallFailure
+from yewloom.routing import default_routing
 from yewloom.schema.records_pb2 import Host, HostReport, Order
-from yewloom.schema.table_pb2 import DowntimePlacement, PolicyRow, ScoreRouting
+from yewloom.schema.table_pb2 import DowntimePlacement, PolicyRow
 from yewloom.states import HostState
 from yewloom.streams import StreamPiece
 
@@ -130,7 +131,7 @@
         max_groups=1000,
         weight=1,
         downtime=DowntimePlacement(spare_hosts=spare),
-        score=ScoreRouting(prefix_weight=1, distance_weight=1),
+        score=default_routing(),
     )
     for name, value in cells.items():
         setattr(row, name, value)
--- /dev/null
+++ b/yewloom/tests/test_callers.py
@@ -0,0 +1,153 @@
+"""Tests of the caller interface without sockets: refusals are problems, and nothing runs."""
+
+import hashlib
+import json
+import random
+import unittest
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from yewloom.admission import Admission
+from yewloom.callers import CallerInterface
+from yewloom.claim_writer import ClaimWriter
+from yewloom.dispatch import Dispatcher
+from yewloom.idempotency import IdempotentRunner
+from yewloom.ids import AttemptId, CustomerId
+from yewloom.node import build_node
+from yewloom.places import Places
+from yewloom.retries import RetryBudget
+from yewloom.schema.table_pb2 import CustomerRow, Row, ServiceRow, VersionedRow
+from yewloom.service_dispatch import ServiceDispatcher
+from yewloom.settings import parse_settings
+from yewloom.tests.support import FakeEngines, FakePlatform, make_policy, run_on_mock_clock
+from yewloom.tests.test_dispatch import ANSWER, SETTINGS
+
+KEY = "secret"
+CHAT = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
+
+
+@dataclass
+class _Sent:
+    """What the application sent for one request."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    async def send(self, message: Any) -> None:
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {n.decode(): v.decode() for n, v in message["headers"]}
+        else:
+            self.body += message.get("body", b"")
+
+
+def _post(path: str, body: Any, share: int = 5, **headers: str) -> _Sent:
+    """Send one request to an entry host that sees no open group."""
+
+    async def scenario() -> _Sent:
+        sent = _Sent()
+        async with trio.open_nursery() as nursery:
+            application = _interface(nursery, share).application()
+            await application(_scope(path, headers), _receiver(body), sent.send)
+            nursery.cancel_scope.cancel()
+        return sent
+
+    return run_on_mock_clock(scenario)
+
+
+def _interface(nursery: trio.Nursery, share: int) -> CallerInterface:
+    node = build_node(parse_settings(SETTINGS, "test").unwrap(), random.Random(1), 1)
+    customer = CustomerRow(key_digest=hashlib.sha256(KEY.encode()).hexdigest(), weight=1)
+    rows = {
+        "policy/p": Row(policy=make_policy()),
+        "customer/c": Row(customer=customer),
+        "service/s": Row(service=ServiceRow(unsafe_paths="/u", timeout_ms=1000)),
+    }
+    for name, row in rows.items():
+        node.table.apply(VersionedRow(name=name, version=1, row=row))
+    node.has_table = True
+    node.admission = Admission(4, 4)
+    places, engines = Places(node.admission), FakeEngines(ANSWER)
+
+    def share_of(customer: CustomerId, row: CustomerRow) -> int:
+        return share
+
+    budget = RetryBudget(0.1, 3)
+    models = Dispatcher(node, places, engines, nursery, share_of, budget)
+    services = ServiceDispatcher(node, places, engines, share_of, budget)
+    writer = ClaimWriter(FakePlatform(), nursery, 1, 1000, 1.0, lambda: 0)
+
+    def new_attempt() -> AttemptId:
+        return AttemptId("a")
+
+    runner = IdempotentRunner(writer, node.id, new_attempt)
+    return CallerInterface(node, models, services, runner, new_attempt)
+
+
+def _scope(path: str, headers: dict[str, str]) -> dict[str, Any]:
+    named = {"authorization": f"Bearer {KEY}", **headers}
+    encoded = [(n.replace("_", "-").encode(), v.encode()) for n, v in named.items()]
+    return {
+        "type": "http",
+        "method": "POST",
+        "path": path,
+        "query_string": b"",
+        "headers": encoded,
+        "server": ("127.0.0.1", 1),
+    }
+
+
+def _receiver(body: Any) -> Any:
+    content = body if isinstance(body, bytes) else json.dumps(body).encode()
+    messages: list[dict[str, Any]] = [{"type": "http.request", "body": content}]
+
+    async def receive() -> dict[str, Any]:
+        if messages:
+            return messages.pop(0)
+        await trio.sleep_forever()
+        raise AssertionError("never reached")
+
+    return receive
+
+
+class TestRefusals(unittest.TestCase):
+    """Each refusal is a problem document that says that nothing was run."""
+
+    def _check(self, sent: _Sent, status: int) -> None:
+        self.assertEqual(sent.status, status, sent.body)
+        self.assertEqual(sent.headers["content-type"], "application/problem+json")
+        problem = json.loads(sent.body)
+        self.assertEqual((problem["outcome"], problem["status"]), ("not_run", status))
+        self.assertTrue(problem["detail"].endswith("."))
+
+    def test_what_cannot_be_understood_is_refused(self) -> None:
+        chat = "/v1/chat/completions"
+        self._check(_post(chat, b"{"), 400)
+        self._check(_post(chat, []), 400)
+        self._check(_post(chat, {**CHAT, "model": 7}), 400)
+        self._check(_post(chat, {**CHAT, "messages": [{"role": "user"}]}), 400)
+        self._check(_post(chat, {**CHAT, "max_tokens": True}), 400)
+        self._check(_post(chat, {**CHAT, "model": "other"}), 404)
+        self._check(_post(chat, CHAT, authorization="Bearer wrong"), 401)
+        self._check(_post(chat, CHAT, x_timeout_ms="soon"), 400)
+        self._check(_post(chat, CHAT, idempotency_key="k" * 300), 400)
+        self._check(_post("/v1/completions", {"model": "m", "prompt": ""}), 400)
+        self._check(_post("/services/other/x", {}), 404)
+        self._check(_post("/nowhere", {}), 404)
+
+    def test_a_customer_without_a_share_is_told_when_to_come_back(self) -> None:
+        for body in (CHAT, {**CHAT, "stream": True}):
+            sent = _post("/v1/chat/completions", body, share=0)
+            self._check(sent, 429)
+            self.assertGreaterEqual(int(sent.headers["retry-after"]), 1)
+
+    def test_no_open_group_is_told_as_not_run(self) -> None:
+        for body in (CHAT, {**CHAT, "stream": True}):
+            self._check(_post("/v1/chat/completions", body), 503)
+            self._check(_post("/v1/chat/completions", body, idempotency_key="k"), 503)
+
+    def test_no_open_endpoint_of_a_service_is_told_as_not_run(self) -> None:
+        self._check(_post("/services/s/u", {}, idempotency_key="k"), 503)
--- a/yewloom/tests/test_dispatch.py
+++ b/yewloom/tests/test_dispatch.py
@@ -104,8 +104,9 @@
     def __init__(self, engines: FakeEngines, groups: int = 2, places: int = 8) -> None:
         self.engines = engines
         self.groups = groups
-        self.places = Places(Admission(places, 10))
         self.node = _node(groups)
+        self.node.admission = Admission(places, 10)
+        self.places = Places(self.node.admission)
 
     def dispatcher(self, nursery: trio.Nursery) -> Dispatcher:
         return Dispatcher(
--- /dev/null
+++ b/yewloom/tests/test_limits.py
@@ -0,0 +1,207 @@
+"""Tests of shared limits: what hosts may use never sums past a limit, whatever is cut or lost."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from yewloom.ids import AttemptId, CustomerId, DataCentreId
+from yewloom.limits import ShareBook, part_of, plan_shares
+from yewloom.schema.peer_pb2 import ShareState
+from yewloom.schema.records_pb2 import Shares
+
+CUSTOMER = CustomerId("c")
+LIMIT = 11
+LOAN_S = 3.0
+NAMES = ["e0", "e1", "e2", "e3"]
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """Entry hosts that start, die, are cut off, lend, and see the record late.
+
+    A live host keeps within what it may use, except that what runs already runs on. Any host may
+    write the record; the platform's list tells of dead ones late.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.record = Shares()
+        self.books: dict[str, ShareBook] = {}
+        self.in_flight: dict[str, int] = {}
+        self.obeyed: dict[str, dict[str, int]] = {}
+        self.listed: set[str] = set()
+        self.count = 0
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0, 6.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now_s += seconds
+        self._settle_in_flight()
+
+    @rule()
+    def start(self) -> None:
+        if len(self.books) < len(NAMES):
+            self.count += 1
+            name = f"e{self.count}"
+            self.books[name] = ShareBook(name, LOAN_S)
+            self.in_flight[name] = 0
+            self.obeyed[name] = {}
+            self.listed.add(name)
+
+    @rule(data=st.data())
+    def die(self, data: st.DataObject) -> None:
+        name = self._draw(data)
+        if name:
+            del self.books[name], self.in_flight[name], self.obeyed[name]
+
+    @rule()
+    def tell_of_dead_hosts(self) -> None:
+        self.listed = set(self.books)
+
+    @rule(data=st.data())
+    def read_the_platform(self, data: st.DataObject) -> None:
+        name = self._draw(data)
+        if name:
+            self.books[name].apply(self.record)
+
+    @rule(data=st.data(), is_answer_lost=st.booleans())
+    def exchange(self, data: st.DataObject, is_answer_lost: bool) -> None:
+        asker, answerer = self._draw(data), self._draw(data)
+        if not asker or not answerer or asker == answerer:
+            return
+        asked = self._state(asker)
+        asked.demands.add(customer=CUSTOMER, demand=4)
+        self._hear(answerer, asked)
+        lent = self.books[answerer].lend(asked, {CUSTOMER: self.in_flight[answerer]}, self.now_s)
+        if is_answer_lost:
+            return
+        told = self._state(answerer)
+        self._hear(asker, told)
+        self.books[asker].apply(self.books[answerer].shares)
+        self.books[asker].borrow(lent, self.now_s)
+
+    @rule(data=st.data())
+    def work(self, data: st.DataObject) -> None:
+        name = self._draw(data)
+        if name:
+            usable = self.books[name].usable(CUSTOMER, self.now_s)
+            self.in_flight[name] = max(self.in_flight[name], usable)
+
+    @rule(data=st.data())
+    def rest(self, data: st.DataObject) -> None:
+        name = self._draw(data)
+        if name:
+            self.in_flight[name] = 0
+
+    @rule(data=st.data())
+    def rebalance(self, data: st.DataObject) -> None:
+        """Let one host write the record; it hears what it hears."""
+        name = self._draw(data)
+        if not name:
+            return
+        self.books[name].apply(self.record)
+        own = self._state(name)
+        obeyed = {**self.obeyed[name], name: own.obeyed_generation}
+        alive = data.draw(st.sets(st.sampled_from(sorted(self.books)))) | {name}
+        gone = {holder.instance for holder in self.record.holders} - self.listed
+        following = plan_shares(self.record, {CUSTOMER: LIMIT}, alive, gone, obeyed, AttemptId("a"))
+        if following is not None:
+            self.record = following
+
+    def _state(self, name: str) -> ShareState:
+        return self.books[name].state({CUSTOMER: self.in_flight[name]}, {}, self.now_s)
+
+    def _hear(self, name: str, state: ShareState) -> None:
+        self.obeyed[name][state.instance] = state.obeyed_generation
+
+    def _settle_in_flight(self) -> None:
+        """Requests end in time; none outlasts a loan here."""
+        for name, book in self.books.items():
+            self.in_flight[name] = min(self.in_flight[name], book.usable(CUSTOMER, self.now_s))
+
+    def _draw(self, data: st.DataObject) -> str:
+        return data.draw(st.sampled_from(sorted(self.books))) if self.books else ""
+
+    @invariant()
+    def usable_parts_never_sum_past_the_limit(self) -> None:
+        total = sum(book.usable(CUSTOMER, self.now_s) for book in self.books.values())
+        assert total <= LIMIT, f"{total} usable of {LIMIT}"
+
+    @invariant()
+    def granted_parts_never_sum_past_the_limit(self) -> None:
+        granted = sum(s.granted for holder in self.record.holders for s in holder.shares)
+        assert granted <= LIMIT
+
+
+TestSharesMachine = SharesMachine.TestCase
+TestSharesMachine.settings = settings(max_examples=150, stateful_step_count=40)
+
+
+class TestPartOf(unittest.TestCase):
+    """Parts of data centres."""
+
+    @given(st.integers(0, 1000), st.integers(1, 23))
+    def test_parts_add_up_to_the_limit(self, limit: int, count: int) -> None:
+        places = [f"dc{i}" for i in range(count)]
+        parts = [part_of(limit, DataCentreId(place), places) for place in places]
+        self.assertEqual(sum(parts), limit)
+        self.assertLessEqual(max(parts) - min(parts), 1)
+
+    def test_an_unlisted_data_centre_gets_nothing(self) -> None:
+        self.assertEqual(part_of(10, DataCentreId("x"), ["a", "b"]), 0)
+        self.assertEqual(part_of(10, DataCentreId("x"), []), 10)
+
+
+class TestShares(unittest.TestCase):
+    """Single steps of granting and lending."""
+
+    def _plan(self, current: Shares, alive: list[str], obeyed: int) -> Shares:
+        said = dict.fromkeys(alive, obeyed)
+        planned = plan_shares(current, {CUSTOMER: LIMIT}, alive, [], said, AttemptId("a"))
+        return planned if planned is not None else current
+
+    def test_a_newcomer_gets_its_part_only_after_the_holder_obeyed(self) -> None:
+        first = self._plan(Shares(), ["e0"], 0)
+        book = ShareBook("e1", LOAN_S)
+        second = self._plan(first, ["e0", "e1"], first.generation)
+        book.apply(second)
+        self.assertEqual(book.usable(CUSTOMER, 1.0), 0)
+        unheard = self._plan(second, ["e0", "e1"], first.generation)
+        book.apply(unheard)
+        self.assertEqual(book.usable(CUSTOMER, 1.5), 0)
+        third = self._plan(second, ["e0", "e1"], second.generation)
+        book.apply(third)
+        self.assertEqual(book.usable(CUSTOMER, 2.0), LIMIT // 2)
+
+    def test_a_silent_host_keeps_its_part_until_it_is_known_to_be_gone(self) -> None:
+        shares = self._plan(Shares(), ["e0", "e1"], 0)
+        shares = self._plan(shares, ["e0"], 0)
+        self.assertEqual({holder.instance for holder in shares.holders}, {"e0", "e1"})
+        said = {"e0": shares.generation}
+        later = plan_shares(shares, {CUSTOMER: LIMIT}, ["e0"], ["e1"], said, AttemptId("a"))
+        assert later is not None
+        self.assertEqual([h.shares[0].granted for h in later.holders], [LIMIT])
+
+    def test_a_loan_moves_and_comes_back(self) -> None:
+        lender, borrower = (ShareBook(name, LOAN_S) for name in ("e0", "e1"))
+        lender.apply(self._plan(Shares(), ["e0"], 0))
+        asked = ShareState(instance="e1")
+        asked.demands.add(customer=CUSTOMER, demand=3)
+        borrower.borrow(lender.lend(asked, {}, 1.0), 1.0)
+        self.assertEqual(borrower.usable(CUSTOMER, 1.0), 3)
+        self.assertEqual(lender.usable(CUSTOMER, 1.0), LIMIT - 3)
+        self.assertEqual(borrower.usable(CUSTOMER, 4.1), 0)
+        self.assertEqual(lender.usable(CUSTOMER, 4.1), LIMIT)
+
+    def test_a_loan_is_counted_against_the_targets_that_a_host_obeys(self) -> None:
+        lender = ShareBook("e0", LOAN_S)
+        shares = self._plan(Shares(), ["e0"], 0)
+        lender.apply(shares)
+        asked = ShareState(instance="e1")
+        asked.demands.add(customer=CUSTOMER, demand=5)
+        lender.lend(asked, {}, 0.0)
+        lowered = self._plan(shares, ["e0", "e1"], shares.generation)
+        lender.apply(lowered)
+        self.assertEqual(lender.state({CUSTOMER: 4}, {}, 1.0).obeyed_generation, 0)
+        self.assertEqual(lender.state({CUSTOMER: 4}, {}, 3.5).obeyed_generation, lowered.generation)
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -214,13 +214,25 @@
         fleet.start_entry("e4", "a", free_port())
         wait_for(lambda: call("GET", f"{fleet.url('e4')}/readyz").status == 200, "readiness")
         wait_for(lambda: fleet.open_groups("e4"), "open groups")
-        self.assertEqual(fleet.chat("e4", "still here").status, 200)
+        wait_for(lambda: fleet.chat("e4", "still here").status == 200, "an answer on a loan")
         unsafe = fleet.service("e4", "POST", "update/3", idempotency_key="k3")
         self.assertEqual(unsafe.json()["outcome"], "not_run")
         self.assertEqual(fleet.runs("sa", "sb").get("k3", 0), 0)
         members = wait_for(lambda: self._members("e1") == {"e1", "e3", "e4"}, "membership")
         self.assertTrue(members)
 
+    def test_a_dead_hosts_share_moves_only_when_the_platform_lists_it_no_more(self) -> None:
+        fleet, part = self.fleet, 50
+        wait_for(lambda: self._share("e1") + self._share("e2") == part, "the granted shares")
+        fleet.kill("e2")
+        wait_for(lambda: self._members("e1") == {"e1", "e3"}, "membership")
+        self.assertEqual(self._share("e1"), part // 2)
+        fleet.list_entry("e2", "gone")
+        wait_for(lambda: self._share("e1") == part, "the whole share")
+
+    def _share(self, entry: str) -> int:
+        return int(self.fleet.status(entry)["shares"]["c"])
+
     def _members(self, entry: str) -> set[str]:
         return {member["id"] for member in self.fleet.status(entry)["members"]}
 
--- a/yewloom/tests/test_routing.py
+++ b/yewloom/tests/test_routing.py
@@ -8,11 +8,11 @@
 
 from yewloom.ids import DataCentreId, GroupId, ModelName
 from yewloom.prefixes import BLOCK_CHARACTERS, MAX_EXPECTED_BLOCKS, PrefixIndex, block_hashes
-from yewloom.routing import Candidate, RouteRequest, TurnCounter, choose_group
+from yewloom.routing import Candidate, RouteRequest, TurnCounter, choose_group, default_routing
 from yewloom.schema.records_pb2 import CacheEvent
-from yewloom.schema.table_pb2 import LeastLoadRouting, RoundRobinRouting, ScoreRouting
+from yewloom.schema.table_pb2 import LeastLoadRouting, RoundRobinRouting
 
-SCORE = ScoreRouting(prefix_weight=1, distance_weight=1)
+SCORE = default_routing()
 HERE, THERE = DataCentreId("a"), DataCentreId("b")
 GROUP = GroupId("g")
 
--- a/yewloom/watchers.py
+++ b/yewloom/watchers.py
@@ -12,13 +12,14 @@
 from yewloom import exchange
 from yewloom.node import WATCH_DUTY, Node
 from yewloom.platforms import Platform, StoredObject
-from yewloom.schema.records_pb2 import Placement
+from yewloom.schema.records_pb2 import Placement, Shares
 from yewloom.schema.table_pb2 import Row, VersionedRow
 from yewloom.tables import TABLE_PREFIX
 
 logger = structlog.get_logger(__name__)
 
 PLACEMENT_PREFIX = "placements/"
+SHARES_PREFIX = "shares/"
 
 
 class Watcher:
@@ -69,6 +70,8 @@
             exchange.apply_rows(node, [parse_row(stored)], "platform")
         elif stored.key.startswith(PLACEMENT_PREFIX):
             exchange.apply_placements(node, [parse_placement(stored)])
+        elif stored.key == f"{SHARES_PREFIX}{node.data_centre}":
+            node.shares.apply(parse_shares(stored))
     except json_format.ParseError as error:
         logger.error("object unreadable", key=stored.key, reason=str(error))
 
@@ -80,6 +83,11 @@
     return VersionedRow(name=name, version=stored.version, row=row)
 
 
+def parse_shares(stored: StoredObject) -> Shares:
+    """Decode a record of shares; raises json_format.ParseError."""
+    return json_format.Parse(stored.value, Shares(), ignore_unknown_fields=True)
+
+
 def parse_placement(stored: StoredObject) -> Placement:
     """Decode a placement record; raises json_format.ParseError."""
     return json_format.Parse(stored.value, Placement(), ignore_unknown_fields=True)
