Measure decisions, daemons and placement; pass tokens on together

Change: tokens that come within coalesce_ms go on in one event; histograms are looked up once; the list of members goes once a second; groups are indexed by id.

--- /dev/null
+++ b/tools/measure_core.py
@@ -0,0 +1,301 @@
+"""Measure the slopes of the decisions and messages that docs/CAPACITY.md is worked out from.
+
+Each row gives processor time for one operation at two or more sizes (median of seven runs), and
+the bytes of the message or record where there is one.
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from google.protobuf.message import Message
+
+from yewloom import exchange
+from yewloom.admission import Admission, Arrival
+from yewloom.claims import ClaimRequest, add_claims
+from yewloom.groups import GroupObservation, HostObservation, observe_group
+from yewloom.ids import (
+    AttemptId,
+    CustomerId,
+    DataCentreId,
+    EntryHostId,
+    GroupId,
+    HostId,
+    IdempotencyKey,
+    ModelName,
+    PolicyName,
+    RequestId,
+)
+from yewloom.limits import plan_shares
+from yewloom.node import Node, build_node
+from yewloom.placement import FleetState, PlacementTiming, Planner
+from yewloom.prefixes import block_hashes
+from yewloom.routing import Candidate, RouteRequest, TurnCounter, choose_group, default_routing
+from yewloom.schema.peer_pb2 import Member
+from yewloom.schema.records_pb2 import (
+    ClaimShard,
+    Group,
+    GroupMember,
+    Host,
+    HostReport,
+    Placement,
+    Shares,
+)
+from yewloom.schema.table_pb2 import CustomerRow, PolicyRow, Row, StrandedPlacement, VersionedRow
+from yewloom.settings import parse_settings
+from yewloom.states import EngineState, GroupIntent, HostState
+from yewloom.tables import Table
+from yewloom.writes import to_json
+
+RUNS = 7
+PLACE = DataCentreId("dc-01")
+SIZE = 32
+SETTINGS = """
+[host]
+id = entry-0000
+data_centre = dc-01
+caller_port = 1
+peer_port = 2
+[platform]
+url = http://127.0.0.1:1
+"""
+
+
+def _time_us(operation: Callable[[], object], calls: int) -> float:
+    """Return microseconds of processor time for one call."""
+    operation()
+    results = []
+    for _ in range(RUNS):
+        start = time.process_time()
+        for _ in range(calls):
+            operation()
+        results.append((time.process_time() - start) / calls * 1e6)
+    return statistics.median(results)
+
+
+def _row(name: str, size: str, cost_us: float, size_bytes: int | None = None) -> None:
+    text = f"{size_bytes:,}" if size_bytes is not None else ""
+    print(f"| {name} | {size} | {cost_us:,.1f} | {text} |", flush=True)
+
+
+def _members(count: int) -> list[Member]:
+    return [
+        Member(
+            id=f"entry-{i:04}",
+            incarnation=1_790_000_000_000,
+            heartbeat=100_000 + i,
+            data_centre=PLACE,
+            peer_address=f"10.0.{i // 250}.{i % 250}:7000",
+        )
+        for i in range(count)
+    ]
+
+
+def _group(number: int, size: int = SIZE) -> Group:
+    members = [
+        GroupMember(host_id=f"host-{number:03}-{i:02}", address=f"10.{number}.0.{i}:8000")
+        for i in range(size)
+    ]
+    return Group(
+        id=f"large-dc-01-{number}-1",
+        policy="large",
+        model="model",
+        model_version="1",
+        generation=1,
+        intent=GroupIntent.ACTIVE.value,
+        members=members,
+    )
+
+
+def _placement(groups: int) -> Placement:
+    return Placement(
+        data_centre=PLACE, generation=1, groups=[_group(number) for number in range(groups)]
+    )
+
+
+def _see(node: Node, groups: Iterable[Group]) -> None:
+    for group in groups:
+        for member in group.members:
+            report = HostReport(
+                host_id=member.host_id,
+                state=EngineState.READY.value,
+                group_id=group.id,
+                generation=1,
+                capacity=64,
+            )
+            node.fleet.on_host_answered(HostId(member.host_id), report, 0.0)
+        node.fleet.sum_up(group, 0.0)
+
+
+def _node(members: int, groups: int, rows: int = 0) -> Node:
+    node = build_node(parse_settings(SETTINGS, "measure").unwrap(), random.Random(1), 1)
+    node.membership.merge(_members(members), 0.0)
+    placement = _placement(groups)
+    node.fleet.apply_placement(placement)
+    _see(node, placement.groups)
+    for row in _rows(rows):
+        node.table.apply(row)
+    return node
+
+
+def _rows(count: int) -> list[VersionedRow]:
+    digest = "0" * 64
+    cells = CustomerRow(key_digest=digest, weight=1, max_in_flight=1000, priority=5)
+    return [
+        VersionedRow(name=f"customer/customer-{i:04}", version=1, row=Row(customer=cells))
+        for i in range(count)
+    ]
+
+
+def measure_routing() -> None:
+    """Routing, admission and prompt hashing: once a request."""
+    routing, rng, turns = default_routing(), random.Random(1), TurnCounter()
+    request = RouteRequest(ModelName("model"), PLACE, 8000, entry_hosts=48)
+    for count in (17, 100, 375):
+        candidates = [Candidate(GroupId(str(i)), PLACE, i % 64, 64, 0, 0) for i in range(count)]
+        cost = _time_us(partial(choose_group, routing, request, candidates, rng, turns), 200)
+        _row("choose a group", f"{count} groups", cost)
+    for length in (1000, 8000):
+        prompt = "x" * length
+        _row("hash a prompt", f"{length} characters", _time_us(partial(block_hashes, prompt), 200))
+    for count in (10, 200):
+        admission = Admission(100_000, 10)
+        arrivals = [
+            Arrival(RequestId(str(i)), CustomerId(str(i % count)), 1.0, 100.0, 1e9, 10**6)
+            for i in range(1000)
+        ]
+
+        def admit(places: Admission = admission, offered: list[Arrival] = arrivals) -> None:
+            for arrival in offered:
+                places.offer(arrival, 0.0)
+            for arrival in offered:
+                places.release(arrival.request_id, 1.0)
+
+        _row("admit and release", f"{count} customers", _time_us(admit, 1) / 1000)
+
+
+def measure_observation() -> None:
+    """Groups and duties: every probe round."""
+    for size in (4, 32):
+        group = _group(1, size)
+        report = HostReport(state=EngineState.READY.value, group_id=group.id, generation=1)
+        hosts = {HostId(m.host_id): HostObservation(report, 0.0) for m in group.members}
+        cost = _time_us(partial(observe_group, group, hosts, 0.0, 5.0), 200)
+        _row("sum up a group", f"{size} members", cost)
+    for members in (12, 48, 100):
+        membership = _node(members, 0).membership
+        cost = _time_us(partial(membership.has_duty, "group/x", 2, 0.0), 100)
+        _row("look up a duty", f"{members} members", cost)
+
+
+def measure_exchange() -> None:
+    """Exchange: a few a second."""
+    for members, groups in ((12, 4), (48, 17), (100, 34)):
+        node = _node(members, groups)
+        question = exchange.ask(node, 0.0)
+        response = exchange.answer(node, question, 0.0)
+        data = response.SerializeToString()
+        size = f"{members} members, {groups} groups"
+        cost = _time_us(partial(exchange.answer, node, question, 0.0), 50)
+        _row("answer a peer", size, cost, len(data))
+        cost = _time_us(partial(exchange.take_in, node, response, 0.0, 0.0), 50)
+        _row("take in an answer", size, cost)
+
+
+def measure_table() -> None:
+    """The table: once a change, and at a start."""
+    for count in (100, 1000):
+        rows = _rows(count)
+
+        def fill(found: list[VersionedRow] = rows) -> Table:
+            table = Table()
+            for row in found:
+                table.apply(row)
+            return table
+
+        tracemalloc.start()
+        table = fill()
+        memory = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        _row("apply a row", f"{count} rows", _time_us(fill, 3) / count, rows[0].ByteSize())
+        versions = table.versions()
+        cost = _time_us(partial(table.newer_than, versions), 5)
+        _row("compare all versions", f"{count} rows", cost, sum(v.ByteSize() for v in versions))
+        print(f"| memory of the table besides its messages | {count} rows | | {memory:,} |")
+
+
+def measure_coordinator() -> None:
+    """Planning: every probe round, at the coordinator of a data centre only."""
+    policy = PolicyRow(
+        model="model",
+        model_version="1",
+        group_size=SIZE,
+        max_groups=9999,
+        weight=1,
+        stranded=StrandedPlacement(),
+    )
+    for groups in (17, 100, 375):
+        placement = _placement(groups)
+        listed = {
+            HostId(m.host_id): Host(id=m.host_id, address=m.address, state=HostState.LIVE.value)
+            for group in placement.groups
+            for m in group.members
+        }
+        seen = {
+            GroupId(g.id): GroupObservation(GroupId(g.id), 1, 0.0, ready=True)
+            for g in placement.groups
+        }
+        state = FleetState(listed, {}, seen, {PolicyName("large"): policy})
+        planner = Planner(EntryHostId("e"), PlacementTiming(2.5, 300.0, 4.0))
+        cost = _time_us(partial(planner.plan, placement, state, 0.0, AttemptId("a")), 3)
+        _row("plan a placement", f"{groups * SIZE} hosts", cost, _json_bytes(placement))
+    for holders, customers in ((12, 10), (48, 50)):
+        alive = [f"entry-{i:04}/1790000000000" for i in range(holders)]
+        parts = {CustomerId(f"customer-{i:04}"): 1000 for i in range(customers)}
+
+        def plan(names: list[str] = alive, wanted: dict[CustomerId, int] = parts) -> Shares:
+            planned = plan_shares(Shares(), wanted, names, [], {}, AttemptId("a"))
+            assert planned is not None
+            return planned
+
+        size = f"{holders} holders, {customers} customers"
+        _row("plan the shares", size, _time_us(plan, 3), _json_bytes(plan()))
+
+
+def measure_claims() -> None:
+    """Claims: one record write for all that wait."""
+    for count in (1, 50, 250):
+        claims = [
+            ClaimRequest(
+                IdempotencyKey(f"customer/{i:032}"), AttemptId(f"{i:032}"), EntryHostId("e")
+            )
+            for i in range(count)
+        ]
+
+        def add(waiting: list[ClaimRequest] = claims) -> ClaimShard:
+            return add_claims(ClaimShard(), waiting, [], 0, 1000)[0]
+
+        _row("add claims to a record", f"{count} claims", _time_us(add, 10), _json_bytes(add()))
+
+
+def _json_bytes(message: Message) -> int:
+    return len(to_json(message))
+
+
+def main() -> None:
+    """Print the table."""
+    print("| operation | size | processor time, us | bytes |")
+    print("|---|---|---|---|")
+    measure_routing()
+    measure_observation()
+    measure_exchange()
+    measure_table()
+    measure_coordinator()
+    measure_claims()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/measure_daemons.py
@@ -0,0 +1,158 @@
+"""Measure real daemons: processor time and memory when idle, and the cost of requests and tokens.
+
+Idle: 3, 12 and 24 entry hosts of one data centre with default settings. Serving: one entry host
+passes streams of several lengths and rates, and calls of a plain service; the cost is its own
+processor time over what it passed.
+"""
+
+import os
+import re
+import statistics
+import sys
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from yewloom.tests.processes import MODEL, Fleet, authorized, call
+
+IDLE_S = 20.0
+DEFAULTS = """
+[host]
+id = {name}
+data_centre = {place}
+caller_port = {caller_port}
+peer_port = {peer_port}
+[platform]
+url = http://127.0.0.1:{platform_port}
+[peers]
+seeds = {seeds}
+"""
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def _cpu_s(pid: int) -> float:
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
+
+
+def _memory_mb(pid: int) -> float:
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        found = re.search(r"VmRSS:\s+(\d+) kB", file.read())
+    return int(found.group(1)) / 1024 if found else 0.0
+
+
+def _metric(fleet: Fleet, entry: str, pattern: str) -> float:
+    text = call("GET", f"{fleet.url(entry)}/metrics").body.decode()
+    return sum(float(value) for value in re.findall(rf"^{pattern}\S* (\S+)$", text, re.M))
+
+
+def measure_idle(count: int) -> None:
+    """Print one row for an idle data centre of so many entry hosts."""
+    entries = {f"e{number + 1}": "a" for number in range(count)}
+    fleet = Fleet(members_a=9, members_b=0, entries=entries, settings=DEFAULTS)
+    try:
+        fleet.start()
+        time.sleep(8)
+        pids = [fleet.programs[name].process.pid for name in entries]
+        before = [_cpu_s(pid) for pid in pids]
+        bytes_before = [_metric(fleet, name, "yewloom_peer_bytes_total") for name in entries]
+        calls_before = [_metric(fleet, name, "yewloom_platform_calls") for name in entries]
+        time.sleep(IDLE_S)
+        cpu = [(_cpu_s(pid) - b) / IDLE_S * 100 for pid, b in zip(pids, before, strict=True)]
+        after = [_metric(fleet, name, "yewloom_peer_bytes_total") for name in entries]
+        sent = [(a - b) / IDLE_S for a, b in zip(after, bytes_before, strict=True)]
+        calls = [_metric(fleet, name, "yewloom_platform_calls") for name in entries]
+        rate = sum(a - b for a, b in zip(calls, calls_before, strict=True)) / IDLE_S
+        memory = [_memory_mb(pid) for pid in pids]
+        print(
+            f"| {count} | {statistics.median(cpu):.2f} ({min(cpu):.2f}-{max(cpu):.2f}) "
+            f"| {statistics.median(memory):.0f} | {statistics.median(sent):.0f} | {rate:.1f} |",
+            flush=True,
+        )
+    finally:
+        fleet.stop()
+
+
+def _load(work: Callable[[], int], workers: int, seconds: float) -> int:
+    """Run work in threads for a time; return what it counted."""
+    total, end_s, lock = 0, time.monotonic() + seconds, threading.Lock()
+
+    def run() -> None:
+        nonlocal total
+        while time.monotonic() < end_s:
+            count = work()
+            with lock:
+                total += count
+
+    with ThreadPoolExecutor(workers) as pool:
+        for _ in range(workers):
+            pool.submit(run)
+    return total
+
+
+def measure_serving() -> None:
+    """Print the cost of requests and tokens at one entry host."""
+    entries = {"e1": "a"}
+    fleet = Fleet(members_a=9, members_b=0, entries=entries, capacity=64)
+    try:
+        fleet.start()
+        pid = fleet.programs["e1"].process.pid
+        url = f"{fleet.url('e1')}/v1/chat/completions"
+
+        def chat(tokens: int) -> int:
+            body = {
+                "model": MODEL,
+                "stream": True,
+                "max_tokens": tokens,
+                "messages": [{"role": "user", "content": "x" * 400}],
+            }
+            answer = call("POST", url, body, authorized())
+            return tokens if answer.body.endswith(b"data: [DONE]\n\n") else 0
+
+        for tokens, workers, token_ms in ((1, 4, 1), (100, 8, 20), (200, 8, 20), (200, 24, 20)):
+            for name in [f"a{number}" for number in range(9)]:
+                fleet.control(name, token_ms=token_ms)
+            time.sleep(1)
+            _serve(pid, f"chat, {tokens} tokens, {workers} streams", lambda: chat(tokens), workers)  # noqa: B023
+        service = f"{fleet.url('e1')}/services/s/x"
+        _serve(
+            pid,
+            "service call",
+            lambda: int(call("GET", service, None, authorized()).status == 200),
+            4,
+        )
+    finally:
+        fleet.stop()
+
+
+def _serve(pid: int, name: str, work: Callable[[], int], workers: int) -> None:
+    before_s, start_s = _cpu_s(pid), time.monotonic()
+    total = _load(work, workers, 8.0)
+    used_s, took_s = _cpu_s(pid) - before_s, time.monotonic() - start_s
+    print(
+        f"| {name} | {total / took_s:,.0f} | {used_s / took_s * 100:.0f} "
+        f"| {used_s / max(total, 1) * 1e6:,.0f} | {_memory_mb(pid):.0f} |",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Print both tables, or the one that the argument names."""
+    wanted = sys.argv[1:] or ["idle", "serving"]
+    if "idle" in wanted:
+        print(
+            "| entry hosts | % of a core each | memory, MB | peer bytes/s each | platform calls/s |"
+        )
+        print("|---|---|---|---|---|")
+        for count in (3, 12, 24):
+            measure_idle(count)
+    if "serving" in wanted:
+        print("| load | units/s | % of a core | us a unit | memory, MB |")
+        print("|---|---|---|---|---|")
+        measure_serving()
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/measure_placement.py
+++ b/tools/measure_placement.py
@@ -2,8 +2,9 @@
 
 Hosts of four fabric domains fail at random, one domain goes dark once, and hosts come back after
 ten minutes. The baseline never changes its groups: a group waits for its lost member. Prints group
-downtime in group-minutes (against the groups that were there at the start) and the mean number of
-stranded accelerators, median (lowest-highest) over five seeds, and the record writes.
+downtime in group-minutes (against the groups that were there at the start), the mean numbers of
+stranded accelerators and of serving groups, and the record writes; median (lowest-highest) over
+five seeds.
 """
 
 import random
@@ -20,7 +21,7 @@
 from yewloom.schema.table_pb2 import DowntimePlacement, PolicyRow, StrandedPlacement
 from yewloom.states import EngineState
 
-DOMAINS, HOSTS_A_DOMAIN, SIZE = 4, 15, 4
+DOMAINS, HOSTS_A_DOMAIN, SIZE = 4, 16, 4
 ACCELERATORS_A_HOST = 2
 STEP_S = 5.0
 HOURS = 6
@@ -66,6 +67,7 @@
 class _Result:
     downtime_minutes: float = 0.0
     stranded: float = 0.0
+    serving: float = 0.0
     writes: int = 0
 
 
@@ -104,7 +106,9 @@
             target = serving if now_s == 300.0 else target
             if now_s > 300.0:
                 self._count(target - serving)
+            self.result.serving += serving
         self.result.stranded /= HOURS * 3600 / STEP_S
+        self.result.serving /= HOURS * 3600 / STEP_S
         return self.result
 
     def _apply_events(self, now_s: float) -> None:
@@ -182,8 +186,10 @@
 
 def main() -> None:
     """Print the table."""
-    print("| placement | group downtime, minutes | stranded accelerators | record writes |")
-    print("|---|---|---|---|")
+    print(
+        "| placement | downtime, group-minutes | stranded accelerators | groups serving | writes |"
+    )
+    print("|---|---|---|---|---|")
     rows = [(name, policy, False) for name, policy in POLICIES.items()]
     rows.append(("baseline: groups never change", POLICIES["least stranded"], True))
     for name, policy, is_baseline in rows:
@@ -191,6 +197,7 @@
         cells = [
             spread([result.downtime_minutes for result in results]),
             spread([result.stranded for result in results]),
+            spread([result.serving for result in results]),
             spread([float(result.writes) for result in results]),
         ]
         print(f"| {name} | {' | '.join(cells)} |", flush=True)
--- a/yewloom/dispatch.py
+++ b/yewloom/dispatch.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncGenerator, Mapping
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from functools import cache
 
 import structlog
 import trio
@@ -49,6 +50,7 @@
     tracker: AttemptTracker
     assembler: StreamAssembler
     arrived_s: float
+    held: list[str] = field(default_factory=list)
     delivered: list[str] = field(default_factory=list)
     avoid: set[GroupId] = field(default_factory=set)
     group: Group | None = None
@@ -80,6 +82,10 @@
         self._rng = node.rng
         self._share_of = share_of
         self._turns = TurnCounter()
+        self._coalesce_s = node.settings.requests.coalesce_ms / 1000
+        # Looking a metric up by its label for each token costs more than counting the token.
+        self._first_token_s = cache(node.metrics.first_token_s.labels)
+        self._between_tokens_s = cache(node.metrics.between_tokens_s.labels)
         self._budget = budget
         self._sent: defaultdict[GroupId, dict[RequestId, float]] = defaultdict(dict)
 
@@ -164,7 +170,10 @@
             progress.group = None
 
     async def _attempt(self, progress: _Progress) -> AsyncGenerator[Tokens, None]:
-        """Make one call and yield what it adds to the answer."""
+        """Make one call and yield what it adds to the answer.
+
+        Tokens that come close after each other go on together: the cost is by event, not by token.
+        """
         group = progress.group
         assert group is not None
         request, group_id = progress.request, GroupId(group.id)
@@ -176,9 +185,9 @@
             stall_s = self._stall_timeout_s(request)
             async with self._endpoints.generate(address, call, stall_s) as pieces:
                 async for piece in pieces:
-                    released = progress.assembler.accept(piece)
-                    if released or progress.assembler.is_whole:
-                        yield self._passed_on(progress, group, released)
+                    progress.held += progress.assembler.accept(piece)
+                    if self._is_due(progress):
+                        yield self._pass_on(progress, group)
                     if progress.assembler.is_whole:
                         break
                     if trio.current_time() >= request.deadline_s:
@@ -190,6 +199,8 @@
             raise EndpointError(CallFailure.BROKEN, str(error)) from error
         except EndpointError:
             is_over = True
+            if progress.held:
+                yield self._pass_on(progress, group)
             raise
         finally:
             self._sent[group_id].pop(request.request_id, None)
@@ -215,17 +226,27 @@
             delivered=tuple(progress.delivered),
         )
 
-    def _passed_on(self, progress: _Progress, group: Group, tokens: list[str]) -> Tokens:
-        """Account for tokens that are about to go to the caller."""
+    def _is_due(self, progress: _Progress) -> bool:
+        """Tell whether the tokens held should go to the caller now."""
+        if progress.assembler.is_whole:
+            return True
+        if not progress.held:
+            return False
+        last_s = progress.last_token_s
+        return last_s is None or trio.current_time() - last_s >= self._coalesce_s
+
+    def _pass_on(self, progress: _Progress, group: Group) -> Tokens:
+        """Return the tokens held and account for them."""
+        tokens, progress.held = progress.held, []
         progress.tracker.on_progress()
         progress.delivered += tokens
         now_s = trio.current_time()
         if progress.last_token_s is None:
             waited_s = now_s - progress.arrived_s
-            self._metrics.first_token_s.labels(progress.policy).observe(waited_s)
+            self._first_token_s(progress.policy).observe(waited_s)
         else:
             gap_s = (now_s - progress.last_token_s) / max(len(tokens), 1)
-            self._metrics.between_tokens_s.labels(progress.policy).observe(gap_s)
+            self._between_tokens_s(progress.policy).observe(gap_s)
         progress.last_token_s = now_s
         self._metrics.tokens.inc(len(tokens))
         assembler = progress.assembler
--- a/yewloom/exchange.py
+++ b/yewloom/exchange.py
@@ -23,14 +23,15 @@
 logger = structlog.get_logger(__name__)
 
 
-def ask(node: Node, now_s: float) -> ExchangeRequest:
-    """Return the question for a peer."""
+def ask(node: Node, now_s: float, wants_members: bool = True) -> ExchangeRequest:
+    """Return the question for a peer; the list of entry hosts is the largest part of an answer."""
     return ExchangeRequest(
         sender=node.membership.me,
         table_digest=node.table.digest,
         placements=node.fleet.placement_versions(),
         share_state=node.share_state(now_s),
         shares_generation=node.shares.shares.generation,
+        wants_members=wants_members,
     )
 
 
@@ -39,7 +40,7 @@
     node.membership.merge([request.sender], now_s)
     response = ExchangeResponse(
         responder=node.membership.me,
-        members=node.membership.alive(now_s),
+        members=node.membership.alive(now_s) if request.wants_members else [],
         table_digest=node.table.digest,
         placements=node.fleet.newer_placements(request.placements),
         groups=node.fleet.group_reports(now_s),
--- a/yewloom/fleet.py
+++ b/yewloom/fleet.py
@@ -30,6 +30,7 @@
         self._groups: dict[GroupId, GroupObservation] = {}
         self._services: dict[HostId, HostObservation] = {}
         self._suspected_s: dict[GroupId, float] = {}
+        self._placed: dict[GroupId, tuple[DataCentreId, Group]] = {}
 
     @property
     def hosts(self) -> dict[HostId, HostObservation]:
@@ -52,7 +53,7 @@
             return False
         check_placement(placement)
         self._placements[data_centre] = placement
-        self._forget_groups()
+        self._index_groups()
         return True
 
     def placement(self, data_centre: DataCentreId) -> Placement:
@@ -77,18 +78,16 @@
 
     def groups(self) -> Iterator[tuple[DataCentreId, Group]]:
         """Yield all groups that have members, with their data centre."""
-        for data_centre, placement in self._placements.items():
-            for group in placement.groups:
-                if group.members:
-                    yield data_centre, group
+        yield from self._placed.values()
 
     def group_ids(self) -> set[GroupId]:
         """Return the ids of all groups that have members."""
-        return {GroupId(group.id) for _, group in self.groups()}
+        return set(self._placed)
 
     def group(self, group_id: GroupId) -> Group | None:
         """Return a group by its id."""
-        return next((group for _, group in self.groups() if group.id == group_id), None)
+        placed = self._placed.get(group_id)
+        return placed[1] if placed is not None else None
 
     def is_open(self, group: Group, now_s: float) -> bool:
         """Tell whether a group may take new work."""
@@ -148,7 +147,7 @@
     def merge_groups(self, reports: Iterable[GroupReport], asked_s: float) -> None:
         """Take in a peer's group reports; ``asked_s`` is from before it was asked."""
         for report in reports:
-            if self.group(GroupId(report.group_id)) is not None:
+            if report.group_id in self._placed:
                 self._merge(_observation_from(report, asked_s))
 
     def merge_services(self, reports: Iterable[ServiceReport], asked_s: float) -> None:
@@ -186,10 +185,16 @@
         merged = observation if current is None else merge_observations(observation, current)
         self._groups[observation.group_id] = merged
 
-    def _forget_groups(self) -> None:
-        present = self.group_ids()
+    def _index_groups(self) -> None:
+        """Index the groups of all placements anew, and forget those that are gone."""
+        self._placed = {
+            GroupId(group.id): (data_centre, group)
+            for data_centre, placement in self._placements.items()
+            for group in placement.groups
+            if group.members
+        }
         for known in (self._groups, self._suspected_s):
-            for group_id in known.keys() - present:
+            for group_id in known.keys() - self._placed.keys():
                 del known[group_id]
 
 
--- a/yewloom/metrics.py
+++ b/yewloom/metrics.py
@@ -49,6 +49,12 @@
         self.is_coordinator = Gauge(
             "yewloom_is_coordinator", "1 while this host holds the lease.", registry=self.registry
         )
+        self.peer_bytes = Counter(
+            "yewloom_peer_bytes",
+            "Bytes of messages in exchanges that this host began, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
         self.platform_calls = Gauge(
             "yewloom_platform_calls",
             "Calls sent to the platform since the start, by kind.",
--- a/yewloom/peers.py
+++ b/yewloom/peers.py
@@ -58,6 +58,7 @@
         self._node = node
         self._tls = node.settings.tls
         self._channels: dict[str, Any] = {}
+        self._members_due_s = float("-inf")
 
     async def run(self) -> None:
         """Exchange with peers until cancelled."""
@@ -65,9 +66,10 @@
         try:
             while True:
                 self._node.membership.beat()
+                wants_members = self._is_members_due()
                 async with trio.open_nursery() as nursery:
                     for address in self._choose_peers():
-                        nursery.start_soon(self._exchange_with, address)
+                        nursery.start_soon(self._exchange_with, address, wants_members)
                     nursery.start_soon(trio.sleep, interval_s)
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(_STOP_GRACE_S):
@@ -93,11 +95,19 @@
         missing = sorted(set(self._node.settings.peers.seeds.split()) - known)
         return {self._node.rng.choice(missing)} if missing else set()
 
-    async def _exchange_with(self, address: str) -> None:
+    def _is_members_due(self) -> bool:
+        now_s = trio.current_time()
+        if now_s < self._members_due_s:
+            return False
+        self._members_due_s = now_s + self._node.settings.peers.members_interval_ms / 1000
+        return True
+
+    async def _exchange_with(self, address: str, wants_members: bool) -> None:
         asked_s = trio.current_time()
         stub = peer_pb2_grpc.PeerStub(self._channel(address))  # type: ignore[no-untyped-call]
         try:
-            response = await self._call(stub.Exchange, exchange.ask(self._node, asked_s))
+            question = exchange.ask(self._node, asked_s, wants_members)
+            response = await self._call(stub.Exchange, question)
             if exchange.take_in(self._node, response, asked_s, trio.current_time()):
                 rows = await self._call(stub.FetchRows, exchange.ask_rows(self._node))
                 exchange.apply_rows(self._node, rows.rows, f"peer {response.responder.id}")
@@ -110,7 +120,10 @@
         async def call() -> Any:
             return await method(request, timeout=timeout_s)
 
-        return await trio_asyncio.aio_as_trio(call)()
+        response = await trio_asyncio.aio_as_trio(call)()
+        self._node.metrics.peer_bytes.labels("asked").inc(request.ByteSize())
+        self._node.metrics.peer_bytes.labels("told").inc(response.ByteSize())
+        return response
 
     def _channel(self, address: str) -> Any:
         if address not in self._channels:
--- a/yewloom/tests/processes.py
+++ b/yewloom/tests/processes.py
@@ -1,4 +1,4 @@
-"""A small fleet of real processes on loopback, for the tests that are about processes."""
+"""A small fleet of real processes on loopback, for tests and measurements about processes."""
 
 import hashlib
 import json
@@ -150,6 +150,9 @@
 
     members_a: int = 5
     members_b: int = 4
+    entries: dict[str, str] = field(default_factory=lambda: {"e1": "a", "e2": "a", "e3": "b"})
+    capacity: int = 8
+    settings: str = _ENTRY_SETTINGS
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
     programs: dict[str, _Program] = field(default_factory=dict)
     platform_ports: dict[str, int] = field(default_factory=dict)
@@ -159,21 +162,22 @@
         self.platform_ports = {place: free_port() for place in "ab"}
         self._start_engines()
         self._start_platform()
-        seeds = {name: free_port() for name in ("e1", "e2", "e3")}
-        self._seeds = " ".join(f"127.0.0.1:{port}" for port in seeds.values())
+        seeds = {name: free_port() for name in self.entries}
+        self._seeds = " ".join(f"127.0.0.1:{port}" for port in list(seeds.values())[:3])
         for name, peer_port in seeds.items():
-            self.start_entry(name, "b" if name == "e3" else "a", peer_port)
+            self.start_entry(name, self.entries[name], peer_port)
         for name in seeds:
             self._wait_until_serving(name)
 
     def _wait_until_serving(self, name: str) -> None:
-        wait_for(lambda: len(self.open_groups(name)) >= 2, f"groups at {name}")
+        places = len({*self.entries.values()})
+        wait_for(lambda: len(self.open_groups(name)) >= places, f"groups at {name}")
         wait_for(lambda: self.service(name, "GET", "x").status == 200, f"the service at {name}")
 
     def start_entry(self, name: str, place: str, peer_port: int | None = None) -> None:
         """Start one entry host."""
         caller_port = free_port()
-        text = _ENTRY_SETTINGS.format(
+        text = self.settings.format(
             name=name,
             place=place,
             caller_port=caller_port,
@@ -206,7 +210,7 @@
             self._run(
                 name, port, "yewloom.standins.service", "--address", address, "--host-id", name
             )
-        for name, place in {"e1": "a", "e2": "a", "e3": "b"}.items():
+        for name, place in self.entries.items():
             hosts.append(f"[{name}]\naddress=-\ndata_centre={place}\nis_entry_host=true\n")
         (self.folder / "hosts.ini").write_text("".join(hosts))
 
