Compare two policies on the same groups, with confidence intervals

Cause: operators could not tell a difference between policies from chance. Change: an experiment row splits sessions by a keyed hash; each entry host keeps counts and the sessions with the lowest hashes, which join without favouring a host; yewloom compare prints outcomes, percentiles with bootstrap intervals over sessions, the balance, and says when a difference is not established. Ruled out: intervals over single requests, which of one session are alike and would seem many.

--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -72,6 +72,7 @@
             Route("/readyz", self._readyz),
             Route("/metrics", self._metrics),
             Route("/status", self._status),
+            Route("/experiments/{name}", self._experiment),
         ]
         handlers = {Problem: _answer_problem, 404: _answer_unknown_path}
         return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
@@ -257,6 +258,9 @@
     async def _status(self, request: Request) -> Response:
         return JSONResponse(describe(self._node, trio.current_time()))
 
+    async def _experiment(self, request: Request) -> Response:
+        return JSONResponse(self._node.experiments[request.path_params["name"]].to_fields())
+
     def _customer(self, request: Request) -> tuple[CustomerId, CustomerRow]:
         """Return the customer whose key the request carries; every row is compared."""
         if not self._node.accepts_requests:
--- a/yewloom/dispatch.py
+++ b/yewloom/dispatch.py
@@ -15,12 +15,12 @@
 
 from yewloom.admission import Arrival
 from yewloom.endpoints import EndpointError, Endpoints, GenerateCall
-from yewloom.experiments import assign_side, policy_of
+from yewloom.experiments import Observation, Side, assign_side, policy_of
 from yewloom.ids import DataCentreId, GroupId, ModelName, PolicyName, RequestId
 from yewloom.node import Node
 from yewloom.places import Places
 from yewloom.prefixes import block_hashes
-from yewloom.problems import bad_request, unavailable
+from yewloom.problems import Problem, bad_request, unavailable
 from yewloom.recovery import next_step
 from yewloom.requests import ModelRequest, ShareOf, Tokens, arrival_of
 from yewloom.retries import AttemptTracker, CallFailure, NextStep, RetryBudget
@@ -55,6 +55,9 @@
     avoid: set[GroupId] = field(default_factory=set)
     group: Group | None = None
     is_resuming: bool = False
+    experiment: str = ""
+    side: Side = Side.A
+    first_token_s: float | None = None
     last_token_s: float | None = None
 
 
@@ -82,6 +85,7 @@
         self._rng = node.rng
         self._share_of = share_of
         self._turns = TurnCounter()
+        self._experiments = node.experiments
         self._coalesce_s = node.settings.requests.coalesce_ms / 1000
         # Looking a metric up by its label for each token costs more than counting the token.
         self._first_token_s = cache(node.metrics.first_token_s.labels)
@@ -93,9 +97,14 @@
         """Yield the tokens of a request in order; raises Problem if it can't be answered."""
         async with self._places.hold(self._arrival(request)):
             progress = self._start(request)
-            async with aclosing(self._attempts(progress)) as attempts:
-                async for tokens in attempts:
-                    yield tokens
+            try:
+                async with aclosing(self._attempts(progress)) as attempts:
+                    async for tokens in attempts:
+                        yield tokens
+            except Problem as problem:
+                self._record(progress, problem.outcome)
+                raise
+            self._record(progress, Outcome.ANSWERED)
 
     async def resume(
         self, request: ModelRequest, position: StreamPosition
@@ -122,9 +131,12 @@
         policies = self._table.policies_for(request.model)
         if not policies:
             raise bad_request(f"The model {request.model!r} is not served here.", 404)
+        experiment, side, policy = self._assign(request, policies)
         return _Progress(
             request=request,
-            policy=self._policy_for(request, policies),
+            policy=policy,
+            experiment=experiment,
+            side=side,
             tracker=AttemptTracker(request.is_unsafe, can_resume=True, budget=self._budget),
             assembler=StreamAssembler(request.request_id, 0),
             arrived_s=trio.current_time(),
@@ -134,14 +146,28 @@
         share = self._share_of(request.customer, request.customer_row)
         return arrival_of(request, float(request.max_tokens), share)
 
-    def _policy_for(
+    def _assign(
         self, request: ModelRequest, policies: Mapping[PolicyName, PolicyRow]
-    ) -> PolicyName:
+    ) -> tuple[str, Side, PolicyName]:
+        """Return the experiment that a request takes part in, its side, and the policy."""
         for name, row in self._table.experiments().items():
-            side_policy = policy_of(assign_side(name, row, request.session), row)
-            if row.model == request.model and side_policy in policies:
-                return side_policy
-        return next(iter(policies))
+            side = assign_side(name, row, request.session)
+            if row.model == request.model and policy_of(side, row) in policies:
+                return name, side, policy_of(side, row)
+        return "", Side.A, next(iter(policies))
+
+    def _record(self, progress: _Progress, outcome: Outcome) -> None:
+        """Record a request for its experiment."""
+        if not progress.experiment:
+            return
+        first_s, last_s = progress.first_token_s, progress.last_token_s
+        gaps = len(progress.delivered) - 1
+        first_ms = between_ms = None
+        if first_s is not None and last_s is not None:
+            first_ms = (first_s - progress.arrived_s) * 1000
+            between_ms = (last_s - first_s) * 1000 / gaps if gaps > 0 else None
+        observation = Observation(progress.side, outcome, first_ms, between_ms)
+        self._experiments[progress.experiment].add(progress.request.session, observation)
 
     async def _attempts(self, progress: _Progress) -> AsyncGenerator[Tokens, None]:
         """Make calls until the answer is whole or must be given up."""
@@ -244,6 +270,7 @@
         if progress.last_token_s is None:
             waited_s = now_s - progress.arrived_s
             self._first_token_s(progress.policy).observe(waited_s)
+            progress.first_token_s = now_s
         else:
             gap_s = (now_s - progress.last_token_s) / max(len(tokens), 1)
             self._between_tokens_s(progress.policy).observe(gap_s)
@@ -283,6 +310,7 @@
             group=group.id,
             generation=group.generation,
             policy=progress.policy,
+            experiment=progress.experiment,
             reason=route.reason,
         )
         self._prefixes.expect(route.group_id, group.generation, hashes)
--- a/yewloom/node.py
+++ b/yewloom/node.py
@@ -2,9 +2,11 @@
 
 import random
 import time
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from yewloom.admission import Admission
+from yewloom.experiments import ExperimentRecord
 from yewloom.fleet import Fleet
 from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.limits import ShareBook
@@ -40,6 +42,9 @@
     is_leaving: bool = False
     is_closed: bool = False
     has_table: bool = False
+    experiments: defaultdict[str, ExperimentRecord] = field(
+        default_factory=lambda: defaultdict(ExperimentRecord)
+    )
     obeyed_shares: dict[str, int] = field(default_factory=dict)
 
     @property
--- a/yewloom/operations.py
+++ b/yewloom/operations.py
@@ -162,10 +162,12 @@
     return flat
 
 
-async def read_status(caller: HttpCaller, url: str) -> Result[dict[str, Any], OperationError]:
-    """Read the state of one entry host."""
+async def read_entry_host(
+    caller: HttpCaller, url: str, path: str = "/status"
+) -> Result[dict[str, Any], OperationError]:
+    """Read the state of one entry host, or another of its JSON pages."""
     try:
-        answer = await caller.call("GET", f"{url.rstrip('/')}/status", 3.0)
+        answer = await caller.call("GET", f"{url.rstrip('/')}{path}", 3.0)
         return Ok(dict(answer.json()))
     except (HttpCallError, ValueError) as error:
         return Err(OperationError(f"The entry host at {url} did not answer ({error})."))
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -276,6 +276,26 @@
             lambda: all(g["id"] != group["id"] for g in fleet.groups("e1")), "the dissolved group"
         )
 
+    def test_an_experiment_splits_sessions_and_is_compared(self) -> None:
+        fleet = self.fleet
+        self._cli("table", "set", "policy/q", f"model={MODEL}", "max_groups=0", "round_robin=")
+        cells = [f"model={MODEL}", "policy_a=p", "policy_b=q", "share_b=0.5"]
+        self._cli("table", "set", "experiment/x", *cells)
+        for entry in ("e1", "e2", "e3"):
+            self._wait_for_version(entry, "experiment/x", 1)
+        for number in range(24):
+            entry = f"e{number % 3 + 1}"
+            answer = fleet.chat(entry, "compared", 3, x_session_id=f"session-{number // 2}")
+            self.assertEqual(answer.status, 200)
+        hosts = [part for entry in ("e1", "e2", "e3") for part in ("--host", fleet.url(entry))]
+        text = self._cli("compare", "x", *hosts)
+        self.assertIn("12 sessions", self._sum_of_sessions(text))
+        self.assertIn("not established", text)
+
+    def _sum_of_sessions(self, text: str) -> str:
+        counts = [int(words.split()[-2]) for words in text.splitlines() if "sessions" in words]
+        return f"{sum(counts)} sessions"
+
     def _wait_for_version(self, entry: str, row: str, version: int) -> None:
         wait_for(lambda: self.fleet.status(entry)["rows"][row] == version, f"{row} at {entry}")
 
