Serve callers and peers over TLS; let operators' edits carry a token

Cause: nothing told an operator's write from anyone's, and nothing was encrypted. Ruled out: a second certificate for peers (one host, one name).

--- a/yewloom/cli.py
+++ b/yewloom/cli.py
@@ -6,6 +6,7 @@
 import getpass
 import json
 import random
+import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict
 from pathlib import Path
@@ -36,6 +37,8 @@
 from yewloom.states import RowKind
 from yewloom.tables import parse_row_name
 
+_CONNECT_TIMEOUT_S = 3.0
+
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_CONFLICT = 3
@@ -43,6 +46,9 @@
 
 T = TypeVar("T")
 
+_tls: list[ssl.SSLContext] = []
+"""The authority that entry hosts are checked against, if the operator names one."""
+
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="Operate yewloom.")
 table_app = typer.Typer(no_args_is_help=True, help="Read and edit the table of weights and limits.")
 app.add_typer(table_app, name="table")
@@ -50,9 +56,18 @@
 PlatformOption = Annotated[
     str, typer.Option("--platform", envvar="YEWLOOM_PLATFORM", help="Address of the platform.")
 ]
+TokenOption = Annotated[
+    str, typer.Option("--token", envvar="YEWLOOM_TOKEN", help="Operator's token at the platform.")
+]
 HostOption = Annotated[
     str, typer.Option("--host", envvar="YEWLOOM_HOST", help="Address of one entry host.")
 ]
+AuthorityOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--authority-file", envvar="YEWLOOM_AUTHORITY_FILE", help="PEM authority of entry hosts."
+    ),
+]
 HostsOption = Annotated[
     list[str], typer.Option("--host", envvar="YEWLOOM_HOSTS", help="Address; may be repeated.")
 ]
@@ -63,6 +78,13 @@
 ]
 
 
+@app.callback()
+def set_up(authority_file: AuthorityOption = None) -> None:
+    """Operate yewloom."""
+    if authority_file is not None:
+        _tls.append(ssl.create_default_context(cafile=authority_file))
+
+
 @app.command("check-config")
 def check_config(
     path: Annotated[Path, typer.Argument(help="Settings file of an entry host.")],
@@ -95,6 +117,7 @@
     row: RowArgument,
     cells: Annotated[list[str], typer.Argument(help="Cells as CELL=VALUE.")],
     platform: PlatformOption,
+    token: TokenOption = "",
     expect_version: ExpectOption = None,
     as_json: JsonOption = False,
 ) -> None:
@@ -105,18 +128,19 @@
         if not separator:
             _fail(f"{cell!r} is not of the form CELL=VALUE.", EXIT_USAGE)
         values[name] = value
-    _edit(platform, row, values, expect_version, False, as_json)
+    _edit(platform, token, row, values, expect_version, False, as_json)
 
 
 @table_app.command("delete")
 def table_delete(
     row: RowArgument,
     platform: PlatformOption,
+    token: TokenOption = "",
     expect_version: ExpectOption = None,
     as_json: JsonOption = False,
 ) -> None:
     """Delete a row.  Example: yewloom table delete policy/old"""
-    _edit(platform, row, {}, expect_version, True, as_json)
+    _edit(platform, token, row, {}, expect_version, True, as_json)
 
 
 @table_app.command("history")
@@ -239,7 +263,7 @@
 
 def _call(method: str, url: str, body: dict[str, Any], headers: dict[str, str]) -> Any:
     async def call() -> Any:
-        caller = HttpCaller(3.0)
+        caller = _caller()
         return await caller.call(method, url, 120.0, json.dumps(body).encode(), headers)
 
     try:
@@ -250,6 +274,7 @@
 
 def _edit(
     platform: str,
+    token: str,
     row: str,
     cells: dict[str, str],
     expect_version: int | None,
@@ -257,7 +282,7 @@
     as_json: bool,
 ) -> None:
     edit = Edit(_row_name(row), getpass.getuser(), unix_ms(), cells, expect_version, is_deletion)
-    written = _on_platform(platform, lambda api: apply_edit(api, edit))
+    written = _on_platform(platform, lambda api: apply_edit(api, edit), token)
     text = f"{written.name} accepted as version {written.version}: {cells_text(written)}"
     _print(as_json, _row_fields(written), [text])
 
@@ -278,22 +303,28 @@
             _fail(str(error), EXIT_USAGE)
 
 
-def _on_platform(url: str, run: Callable[[Platform], Awaitable[Result[T, OperationError]]]) -> T:
+def _on_platform(
+    url: str, run: Callable[[Platform], Awaitable[Result[T, OperationError]]], token: str = ""
+) -> T:
     """Run one operation on the platform; end the program with a sentence if it fails."""
 
     async def call() -> Result[T, OperationError]:
-        return await run(HttpPlatform(HttpCaller(3.0), url, 3.0, 3.0))
+        return await run(HttpPlatform(_caller(), url, 3.0, 3.0, token))
 
     return _value(trio.run(call))
 
 
 def _status(host: str, path: str = "/status") -> dict[str, Any]:
     async def call() -> Result[dict[str, Any], OperationError]:
-        return await read_entry_host(HttpCaller(3.0), host, path)
+        return await read_entry_host(_caller(), host, path)
 
     return _value(trio.run(call))
 
 
+def _caller() -> HttpCaller:
+    return HttpCaller(_CONNECT_TIMEOUT_S, tls=_tls[0] if _tls else None)
+
+
 def _value(result: Result[T, OperationError]) -> T:
     match result:
         case Ok(value):
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -70,6 +70,7 @@
             settings.platform.url,
             settings.platform.timeout_ms / 1000,
             settings.platform.watch_timeout_ms / 1000,
+            _read_token(settings.platform.token_file),
         )
         probe_timeout_s = settings.groups.probe_timeout_ms / 1000
         observer = Observer(self._node, HttpEndpoints(control, probe_timeout_s))
@@ -163,6 +164,10 @@
         logger.info("stopped", cut_off=self._places.admission.in_flight)
 
 
+def _read_token(path: str) -> str:
+    return Path(path).read_text(encoding="utf-8").strip() if path else ""
+
+
 app = typer.Typer(add_completion=False, help="Run one entry host of yewloom.")
 
 
--- a/yewloom/platforms.py
+++ b/yewloom/platforms.py
@@ -30,6 +30,7 @@
     CONFLICT = "conflict"
     NOT_APPLIED = "not_applied"
     AMBIGUOUS = "ambiguous"
+    FORBIDDEN = "forbidden"
     INVALID = "invalid"
 
 
@@ -91,12 +92,18 @@
     """The platform over HTTP. ``calls`` counts what was sent, by kind."""
 
     def __init__(
-        self, caller: HttpCaller, url: str, timeout_s: float, watch_timeout_s: float
+        self,
+        caller: HttpCaller,
+        url: str,
+        timeout_s: float,
+        watch_timeout_s: float,
+        token: str = "",
     ) -> None:
         self._caller = caller
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
         self._watch_timeout_s = watch_timeout_s
+        self._headers = {"authorization": f"Bearer {token}"} if token else {}
         self.calls: Counter[str] = Counter()
 
     async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
@@ -173,7 +180,11 @@
         self.calls[kind] += 1
         try:
             answer = await self._caller.call(
-                method, self._url + path, timeout_s or self._timeout_s, body, headers
+                method,
+                self._url + path,
+                timeout_s or self._timeout_s,
+                body,
+                {**self._headers, **(headers or {})},
             )
         except HttpCallError as error:
             sent = error.failure is not HttpFailure.NOT_SENT
@@ -187,6 +198,8 @@
         return Ok(answer)
     if answer.status in (409, 412):
         return Err(PlatformError(PlatformFailure.CONFLICT, "the object has another version"))
+    if answer.status in (401, 403):
+        return Err(PlatformError(PlatformFailure.FORBIDDEN, "the token is missing or not allowed"))
     if answer.status in (429, 503):
         return Err(PlatformError(PlatformFailure.NOT_APPLIED, f"status {answer.status}"))
     failure = PlatformFailure.AMBIGUOUS if answer.status >= 500 else PlatformFailure.INVALID
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -4,6 +4,7 @@
 """
 
 import configparser
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -103,6 +104,20 @@
         )
     if bool(tls.certificate_file) != bool(tls.key_file):
         return _fail(source, "[tls] certificate_file and key_file go together; set both or none.")
+    return _check_files(settings, source)
+
+
+def _check_files(settings: Settings, source: str) -> Result[Settings, SettingsError]:
+    """Check that the files that the settings name can be read."""
+    files = {
+        "[platform] token_file": settings.platform.token_file,
+        "[tls] certificate_file": settings.tls.certificate_file,
+        "[tls] key_file": settings.tls.key_file,
+        "[tls] authority_file": settings.tls.authority_file,
+    }
+    for name, path in files.items():
+        if path and not os.access(path, os.R_OK):
+            return _fail(source, f"{name} is {path}; name a file that can be read.")
     return Ok(settings)
 
 
--- a/yewloom/standins/platform.py
+++ b/yewloom/standins/platform.py
@@ -6,6 +6,7 @@
 """
 
 import configparser
+import hmac
 import json
 from collections import Counter
 from dataclasses import dataclass, field
@@ -72,6 +73,7 @@
         self.counts: Counter[str] = Counter()
         self._hosts = {host["id"]: host for host in hosts}
         self._used: Counter[tuple[str, int]] = Counter()
+        self.operator_token = ""
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -88,6 +90,12 @@
             ]
         )
 
+    def _is_forbidden(self, request: Request, key: str) -> bool:
+        """Tell whether a write of the table lacks the operator's token."""
+        given = request.headers.get("authorization", "").removeprefix("Bearer ")
+        is_operator = hmac.compare_digest(given, self.operator_token)
+        return bool(self.operator_token) and key.startswith("table/") and not is_operator
+
     def _is_cut(self, request: Request) -> bool:
         return request.scope["server"][1] in self.switches.cut_ports
 
@@ -120,6 +128,9 @@
         refusal = await self._refusal(request, "update", is_write=True)
         if refusal is not None:
             return refusal
+        key = request.path_params["key"]
+        if self._is_forbidden(request, key):
+            return JSONResponse({"detail": "an operator's token is needed"}, 403)
         condition = request.headers.get("if-match", "0").strip('"')
         version = self.store.write(request.path_params["key"], await request.json(), int(condition))
         if version is None:
@@ -208,9 +219,11 @@
     address: Annotated[list[str], typer.Option(help="ip:port to serve on; may be repeated.")],
     hosts: Annotated[Path, typer.Option(help="INI file with a section for each host.")],
     rows: Annotated[Path | None, typer.Option(help="JSON file with objects to start from.")] = None,
+    operator_token: Annotated[str, typer.Option(help="Token that writes of the table need.")] = "",
 ) -> None:
     """Run the stand-in for the platform."""
     stand_in = PlatformStandIn(read_hosts(hosts))
+    stand_in.operator_token = operator_token
     if rows is not None:
         for key, value in json.loads(rows.read_text(encoding="utf-8")).items():
             stand_in.store.write(key, value, 0)
--- a/yewloom/tests/processes.py
+++ b/yewloom/tests/processes.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -20,7 +21,7 @@
 WAIT_S = 30.0
 """Longest wait for a state that must come; reaching it fails the test."""
 
-_ENTRY_SETTINGS = """
+ENTRY_SETTINGS = """
 [host]
 id = {name}
 data_centre = {place}
@@ -103,13 +104,17 @@
         return json.loads(self.body)
 
 
+TLS: list[ssl.SSLContext] = []
+"""The authority that entry hosts are checked against, while a test sets one."""
+
+
 def call(method: str, url: str, body: Any = None, headers: dict[str, str] | None = None) -> Answer:
     """Make one HTTP call on a connection of its own."""
     content = json.dumps(body).encode() if body is not None else b""
     all_headers = [(b"connection", b"close")]
     all_headers += [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
     timeouts = {"connect": 5.0, "read": WAIT_S}
-    with httpcore.ConnectionPool() as pool:
+    with httpcore.ConnectionPool(ssl_context=TLS[0] if TLS else None) as pool:
         response = pool.request(
             method, url, headers=all_headers, content=content, extensions={"timeout": timeouts}
         )
@@ -152,7 +157,9 @@
     members_b: int = 4
     entries: dict[str, str] = field(default_factory=lambda: {"e1": "a", "e2": "a", "e3": "b"})
     capacity: int = 8
-    settings: str = _ENTRY_SETTINGS
+    scheme: str = "http"
+    platform_options: tuple[str, ...] = ()
+    settings: str = ENTRY_SETTINGS
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
     programs: dict[str, _Program] = field(default_factory=dict)
     platform_ports: dict[str, int] = field(default_factory=dict)
@@ -222,7 +229,14 @@
         files = ["--hosts", str(self.folder / "hosts.ini")]
         files += ["--rows", str(self.folder / "rows.json")]
         port = self.platform_ports["a"]
-        self._run("platform", port, "yewloom.standins.platform", *addresses, *files)
+        self._run(
+            "platform",
+            port,
+            "yewloom.standins.platform",
+            *addresses,
+            *files,
+            *self.platform_options,
+        )
 
     def _run(self, name: str, port: int, module: str, *arguments: str) -> None:
         log = self.folder / f"{name}-{len(self.programs)}.log"
@@ -236,7 +250,8 @@
         self.programs[name] = _Program(process, port, log)
 
     def url(self, name: str) -> str:
-        return f"http://127.0.0.1:{self.programs[name].port}"
+        scheme = self.scheme if name in self.entries else "http"
+        return f"{scheme}://127.0.0.1:{self.programs[name].port}"
 
     def signal(self, name: str, number: signal.Signals) -> None:
         self.programs[name].process.send_signal(number)
