--- a/tools/measure_daemons.py
+++ b/tools/measure_daemons.py
@@ -28,6 +28,20 @@
 [peers]
 seeds = {seeds}
 """
+LARGE = (
+    DEFAULTS
+    + """
+exchange_interval_ms = 1000
+members_interval_ms = 4000
+dead_after_ms = 15000
+[groups]
+probe_interval_ms = 2000
+freshness_ms = 7000
+give_up_ms = 9000
+"""
+)
+"""Settings for data centres of about 48 entry hosts, see docs/CAPACITY.md."""
+
 _TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -48,10 +62,10 @@
     return sum(float(value) for value in re.findall(rf"^{pattern}\S* (\S+)$", text, re.M))
 
 
-def measure_idle(count: int) -> None:
+def measure_idle(count: int, name: str, settings: str) -> None:
     """Print one row for an idle data centre of so many entry hosts."""
     entries = {f"e{number + 1}": "a" for number in range(count)}
-    fleet = Fleet(members_a=9, members_b=0, entries=entries, settings=DEFAULTS)
+    fleet = Fleet(members_a=9, members_b=0, entries=entries, settings=settings)
     try:
         fleet.start()
         time.sleep(8)
@@ -67,7 +81,7 @@
         rate = sum(a - b for a, b in zip(calls, calls_before, strict=True)) / IDLE_S
         memory = [_memory_mb(pid) for pid in pids]
         print(
-            f"| {count} | {statistics.median(cpu):.2f} ({min(cpu):.2f}-{max(cpu):.2f}) "
+            f"| {count} | {name} | {statistics.median(cpu):.2f} ({min(cpu):.2f}-{max(cpu):.2f}) "
             f"| {statistics.median(memory):.0f} | {statistics.median(sent):.0f} | {rate:.1f} |",
             flush=True,
         )
@@ -92,10 +106,10 @@
     return total
 
 
-def measure_serving() -> None:
+def measure_serving(coalesce_ms: int) -> None:
     """Print the cost of requests and tokens at one entry host."""
-    entries = {"e1": "a"}
-    fleet = Fleet(members_a=9, members_b=0, entries=entries, capacity=64)
+    settings = f"{DEFAULTS}[requests]\ncoalesce_ms = {coalesce_ms}\n"
+    fleet = Fleet(members_a=9, members_b=0, entries={"e1": "a"}, capacity=64, settings=settings)
     try:
         fleet.start()
         pid = fleet.programs["e1"].process.pid
@@ -115,7 +129,8 @@
             for name in [f"a{number}" for number in range(9)]:
                 fleet.control(name, token_ms=token_ms)
             time.sleep(1)
-            _serve(pid, f"chat, {tokens} tokens, {workers} streams", lambda: chat(tokens), workers)  # noqa: B023
+            name = f"{tokens} tokens, {workers} streams, {coalesce_ms} ms together"
+            _serve(pid, name, lambda: chat(tokens), workers)  # noqa: B023
         service = f"{fleet.url('e1')}/services/s/x"
         _serve(
             pid,
@@ -142,16 +157,16 @@
     """Print both tables, or the one that the argument names."""
     wanted = sys.argv[1:] or ["idle", "serving"]
     if "idle" in wanted:
-        print(
-            "| entry hosts | % of a core each | memory, MB | peer bytes/s each | platform calls/s |"
-        )
-        print("|---|---|---|---|---|")
+        print("| entry hosts | settings | % of a core | memory, MB | peer B/s | platform calls/s |")
+        print("|---|---|---|---|---|---|")
         for count in (3, 12, 24):
-            measure_idle(count)
+            measure_idle(count, "default", DEFAULTS)
+            measure_idle(count, "large", LARGE)
     if "serving" in wanted:
         print("| load | units/s | % of a core | us a unit | memory, MB |")
         print("|---|---|---|---|---|")
-        measure_serving()
+        for coalesce_ms in (0, 30, 60):
+            measure_serving(coalesce_ms)
 
 
 if __name__ == "__main__":
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -226,6 +226,20 @@
         "late = [e for e in customer.waiting if e[1].deadline_s <= now_s]",
         "test_admission",
     ),
+    Mutation(
+        "orders: only while the lease holds",
+        "leases",
+        "return now_s < self._held_until_s - self._timing.margin_s",
+        "return self._held_until_s > 0",
+        "test_coordinators",
+    ),
+    Mutation(
+        "orders: within the weight store's bound",
+        "orders",
+        "for group in loading[:max_loading]:",
+        "for group in loading:",
+        "test_coordinators",
+    ),
     Mutation(
         "limits: a part is granted anew only after its holder obeys",
         "limits",
--- a/yewloom/claim_writer.py
+++ b/yewloom/claim_writer.py
@@ -82,6 +82,8 @@
 
     async def claim(self, claim: ClaimRequest) -> Result[ClaimAnswer, ClaimUnavailable]:
         """Claim a key; an error means that the claim does not stand and nothing may run."""
+        if self._platform.is_down:
+            return Err(ClaimUnavailable("the platform does not answer"))
         waiting = _Waiting(claim)
         shard = self._shards[shard_of(claim.key, self._shard_count)]
         shard.waiting.append(waiting)
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -17,7 +17,7 @@
 from yewloom.endpoints import Endpoints
 from yewloom.ids import AttemptId, EntryHostId, HostId
 from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
-from yewloom.node import Node
+from yewloom.node import COORDINATE_COUNT, COORDINATE_DUTY, Node
 from yewloom.observers import Observer
 from yewloom.orders import DueOrder, due_orders
 from yewloom.placement import FleetState, PlacementTiming, Planner
@@ -75,11 +75,17 @@
     async def _keep_lease(self) -> None:
         step_s = self._node.settings.lease.renew_interval_ms / 4000
         while True:
-            if not self._node.is_leaving:
+            if self._has_duty():
                 await self._step_lease()
             self._tell_change()
             await trio.sleep(step_s)
 
+    def _has_duty(self) -> bool:
+        """Tell whether to keep an eye on the lease; a holder goes on until its lease ends."""
+        now_s, membership = trio.current_time(), self._node.membership
+        is_chosen = membership.has_platform_duty(COORDINATE_DUTY, COORDINATE_COUNT, now_s)
+        return not self._node.is_leaving and (is_chosen or self.is_holding)
+
     async def _step_lease(self) -> None:
         key = f"{LEASE_PREFIX}{self._node.data_centre}"
         sent_s = trio.current_time()
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -121,6 +121,7 @@
         """Adapt to the groups that are open now, and bring the gauges up to date."""
         now_s = trio.current_time()
         node, metrics = self._node, self._node.metrics
+        node.membership.set_cut_off(platform.is_down)
         open_groups = node.fleet.open_groups(now_s)
         local = [seen.capacity for place, _, seen in open_groups if place == node.data_centre]
         remote = [seen.capacity for place, _, seen in open_groups if place != node.data_centre]
--- a/yewloom/membership.py
+++ b/yewloom/membership.py
@@ -48,6 +48,10 @@
         """Tell the others that this entry host is about to stop."""
         self._me.leaving = True
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Tell the others whether the platform answers this entry host."""
+        self._me.is_cut_off = is_cut_off
+
     def merge(self, members: Iterable[Member], now_s: float) -> None:
         """Take in what another entry host knows."""
         for member in members:
@@ -68,16 +72,25 @@
         """Return the live members of one data centre."""
         return [m for m in self.alive(now_s) if m.data_centre == data_centre]
 
+    def has_platform_duty(self, duty: str, count: int, now_s: float) -> bool:
+        """Tell the same of a duty that needs the platform.
+
+        Members that are cut off from it stand back, unless all are.
+        """
+        members = self.alive_in(DataCentreId(self._me.data_centre), now_s)
+        has_reach = [member for member in members if not member.is_cut_off]
+        return self._is_chosen(duty, count, has_reach or members)
+
     def has_duty(self, duty: str, count: int, now_s: float) -> bool:
         """Tell whether this entry host is among the ``count`` that carry a duty.
 
         Only live members of the own data centre that are not leaving carry duties.
         """
-        candidates = [
-            member
-            for member in self.alive_in(DataCentreId(self._me.data_centre), now_s)
-            if not member.leaving
-        ]
+        members = self.alive_in(DataCentreId(self._me.data_centre), now_s)
+        return self._is_chosen(duty, count, members)
+
+    def _is_chosen(self, duty: str, count: int, members: Iterable[Member]) -> bool:
+        candidates = [member for member in members if not member.leaving]
         chosen = sorted(candidates, key=lambda m: _weight(duty, m.id), reverse=True)[:count]
         return any(member.id == self._me.id for member in chosen)
 
--- a/yewloom/node.py
+++ b/yewloom/node.py
@@ -20,6 +20,12 @@
 WATCH_DUTY = "watch"
 """Duty of the entry hosts that watch the platform for their data centre."""
 
+COORDINATE_DUTY = "coordinate"
+"""Duty of the entry hosts that keep an eye on the coordinator's lease."""
+
+COORDINATE_COUNT = 3
+"""Entry hosts of a data centre that keep an eye on the lease; one of them holds it."""
+
 
 def unix_ms() -> int:
     """Return the wall clock in Unix milliseconds, for records that outlive the process."""
--- a/yewloom/platforms.py
+++ b/yewloom/platforms.py
@@ -21,6 +21,9 @@
 
 _WATCH_SLACK_S = 2.0
 
+FAILURES_TO_BE_DOWN = 2
+"""Calls in a row without an answer after which the platform counts as down."""
+
 T = TypeVar("T")
 
 
@@ -65,6 +68,11 @@
 class Platform(Protocol):
     """The calls that the system makes to the platform."""
 
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the latest calls got no answer, so that waiting for one more is in vain."""
+        ...
+
     async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
         """Read one object; None if there is none."""
         ...
@@ -104,8 +112,14 @@
         self._timeout_s = timeout_s
         self._watch_timeout_s = watch_timeout_s
         self._headers = {"authorization": f"Bearer {token}"} if token else {}
+        self._failures = 0
         self.calls: Counter[str] = Counter()
 
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the latest calls got no answer, so that waiting for one more is in vain."""
+        return self._failures >= FAILURES_TO_BE_DOWN
+
     async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
         """Read one object; None if there is none."""
         match await self._call("get", "GET", f"/v1/objects/{quote(key)}"):
@@ -187,9 +201,11 @@
                 {**self._headers, **(headers or {})},
             )
         except HttpCallError as error:
+            self._failures += 1
             sent = error.failure is not HttpFailure.NOT_SENT
             failure = PlatformFailure.AMBIGUOUS if sent else PlatformFailure.NOT_APPLIED
             return Err(PlatformError(failure, str(error)))
+        self._failures = self._failures + 1 if answer.status >= 500 else 0
         return _check_status(answer)
 
 
--- a/yewloom/tests/processes.py
+++ b/yewloom/tests/processes.py
@@ -166,7 +166,8 @@
 
     def start(self) -> None:
         """Start everything and wait until a group serves in each place."""
-        self.platform_ports = {place: free_port() for place in "ab"}
+        places = sorted({*self.entries.values(), "a", "b"})
+        self.platform_ports = {place: free_port() for place in places}
         self._start_engines()
         self._start_platform()
         seeds = {name: free_port() for name in self.entries}
@@ -177,8 +178,8 @@
             self._wait_until_serving(name)
 
     def _wait_until_serving(self, name: str) -> None:
-        places = len({*self.entries.values()})
-        wait_for(lambda: len(self.open_groups(name)) >= places, f"groups at {name}")
+        groups = bool(self.members_a) + bool(self.members_b)
+        wait_for(lambda: len(self.open_groups(name)) >= groups, f"groups at {name}")
         wait_for(lambda: self.service(name, "GET", "x").status == 200, f"the service at {name}")
 
     def start_entry(self, name: str, place: str, peer_port: int | None = None) -> None:
--- a/yewloom/tests/support.py
+++ b/yewloom/tests/support.py
@@ -35,12 +35,17 @@
 
 
 class FakePlatform:
-    """An object API in memory, with faults for the next writes and an outage switch."""
+    """An object API in memory, with faults for the next writes.
+
+    ``is_refusing`` makes every call fail; ``is_down`` is what callers see of earlier failures.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[str, StoredObject] = {}
         self.faults: list[Fault] = []
+        self.is_refusing = False
         self.is_down = False
+        self.listed: list[Host] = []
         self.late: list[tuple[str, str, int]] = []
         self.calls: Counter[str] = Counter()
         self.history: list[StoredObject] = []
@@ -48,7 +53,7 @@
     async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
         self.calls["get"] += 1
         await trio.lowlevel.checkpoint()
-        return _DOWN if self.is_down else Ok(self.objects.get(key))
+        return _DOWN if self.is_refusing else Ok(self.objects.get(key))
 
     async def update(
         self, key: str, value: str, expected_version: int
@@ -56,7 +61,7 @@
         self.calls["update"] += 1
         await trio.lowlevel.checkpoint()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
-        if self.is_down or fault is Fault.REFUSE:
+        if self.is_refusing or fault is Fault.REFUSE:
             return _DOWN
         if fault is Fault.APPLY_LATE:
             self.late.append((key, value, expected_version))
@@ -72,21 +77,21 @@
     async def list(self, prefix: str) -> Result[Listing, PlatformError]:
         self.calls["list"] += 1
         await trio.lowlevel.checkpoint()
-        if self.is_down:
+        if self.is_refusing:
             return _DOWN
         return Ok(Listing(self._below(prefix, 0), len(self.history)))
 
     async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
         self.calls["watch"] += 1
         await trio.sleep(0.1)
-        if self.is_down:
+        if self.is_refusing:
             return _DOWN
         return Ok(Listing(self._below(prefix, position), len(self.history)))
 
     async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
         self.calls["hosts"] += 1
         await trio.lowlevel.checkpoint()
-        return _DOWN if self.is_down else Ok([])
+        return _DOWN if self.is_refusing else Ok(self.listed)
 
     def apply_late_writes(self) -> None:
         """Let the writes that were thought lost take effect now."""
@@ -165,12 +170,18 @@
         self.running: set[tuple[str, str]] = set()
         self.runs: Counter[str] = Counter()
         self.cancelled: list[str] = []
+        self.orders: list[Order] = []
+        self.reports: dict[str, HostReport] = {}
         self.token_s = 0.01
 
     async def probe(self, address: str) -> Result[HostReport, EndpointError]:
-        return Err(EndpointError(CallFailure.CONNECT, "not asked in these tests"))
+        await trio.sleep(0.001)
+        if address not in self.reports:
+            return Err(EndpointError(CallFailure.CONNECT, "refused"))
+        return Ok(self.reports[address])
 
     async def order(self, address: str, order: Order, timeout_s: float) -> Result[None, str]:
+        self.orders.append(order)
         return Ok(None)
 
     async def cancel(self, address: str, request_id: RequestId) -> None:
--- a/yewloom/tests/test_claims.py
+++ b/yewloom/tests/test_claims.py
@@ -135,7 +135,7 @@
     def test_an_outage_is_told_as_not_run_at_once(self) -> None:
         async def scenario() -> tuple[_Trial, float]:
             platform = FakePlatform()
-            platform.is_down = True
+            platform.is_refusing = True
             trial = _Trial(platform)
             async with trio.open_nursery() as nursery:
                 runner = trial.runner("e0", nursery)
@@ -149,6 +149,20 @@
         self.assertEqual(trial.runs[IdempotencyKey("k")], 0)
         self.assertLess(waited_s, 0.1)
 
+    def test_while_the_platform_is_known_down_no_claim_waits_for_it(self) -> None:
+        async def scenario() -> tuple[list[tuple[IdempotencyKey, Outcome]], int]:
+            platform = FakePlatform()
+            platform.is_down = True
+            trial = _Trial(platform)
+            async with trio.open_nursery() as nursery:
+                runner = trial.runner("e0", nursery)
+                await trial.send(runner, _Sending(IdempotencyKey("k"), 0, 0, 30, False))
+            return trial.told, platform.calls.total()
+
+        told, calls = run_on_mock_clock(scenario)
+        self.assertEqual(told, [(IdempotencyKey("k"), Outcome.NOT_RUN)])
+        self.assertEqual(calls, 0)
+
     def test_a_refused_request_may_be_sent_again(self) -> None:
         async def scenario() -> _Trial:
             trial = _Trial(FakePlatform())
@@ -224,9 +238,9 @@
 
 async def _outage(platform: FakePlatform, start_s: float) -> None:
     await trio.sleep(start_s)
-    platform.is_down = True
+    platform.is_refusing = True
     await trio.sleep(0.7)
-    platform.is_down = False
+    platform.is_refusing = False
 
 
 async def _apply_late(platform: FakePlatform, start_s: float) -> None:
--- /dev/null
+++ b/yewloom/tests/test_coordinators.py
@@ -0,0 +1,168 @@
+"""Tests of the coordinator with a fake platform, and of the orders that it gives."""
+
+import random
+import unittest
+
+import trio
+
+from yewloom.coordinators import Coordinator
+from yewloom.groups import GroupObservation, HostObservation
+from yewloom.ids import AttemptId, GroupId, HostId
+from yewloom.node import Node, build_node
+from yewloom.observers import Observer
+from yewloom.orders import due_orders
+from yewloom.schema.records_pb2 import Group, GroupMember, Host, HostReport, Order, Placement
+from yewloom.schema.table_pb2 import Row, VersionedRow
+from yewloom.settings import parse_settings
+from yewloom.states import EngineState, GroupIntent
+from yewloom.tests.support import (
+    FakeEngines,
+    FakePlatform,
+    make_host,
+    make_policy,
+    run_on_mock_clock,
+)
+from yewloom.tests.test_dispatch import SETTINGS
+
+
+class _Trial:
+    """Coordinators of one data centre over engines that never accept an order."""
+
+    def __init__(self, checks_fences: bool) -> None:
+        self.platform = FakePlatform()
+        self.engines = FakeEngines(())
+        self.attempts = 0
+        for name in ("h0", "h1"):
+            host = make_host(name, checks_fences=checks_fences)
+            self.platform.listed.append(host)
+            report = HostReport(host_id=name, state=EngineState.IDLE.value)
+            self.engines.reports[host.address] = report
+
+    def coordinator(self, name: str) -> Coordinator:
+        node = _node(name)
+        observer = Observer(node, self.engines)
+        return Coordinator(node, self.platform, self.engines, observer, self.new_attempt)
+
+    def new_attempt(self) -> AttemptId:
+        self.attempts += 1
+        return AttemptId(str(self.attempts))
+
+
+def _node(name: str) -> Node:
+    settings = parse_settings(SETTINGS.replace("entry-1", name), "test").unwrap()
+    node = build_node(settings, random.Random(1), 1)
+    policy = make_policy(size=2)
+    node.table.apply(VersionedRow(name="policy/p", version=1, row=Row(policy=policy)))
+    return node
+
+
+class TestCoordinator(unittest.TestCase):
+    """Leases and orders, with the platform up and down."""
+
+    def _orders_before_and_after_outage(self, checks_fences: bool) -> tuple[int, int]:
+        """Return the orders given in 20 s with the platform, and in 60 s from 10 s without it."""
+        trial = _Trial(checks_fences)
+
+        async def scenario() -> tuple[int, int]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trial.coordinator("entry-1").run)
+                await trio.sleep(20)
+                before = len(trial.engines.orders)
+                trial.platform.is_refusing = True
+                await trio.sleep(10)
+                lapsed = len(trial.engines.orders)
+                await trio.sleep(60)
+                nursery.cancel_scope.cancel()
+            return before, len(trial.engines.orders) - lapsed
+
+        return run_on_mock_clock(scenario)
+
+    def test_orders_stop_when_the_lease_lapses(self) -> None:
+        for checks_fences in (True, False):
+            before, after = self._orders_before_and_after_outage(checks_fences)
+            self.assertGreater(before, 0)
+            self.assertEqual(after, 0)
+
+    def test_two_that_coordinate_form_each_group_once(self) -> None:
+        trial = _Trial(checks_fences=True)
+
+        async def scenario() -> set[str]:
+            async with trio.open_nursery() as nursery:
+                for name in ("entry-1", "entry-2"):
+                    nursery.start_soon(trial.coordinator(name).run)
+                await trio.sleep(60)
+                nursery.cancel_scope.cancel()
+            return {order.group_id for order in trial.engines.orders}
+
+        self.assertEqual(len(run_on_mock_clock(scenario)), 1)
+        self.assertEqual(trial.platform.objects["placements/hall-a"].version, 1)
+
+    def test_another_takes_over_after_a_kill(self) -> None:
+        trial = _Trial(checks_fences=True)
+
+        async def scenario() -> list[bool]:
+            coordinators = [trial.coordinator(name) for name in ("entry-1", "entry-2")]
+            held = []
+            async with trio.open_nursery() as nursery:
+                first = await _start(nursery, coordinators[0])
+                await trio.sleep(10)
+                await _start(nursery, coordinators[1])
+                await trio.sleep(10)
+                held.append(coordinators[1].is_holding)
+                first.cancel()
+                await trio.sleep(15)
+                held.append(coordinators[1].is_holding)
+                nursery.cancel_scope.cancel()
+            return held
+
+        self.assertEqual(run_on_mock_clock(scenario), [False, True])
+
+
+async def _start(nursery: trio.Nursery, coordinator: Coordinator) -> trio.CancelScope:
+    scope = trio.CancelScope()
+
+    async def run() -> None:
+        with scope:
+            await coordinator.run()
+
+    nursery.start_soon(run)
+    return scope
+
+
+class TestDueOrders(unittest.TestCase):
+    """Which orders are due, within the weight store's bound."""
+
+    def _due(self, cached: set[str], started: set[str], max_loading: int) -> list[Order]:
+        groups = [
+            Group(
+                id=f"g{i}",
+                model="m",
+                model_version="1",
+                generation=1,
+                intent=GroupIntent.ACTIVE.value,
+                members=[GroupMember(host_id=f"h{i}{j}") for j in range(2)],
+            )
+            for i in range(3)
+        ]
+        hosts = {}
+        for group in groups:
+            for member in group.members:
+                report = HostReport(cached_model="m@1" if member.host_id in cached else "")
+                if member.host_id in started:
+                    report.group_id, report.generation = group.id, 1
+                hosts[HostId(member.host_id)] = HostObservation(report, 0.0)
+        listed = {name: Host(id=name, checks_fences=True) for name in hosts}
+        seen = {GroupId("g1"): GroupObservation(GroupId("g1"), 1, 0.0, ready=False)}
+        placement = Placement(generation=1, groups=groups)
+        return [due.order for due in due_orders(placement, seen, hosts, listed, max_loading)]
+
+    def test_no_more_groups_load_at_once_than_the_weight_store_bears(self) -> None:
+        self.assertEqual({order.group_id for order in self._due(set(), set(), 2)}, {"g0", "g1"})
+
+    def test_groups_with_cached_weights_load_first(self) -> None:
+        due = self._due({"h20", "h21"}, set(), 1)
+        self.assertEqual({order.group_id for order in due}, {"g2"})
+
+    def test_a_begun_load_is_finished_before_another_begins(self) -> None:
+        due = self._due({"h20", "h21"}, {"h00"}, 1)
+        self.assertEqual([(o.group_id, o.rank, o.fence) for o in due], [("g0", 1, 1)])
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -1,6 +1,9 @@
 """Tests of the layout: decisions do no I/O and read no clock."""
 
 import ast
+import contextlib
+import io
+import runpy
 import unittest
 from pathlib import Path
 
@@ -59,6 +62,12 @@
             self.assertFalse(forbidden, f"{module} imports {forbidden}")
             todo += [name for name in imported if name.startswith("yewloom.")]
 
+    def test_the_example_for_embedders_runs_without_the_daemon(self) -> None:
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            runpy.run_path(str(self.root.parent / "examples" / "embedding.py"), run_name="__main__")
+        self.assertIn("route to archive-hall-a-1", output.getvalue())
+
     def test_every_module_has_a_docstring_and_stays_small(self) -> None:
         for path in self.root.glob("*.py"):
             text = path.read_text(encoding="utf-8")
--- a/yewloom/tests/test_membership.py
+++ b/yewloom/tests/test_membership.py
@@ -121,6 +121,23 @@
         self.assertFalse(any(row[0] for row in carriers))
         self.assertTrue(all(sum(row) == 2 for row in carriers))
 
+    def test_members_cut_off_from_the_platform_leave_its_duties_to_others(self) -> None:
+        nodes = [_membership(name) for name in NAMES]
+        nodes[0].set_cut_off(True)
+        nodes[1].set_cut_off(True)
+        for node in nodes:
+            node.merge(_copy([other.me for other in nodes]), 0.0)
+        chosen = [node.has_platform_duty("watch", 2, 0.0) for node in nodes]
+        self.assertEqual(chosen, [False, False, True, True])
+
+    def test_when_all_are_cut_off_the_platforms_duties_are_still_carried(self) -> None:
+        nodes = [_membership(name) for name in NAMES]
+        for node in nodes:
+            node.set_cut_off(True)
+        for node in nodes:
+            node.merge(_copy([other.me for other in nodes]), 0.0)
+        self.assertEqual(sum(node.has_platform_duty("watch", 2, 0.0) for node in nodes), 2)
+
     def test_duties_stay_within_the_data_centre(self) -> None:
         mine = _membership("e0")
         mine.merge([Member(id=f"x{i}", incarnation=1, data_centre="b") for i in range(20)], 0.0)
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -221,6 +221,22 @@
         members = wait_for(lambda: self._members("e1") == {"e1", "e3", "e4"}, "membership")
         self.assertTrue(members)
 
+    def test_a_frozen_platform_stops_no_answers_and_claims_fail_without_running(self) -> None:
+        fleet = self.fleet
+        fleet.signal("platform", signal.SIGSTOP)
+        self.assertEqual(fleet.chat("e1", "frozen").status, 200)
+        for number in range(3):
+            key = f"frozen-{number}"
+            answer = fleet.service("e1", "POST", "update/4", idempotency_key=key)
+            self.assertEqual(answer.json()["outcome"], "not_run")
+            self.assertEqual(fleet.runs("sa", "sb").get(key, 0), 0)
+        fleet.signal("platform", signal.SIGCONT)
+        wait_for(lambda: self._runs_again("thawed"), "an unsafe call after the thaw")
+
+    def _runs_again(self, key: str) -> bool:
+        answer = self.fleet.service("e1", "POST", "update/5", idempotency_key=key)
+        return answer.status == 200
+
     def test_a_dead_hosts_share_moves_only_when_the_platform_lists_it_no_more(self) -> None:
         fleet, part = self.fleet, 50
         wait_for(lambda: self._share("e1") + self._share("e2") == part, "the granted shares")
--- a/yewloom/watchers.py
+++ b/yewloom/watchers.py
@@ -21,6 +21,9 @@
 PLACEMENT_PREFIX = "placements/"
 SHARES_PREFIX = "shares/"
 
+MAX_LOOK_PAUSES = 40
+"""Most pauses between two looks of a host without the duty to watch at a platform that is down."""
+
 
 class Watcher:
     """Follows one prefix of the platform while this entry host has the duty to."""
@@ -35,14 +38,23 @@
         """Follow the prefix until cancelled."""
         pause_s = self._node.settings.platform.poll_interval_ms / 1000
         while True:
-            if not self._has_duty() or not await self._step():
+            has_duty = self._has_duty()
+            if not has_duty and self._platform.is_down:
+                await self._look_again(pause_s)
+            elif not has_duty or not await self._step():
                 self._position = None
                 await trio.sleep(pause_s)
 
     def _has_duty(self) -> bool:
-        count = self._node.settings.platform.watchers
+        count, now_s = self._node.settings.platform.watchers, trio.current_time()
         is_new = not self._node.has_table
-        return is_new or self._node.membership.has_duty(WATCH_DUTY, count, trio.current_time())
+        return is_new or self._node.membership.has_platform_duty(WATCH_DUTY, count, now_s)
+
+    async def _look_again(self, pause_s: float) -> None:
+        """Find out now and then whether the platform answers again; all hosts may be waiting."""
+        self._position = None
+        await trio.sleep(pause_s * self._node.rng.uniform(1, MAX_LOOK_PAUSES))
+        await self._step()
 
     async def _step(self) -> bool:
         """List once, then watch; tell whether the platform answered."""
