Remember idempotency keys by hash when their claims are gone; split long modules

Cause: a shard's record took 256 claims, so 64 shards were full after 16,384 unsafe requests within the retention time, about four hours at one a second. Ruled out: one object a key (two writes a request, no group commit), more shards (records grow with answers that nobody asks for again). Change: the latest 128 claims stay whole; of older ones a 64-bit hash stays, up to 30,000 a shard, 1.9 million in all, and goes after one to two retention times. After: no key of 385 runs again however many came since (test); a record of 30,000 hashes holds about 0.6 MB as JSON.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -127,6 +127,13 @@
         "if True:",
         "test_claims",
     ),
+    Mutation(
+        "claims: a key is known by its hash when its claim is gone",
+        "claims",
+        "if earlier is None and hash64(claim.key) in known:",
+        "if False:",
+        "test_claims",
+    ),
     Mutation(
         "claims: conditional update",
         "tests/support",
--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import uuid
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 
@@ -25,23 +24,28 @@
 )
 from yewloom.dispatch import Dispatcher
 from yewloom.endpoints import ServiceCall
+from yewloom.experiments import ExperimentRecord
+from yewloom.headers import (
+    deadline_s,
+    idempotency_key,
+    is_marked_unsafe,
+    is_unsafe_path,
+    new_request_id,
+)
 from yewloom.idempotency import IdempotentRunner, KeptAnswer
-from yewloom.ids import AttemptId, CustomerId, IdempotencyKey, RequestId, ServiceName
+from yewloom.ids import AttemptId, CustomerId, IdempotencyKey, ServiceName
 from yewloom.node import Node
 from yewloom.problems import Problem, bad_request, unavailable
 from yewloom.requests import ModelRequest, ServiceRequest, Tokens
-from yewloom.schema.table_pb2 import CustomerRow, ServiceRow
+from yewloom.schema.table_pb2 import CustomerRow
 from yewloom.service_dispatch import ServiceDispatcher
 from yewloom.states import ClaimState, Outcome
 from yewloom.status import describe, metrics_text
 from yewloom.streams import parse_position
 
-MAX_KEY_CHARACTERS = 200
-
 _PASSED_HEADERS = {"content-type", "accept", "idempotency-key"}
 _SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 _CLIENT_GONE = 499
-_TRUE_WORDS = {"1", "true", "yes"}
 
 
 class CallerInterface:
@@ -88,7 +92,7 @@
         completion = parse_completion(kind, await self._body(request))
         self._check_model(completion)
         model_request = self._model_request(request, completion, customer, row)
-        key = _idempotency_key(request, customer)
+        key = idempotency_key(request, customer)
         last_event = request.headers.get("last-event-id")
         if last_event is not None:
             return await self._resume(completion, model_request, last_event)
@@ -206,15 +210,18 @@
             headers={n: v for n, v in request.headers.items() if n in _PASSED_HEADERS},
             body=await self._body(request),
         )
-        key = _idempotency_key(request, customer)
+        key = idempotency_key(request, customer)
         service_request = ServiceRequest(
-            request_id=_new_request_id(),
+            request_id=new_request_id(),
             customer=customer,
             customer_row=customer_row,
             service=service,
             call=call,
-            deadline_s=min(self._deadline_s(request), trio.current_time() + row.timeout_ms / 1000),
-            is_unsafe=key is not None or _is_marked_unsafe(request) or _is_unsafe_path(row, path),
+            deadline_s=min(
+                deadline_s(request, self._node.settings.requests.timeout_ms),
+                trio.current_time() + row.timeout_ms / 1000,
+            ),
+            is_unsafe=key is not None or is_marked_unsafe(request) or is_unsafe_path(row, path),
         )
 
         async def run() -> KeptAnswer:
@@ -259,7 +266,8 @@
         return JSONResponse(describe(self._node, trio.current_time()))
 
     async def _experiment(self, request: Request) -> Response:
-        return JSONResponse(self._node.experiments[request.path_params["name"]].to_fields())
+        record = self._node.experiments.get(request.path_params["name"], ExperimentRecord())
+        return JSONResponse(record.to_fields())
 
     def _customer(self, request: Request) -> tuple[CustomerId, CustomerRow]:
         """Return the customer whose key the request carries; every row is compared."""
@@ -297,24 +305,17 @@
     ) -> ModelRequest:
         session = request.headers.get("x-session-id") or completion.user or completion.prompt[:64]
         return ModelRequest(
-            request_id=_new_request_id(),
+            request_id=new_request_id(),
             customer=customer,
             customer_row=row,
             model=completion.model,
             prompt=completion.prompt,
             max_tokens=completion.max_tokens,
             session=f"{customer}/{session}",
-            deadline_s=self._deadline_s(request),
-            is_unsafe="idempotency-key" in request.headers or _is_marked_unsafe(request),
+            deadline_s=deadline_s(request, self._node.settings.requests.timeout_ms),
+            is_unsafe="idempotency-key" in request.headers or is_marked_unsafe(request),
         )
 
-    def _deadline_s(self, request: Request) -> float:
-        text = request.headers.get("x-timeout-ms", "")
-        default_ms = self._node.settings.requests.timeout_ms
-        if text and not (text.isdecimal() and 0 < int(text) <= default_ms):
-            raise bad_request(f"X-Timeout-Ms must be a whole number from 1 to {default_ms}.")
-        return trio.current_time() + (int(text) if text else default_ms) / 1000
-
     def _count(self, customer: CustomerId, outcome: Outcome) -> None:
         self._node.metrics.requests.labels(customer, outcome.value).inc()
 
@@ -339,27 +340,6 @@
     return writer.event(str(part.position), "".join(part.tokens), part.finish_reason)
 
 
-def _new_request_id() -> RequestId:
-    return RequestId(uuid.uuid4().hex)
-
-
-def _idempotency_key(request: Request, customer: CustomerId) -> IdempotencyKey | None:
-    key = request.headers.get("idempotency-key")
-    if key is None:
-        return None
-    if not key or len(key) > MAX_KEY_CHARACTERS:
-        raise bad_request(f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} characters.")
-    return IdempotencyKey(f"{customer}/{key}")
-
-
-def _is_marked_unsafe(request: Request) -> bool:
-    return request.headers.get("x-unsafe", "").lower() in _TRUE_WORDS
-
-
-def _is_unsafe_path(row: ServiceRow, path: str) -> bool:
-    return any(path.startswith(prefix) for prefix in row.unsafe_paths.split())
-
-
 async def _answer_problem(request: Request, problem: Problem) -> Response:
     return problem.to_response()
 
--- a/yewloom/claims.py
+++ b/yewloom/claims.py
@@ -5,6 +5,9 @@
 claim one key, one sees the other's claim, whoever writes. Claims that wait while a write is in
 flight go together in the next one.
 
+A record keeps the latest claims whole. Of older ones it keeps a hash of the key, which is enough to
+never run them again. Hashes are kept for the retention time at least, and for twice that at most.
+
 Times here are Unix milliseconds, since the records outlive every process.
 """
 
@@ -19,8 +22,11 @@
 MAX_STORED_BODY_BYTES = 2048
 """Largest answer that is kept with its claim."""
 
-MAX_SHARD_CLAIMS = 256
-"""Claims in one shard's record, which keeps it below the platform's largest value."""
+MAX_WHOLE_CLAIMS = 128
+"""Claims that one shard's record keeps whole."""
+
+MAX_HASHES = 30_000
+"""Hashes of keys in one shard's record, which keeps it below the platform's largest value."""
 
 
 class Verdict(Enum):
@@ -82,18 +88,41 @@
     The answers count only once the record has been written. A claim that is already in the record
     under the same attempt may run: it is the claimant's own write whose answer was lost.
     """
-    kept = [c for c in record.claims if now_unix_ms - c.claimed_unix_ms <= retention_ms]
-    by_key = {IdempotencyKey(claim.key): _copy(claim) for claim in kept}
+    following = ClaimShard()
+    following.CopyFrom(record)
+    _rotate(following, now_unix_ms, retention_ms)
+    by_key = {IdempotencyKey(claim.key): claim for claim in following.claims}
     for result in results:
         _store_result(by_key, result)
-    answers = {claim.attempt: _add_claim(by_key, claim, now_unix_ms) for claim in claims}
-    return ClaimShard(claims=by_key.values()), answers
+    known = {*following.recent_hashes, *following.earlier_hashes}
+    answers = {
+        claim.attempt: _add_claim(following, by_key, known, claim, now_unix_ms) for claim in claims
+    }
+    _compact(following)
+    return following, answers
+
+
+def _rotate(record: ClaimShard, now_unix_ms: int, retention_ms: int) -> None:
+    """Drop the hashes that are older than the retention time."""
+    if not record.rotated_unix_ms:
+        record.rotated_unix_ms = now_unix_ms
+    if now_unix_ms - record.rotated_unix_ms <= retention_ms:
+        return
+    del record.earlier_hashes[:]
+    record.earlier_hashes.extend(record.recent_hashes)
+    del record.recent_hashes[:]
+    record.rotated_unix_ms = now_unix_ms
 
 
-def _copy(claim: Claim) -> Claim:
-    copied = Claim()
-    copied.CopyFrom(claim)
-    return copied
+def _compact(record: ClaimShard) -> None:
+    """Keep only hashes of the oldest claims, and nothing of those that did not run."""
+    surplus = len(record.claims) - MAX_WHOLE_CLAIMS
+    if surplus <= 0:
+        return
+    oldest = list(record.claims[:surplus])
+    del record.claims[:surplus]
+    ran = (claim for claim in oldest if claim.state != ClaimState.RELEASED.value)
+    record.recent_hashes.extend(hash64(claim.key) for claim in ran)
 
 
 def _store_result(by_key: dict[IdempotencyKey, Claim], result: ClaimResult) -> None:
@@ -108,22 +137,35 @@
 
 
 def _add_claim(
-    by_key: dict[IdempotencyKey, Claim], claim: ClaimRequest, now_unix_ms: int
+    record: ClaimShard,
+    by_key: dict[IdempotencyKey, Claim],
+    known: set[int],
+    claim: ClaimRequest,
+    now_unix_ms: int,
 ) -> ClaimAnswer:
     earlier = by_key.get(claim.key)
+    if earlier is None and hash64(claim.key) in known:
+        return ClaimAnswer(Verdict.TAKEN, Claim(key=claim.key, state=ClaimState.DONE.value))
     if earlier is not None and earlier.attempt_id == claim.attempt:
         return ClaimAnswer(Verdict.RUN)
     if earlier is None or earlier.state == ClaimState.RELEASED.value:
-        if earlier is None and len(by_key) >= MAX_SHARD_CLAIMS:
+        if earlier is None and len(known) >= MAX_HASHES:
             return ClaimAnswer(Verdict.FULL)
-        by_key[claim.key] = Claim(
-            key=claim.key,
-            attempt_id=claim.attempt,
-            holder=claim.holder,
-            state=ClaimState.CLAIMED.value,
-            claimed_unix_ms=now_unix_ms,
-        )
+        by_key[claim.key] = _put(record, earlier, claim, now_unix_ms)
         return ClaimAnswer(Verdict.RUN)
     if earlier.state == ClaimState.DONE.value and earlier.body:
         return ClaimAnswer(Verdict.ANSWERED, earlier)
     return ClaimAnswer(Verdict.TAKEN, earlier)
+
+
+def _put(record: ClaimShard, earlier: Claim | None, claim: ClaimRequest, now_unix_ms: int) -> Claim:
+    """Put a claim into a record, in place of an earlier one that did not run."""
+    if earlier is not None:
+        record.claims.remove(earlier)
+    return record.claims.add(
+        key=claim.key,
+        attempt_id=claim.attempt,
+        holder=claim.holder,
+        state=ClaimState.CLAIMED.value,
+        claimed_unix_ms=now_unix_ms,
+    )
--- a/yewloom/cli.py
+++ b/yewloom/cli.py
@@ -8,7 +8,6 @@
 import random
 import ssl
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any, NoReturn, TypeVar
 
@@ -17,7 +16,7 @@
 from result import Err, Ok, Result
 
 from yewloom import comparison
-from yewloom.experiments import Side, join_records, record_from
+from yewloom.experiments import join_records, record_from
 from yewloom.http_calls import HttpCaller, HttpCallError
 from yewloom.ids import RowName
 from yewloom.node import unix_ms
@@ -32,7 +31,8 @@
     read_entry_host,
 )
 from yewloom.platforms import HttpPlatform, Platform
-from yewloom.schema.table_pb2 import ExperimentRow, VersionedRow
+from yewloom.reports import comparison_fields, comparison_lines
+from yewloom.schema.table_pb2 import VersionedRow
 from yewloom.settings import read_settings
 from yewloom.states import RowKind
 from yewloom.tables import parse_row_name
@@ -207,35 +207,7 @@
     row = _read_row(platform, f"{RowKind.EXPERIMENT.value}/{experiment}").row.experiment
     records = [record_from(_status(host, f"/experiments/{experiment}")) for host in hosts]
     found = comparison.compare(join_records(records), row.share_b, random.Random(experiment))
-    _print(as_json, _comparison_fields(found), _comparison_lines(found, row))
-
-
-def _comparison_lines(found: comparison.Comparison, row: ExperimentRow) -> list[str]:
-    lines = []
-    for side, policy in ((Side.A, row.policy_a), (Side.B, row.policy_b)):
-        counts = " ".join(f"{o.value}={n}" for o, n in found.counts[side].items())
-        lines.append(f"side {side.value} ({policy}): {counts}, {found.sessions[side]} sessions")
-    words = "as stated" if found.is_balanced else "NOT as stated, so do not trust the rest"
-    lines.append(f"split: {found.imbalance:+.1f} standard deviations off, {words}")
-    for metric in found.metrics:
-        lines.append(
-            f"{metric.metric} p95: a {metric.a_ms:.1f} ms, b {metric.b_ms:.1f} ms, b less a "
-            f"{metric.low_ms:.1f} to {metric.high_ms:.1f} ms; {metric.verdict}"
-        )
-    return lines
-
-
-def _comparison_fields(found: comparison.Comparison) -> dict[str, Any]:
-    return {
-        "counts": {
-            side.value: {outcome.value: count for outcome, count in counts.items()}
-            for side, counts in found.counts.items()
-        },
-        "sessions": {side.value: count for side, count in found.sessions.items()},
-        "imbalance": found.imbalance,
-        "is_balanced": found.is_balanced,
-        "metrics": [{**asdict(m), "verdict": m.verdict} for m in found.metrics],
-    }
+    _print(as_json, comparison_fields(found), comparison_lines(found, row))
 
 
 @app.command()
--- a/yewloom/dispatch.py
+++ b/yewloom/dispatch.py
@@ -7,7 +7,6 @@
 from collections import defaultdict
 from collections.abc import AsyncGenerator, Mapping
 from contextlib import aclosing
-from dataclasses import dataclass, field
 from functools import cache
 
 import structlog
@@ -15,12 +14,13 @@
 
 from yewloom.admission import Arrival
 from yewloom.endpoints import EndpointError, Endpoints, GenerateCall
-from yewloom.experiments import Observation, Side, assign_side, policy_of
+from yewloom.experiments import Side, assign_side, policy_of
 from yewloom.ids import DataCentreId, GroupId, ModelName, PolicyName, RequestId
 from yewloom.node import Node
 from yewloom.places import Places
 from yewloom.prefixes import block_hashes
 from yewloom.problems import Problem, bad_request, unavailable
+from yewloom.progress import Progress
 from yewloom.recovery import next_step
 from yewloom.requests import ModelRequest, ShareOf, Tokens, arrival_of
 from yewloom.retries import AttemptTracker, CallFailure, NextStep, RetryBudget
@@ -41,26 +41,6 @@
 _CANCEL_TIMEOUT_S = 2.0
 
 
-@dataclass
-class _Progress:
-    """State of one model request while it is dispatched."""
-
-    request: ModelRequest
-    policy: PolicyName
-    tracker: AttemptTracker
-    assembler: StreamAssembler
-    arrived_s: float
-    held: list[str] = field(default_factory=list)
-    delivered: list[str] = field(default_factory=list)
-    avoid: set[GroupId] = field(default_factory=set)
-    group: Group | None = None
-    is_resuming: bool = False
-    experiment: str = ""
-    side: Side = Side.A
-    first_token_s: float | None = None
-    last_token_s: float | None = None
-
-
 class Dispatcher:
     """Dispatches the requests of one entry host."""
 
@@ -127,12 +107,12 @@
                 async for tokens in attempts:
                     yield tokens
 
-    def _start(self, request: ModelRequest) -> _Progress:
+    def _start(self, request: ModelRequest) -> Progress:
         policies = self._table.policies_for(request.model)
         if not policies:
             raise bad_request(f"The model {request.model!r} is not served here.", 404)
         experiment, side, policy = self._assign(request, policies)
-        return _Progress(
+        return Progress(
             request=request,
             policy=policy,
             experiment=experiment,
@@ -156,20 +136,13 @@
                 return name, side, policy_of(side, row)
         return "", Side.A, next(iter(policies))
 
-    def _record(self, progress: _Progress, outcome: Outcome) -> None:
+    def _record(self, progress: Progress, outcome: Outcome) -> None:
         """Record a request for its experiment."""
-        if not progress.experiment:
-            return
-        first_s, last_s = progress.first_token_s, progress.last_token_s
-        gaps = len(progress.delivered) - 1
-        first_ms = between_ms = None
-        if first_s is not None and last_s is not None:
-            first_ms = (first_s - progress.arrived_s) * 1000
-            between_ms = (last_s - first_s) * 1000 / gaps if gaps > 0 else None
-        observation = Observation(progress.side, outcome, first_ms, between_ms)
-        self._experiments[progress.experiment].add(progress.request.session, observation)
+        if progress.experiment:
+            record = self._experiments[progress.experiment]
+            record.add(progress.request.session, progress.observation(outcome))
 
-    async def _attempts(self, progress: _Progress) -> AsyncGenerator[Tokens, None]:
+    async def _attempts(self, progress: Progress) -> AsyncGenerator[Tokens, None]:
         """Make calls until the answer is whole or must be given up."""
         while not progress.assembler.is_whole:
             if progress.group is None:
@@ -182,7 +155,7 @@
                 self._after_failure(error, progress)
         self._budget.on_success()
 
-    def _after_failure(self, error: EndpointError, progress: _Progress) -> None:
+    def _after_failure(self, error: EndpointError, progress: Progress) -> None:
         group, request = progress.group, progress.request
         assert group is not None
         if progress.is_resuming and error.failure in (CallFailure.CONNECT, CallFailure.REFUSED):
@@ -195,7 +168,7 @@
             progress.avoid.add(GroupId(group.id))
             progress.group = None
 
-    async def _attempt(self, progress: _Progress) -> AsyncGenerator[Tokens, None]:
+    async def _attempt(self, progress: Progress) -> AsyncGenerator[Tokens, None]:
         """Make one call and yield what it adds to the answer.
 
         Tokens that come close after each other go on together: the cost is by event, not by token.
@@ -212,7 +185,7 @@
             async with self._endpoints.generate(address, call, stall_s) as pieces:
                 async for piece in pieces:
                     progress.held += progress.assembler.accept(piece)
-                    if self._is_due(progress):
+                    if progress.is_due(trio.current_time(), self._coalesce_s):
                         yield self._pass_on(progress, group)
                     if progress.assembler.is_whole:
                         break
@@ -238,7 +211,7 @@
         left_s = request.deadline_s - trio.current_time()
         return max(0.0, min(self._settings.requests.stall_timeout_ms / 1000, left_s))
 
-    def _call_for(self, progress: _Progress, group: Group) -> GenerateCall:
+    def _call_for(self, progress: Progress, group: Group) -> GenerateCall:
         request = progress.request
         return GenerateCall(
             request_id=progress.assembler.request_id,
@@ -252,16 +225,7 @@
             delivered=tuple(progress.delivered),
         )
 
-    def _is_due(self, progress: _Progress) -> bool:
-        """Tell whether the tokens held should go to the caller now."""
-        if progress.assembler.is_whole:
-            return True
-        if not progress.held:
-            return False
-        last_s = progress.last_token_s
-        return last_s is None or trio.current_time() - last_s >= self._coalesce_s
-
-    def _pass_on(self, progress: _Progress, group: Group) -> Tokens:
+    def _pass_on(self, progress: Progress, group: Group) -> Tokens:
         """Return the tokens held and account for them."""
         tokens, progress.held = progress.held, []
         progress.tracker.on_progress()
@@ -283,7 +247,7 @@
         finish_reason = assembler.finish_reason if assembler.is_whole else ""
         return Tokens(tuple(tokens), position, finish_reason)
 
-    def _route(self, progress: _Progress) -> None:
+    def _route(self, progress: Progress) -> None:
         """Choose a group for a request; raises Problem if none is open."""
         request = progress.request
         hashes = block_hashes(request.prompt)
--- a/yewloom/exchange.py
+++ b/yewloom/exchange.py
@@ -66,6 +66,7 @@
 def take_in(node: Node, response: ExchangeResponse, asked_s: float, now_s: float) -> bool:
     """Take in a peer's answer; tell whether its table differs from the own one."""
     node.membership.merge([*response.members, response.responder], now_s)
+    node.shares.instance = node.instance
     apply_placements(node, response.placements)
     node.fleet.merge_groups(response.groups, asked_s)
     node.fleet.merge_services(response.services, asked_s)
--- /dev/null
+++ b/yewloom/headers.py
@@ -0,0 +1,47 @@
+"""What the headers of a caller's request say."""
+
+import uuid
+
+import trio
+from starlette.requests import Request
+
+from yewloom.ids import CustomerId, IdempotencyKey, RequestId
+from yewloom.problems import bad_request
+from yewloom.schema.table_pb2 import ServiceRow
+
+MAX_KEY_CHARACTERS = 200
+
+_TRUE_WORDS = {"1", "true", "yes"}
+
+
+def deadline_s(request: Request, longest_ms: int) -> float:
+    """Return the time by which a request must have ended, on the runtime's clock."""
+    text = request.headers.get("x-timeout-ms", "")
+    if text and not (text.isdecimal() and 0 < int(text) <= longest_ms):
+        raise bad_request(f"X-Timeout-Ms must be a whole number from 1 to {longest_ms}.")
+    return trio.current_time() + (int(text) if text else longest_ms) / 1000
+
+
+def new_request_id() -> RequestId:
+    """Return a name for one request that nobody can guess."""
+    return RequestId(uuid.uuid4().hex)
+
+
+def idempotency_key(request: Request, customer: CustomerId) -> IdempotencyKey | None:
+    """Return the customer's key of a request, if it has one; raises Problem if it is none."""
+    key = request.headers.get("idempotency-key")
+    if key is None:
+        return None
+    if not key or len(key) > MAX_KEY_CHARACTERS:
+        raise bad_request(f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} characters.")
+    return IdempotencyKey(f"{customer}/{key}")
+
+
+def is_marked_unsafe(request: Request) -> bool:
+    """Tell whether the caller marked a request as unsafe to repeat."""
+    return request.headers.get("x-unsafe", "").lower() in _TRUE_WORDS
+
+
+def is_unsafe_path(row: ServiceRow, path: str) -> bool:
+    """Tell whether a service's calls of a path are unsafe to repeat."""
+    return any(path.startswith(prefix) for prefix in row.unsafe_paths.split())
--- a/yewloom/limits.py
+++ b/yewloom/limits.py
@@ -45,7 +45,7 @@
     """What one entry host may use of each limit: its part, less loans given, plus loans taken."""
 
     def __init__(self, instance: str, loan_s: float) -> None:
-        self._instance = instance
+        self.instance = instance
         self._loan_s = loan_s
         self._shares = Shares()
         self._lent: dict[CustomerId, list[_Transfer]] = {}
@@ -79,7 +79,7 @@
         if self._obeys(in_flight, now_s):
             self._obeyed = self._shares.generation
         return ShareState(
-            instance=self._instance,
+            instance=self.instance,
             obeyed_generation=self._obeyed,
             demands=list(self._lacks(demand, now_s)),
         )
@@ -95,7 +95,7 @@
         self, asked: ShareState, in_flight: Mapping[CustomerId, int], now_s: float
     ) -> list[Loan]:
         """Lend an entry host what it lacks and this one does not use."""
-        if asked.instance == self._instance:
+        if asked.instance == self.instance:
             return []
         loans = []
         for entry in asked.demands:
@@ -124,7 +124,7 @@
 
     def _own_shares(self) -> Iterable[CustomerShare]:
         for holder in self._shares.holders:
-            if holder.instance == self._instance:
+            if holder.instance == self.instance:
                 yield from holder.shares
 
     def _obeys(self, in_flight: Mapping[CustomerId, int], now_s: float) -> bool:
--- /dev/null
+++ b/yewloom/progress.py
@@ -0,0 +1,53 @@
+"""How far one model request has come."""
+
+from dataclasses import dataclass, field
+
+from yewloom.experiments import Observation, Side
+from yewloom.ids import GroupId, PolicyName
+from yewloom.requests import ModelRequest
+from yewloom.retries import AttemptTracker
+from yewloom.schema.records_pb2 import Group
+from yewloom.states import Outcome
+from yewloom.streams import StreamAssembler
+
+
+@dataclass
+class Progress:
+    """State of one model request while it is dispatched.
+
+    ``held`` are tokens that wait to go on together, ``delivered`` those that went to the caller.
+    Times are seconds of the runtime's clock.
+    """
+
+    request: ModelRequest
+    policy: PolicyName
+    tracker: AttemptTracker
+    assembler: StreamAssembler
+    arrived_s: float
+    held: list[str] = field(default_factory=list)
+    delivered: list[str] = field(default_factory=list)
+    avoid: set[GroupId] = field(default_factory=set)
+    group: Group | None = None
+    is_resuming: bool = False
+    experiment: str = ""
+    side: Side = Side.A
+    first_token_s: float | None = None
+    last_token_s: float | None = None
+
+    def is_due(self, now_s: float, coalesce_s: float) -> bool:
+        """Tell whether the tokens held should go to the caller now."""
+        if self.assembler.is_whole:
+            return True
+        if not self.held:
+            return False
+        return self.last_token_s is None or now_s - self.last_token_s >= coalesce_s
+
+    def observation(self, outcome: Outcome) -> Observation:
+        """Return the request as its experiment records it."""
+        first_s, last_s = self.first_token_s, self.last_token_s
+        gaps = len(self.delivered) - 1
+        first_ms = between_ms = None
+        if first_s is not None and last_s is not None:
+            first_ms = (first_s - self.arrived_s) * 1000
+            between_ms = (last_s - first_s) * 1000 / gaps if gaps > 0 else None
+        return Observation(self.side, outcome, first_ms, between_ms)
--- a/yewloom/tests/test_claims.py
+++ b/yewloom/tests/test_claims.py
@@ -10,7 +10,8 @@
 
 from yewloom.claim_writer import ClaimWriter
 from yewloom.claims import (
-    MAX_SHARD_CLAIMS,
+    MAX_HASHES,
+    MAX_WHOLE_CLAIMS,
     ClaimRequest,
     ClaimResult,
     Verdict,
@@ -198,10 +199,30 @@
         return ClaimRequest(IdempotencyKey(key), AttemptId(attempt), EntryHostId("e"))
 
     def test_a_full_record_takes_no_more_claims(self) -> None:
-        claims = [self._claim(f"k{i}", f"a{i}") for i in range(MAX_SHARD_CLAIMS + 1)]
-        _, answers = add_claims(ClaimShard(), claims, [], 0, RETENTION_MS)
-        verdicts = Counter(answer.verdict for answer in answers.values())
-        self.assertEqual(verdicts, {Verdict.RUN: MAX_SHARD_CLAIMS, Verdict.FULL: 1})
+        record = ClaimShard(recent_hashes=range(MAX_HASHES), rotated_unix_ms=1)
+        _, answers = add_claims(record, [self._claim("k", "a")], [], 1, RETENTION_MS)
+        self.assertIs(answers[AttemptId("a")].verdict, Verdict.FULL)
+
+    @given(st.lists(st.integers(0, 3 * MAX_WHOLE_CLAIMS), max_size=20))
+    def test_no_key_runs_again_however_many_came_since(self, repeats: list[int]) -> None:
+        record = ClaimShard()
+        for number in range(3 * MAX_WHOLE_CLAIMS + 1):
+            claim = self._claim(f"k{number}", f"a{number}")
+            record, answers = add_claims(record, [claim], [], 1, RETENTION_MS)
+            self.assertIs(answers[claim.attempt].verdict, Verdict.RUN)
+        self.assertEqual(len(record.claims), MAX_WHOLE_CLAIMS)
+        for number in repeats:
+            claim = self._claim(f"k{number}", "again")
+            record, answers = add_claims(record, [claim], [], 1, RETENTION_MS)
+            self.assertIs(answers[claim.attempt].verdict, Verdict.TAKEN)
+
+    def test_a_released_claim_may_run_again_after_it_was_compacted(self) -> None:
+        record, _ = add_claims(ClaimShard(), [self._claim("k", "a")], [], 1, RETENTION_MS)
+        released = ClaimResult(IdempotencyKey("k"), AttemptId("a"), ClaimState.RELEASED)
+        others = [self._claim(f"k{i}", f"a{i}") for i in range(MAX_WHOLE_CLAIMS)]
+        record, _ = add_claims(record, others, [released], 1, RETENTION_MS)
+        _, answers = add_claims(record, [self._claim("k", "b")], [], 1, RETENTION_MS)
+        self.assertIs(answers[AttemptId("b")].verdict, Verdict.RUN)
 
     def test_a_result_of_another_attempt_is_not_stored(self) -> None:
         record, _ = add_claims(ClaimShard(), [self._claim("k", "a1")], [], 0, RETENTION_MS)
@@ -218,10 +239,15 @@
         _, answers = add_claims(record, [self._claim("k", "a2")], [], 0, RETENTION_MS)
         self.assertEqual(answers[AttemptId("a2")].verdict, Verdict.TAKEN)
 
-    def test_claims_are_forgotten_after_the_retention(self) -> None:
-        record, _ = add_claims(ClaimShard(), [self._claim("k", "a1")], [], 0, RETENTION_MS)
-        record, _ = add_claims(record, [], [], RETENTION_MS + 1, RETENTION_MS)
-        self.assertEqual(len(record.claims), 0)
+    def test_hashes_outlast_the_retention_and_go_after_twice_that(self) -> None:
+        old = [self._claim(f"k{i}", f"a{i}") for i in range(MAX_WHOLE_CLAIMS + 1)]
+        record, _ = add_claims(ClaimShard(), old, [], 1, RETENTION_MS)
+        record, answers = add_claims(
+            record, [self._claim("k0", "b")], [], RETENTION_MS + 2, RETENTION_MS
+        )
+        self.assertIs(answers[AttemptId("b")].verdict, Verdict.TAKEN)
+        record, _ = add_claims(record, [], [], 2 * RETENTION_MS + 4, RETENTION_MS)
+        self.assertEqual([*record.recent_hashes, *record.earlier_hashes], [])
 
 
 async def _entry_host(trial: _Trial, entry: int, sendings: list[_Sending], kill_s: float) -> None:
