Send only the buckets of the table that differ; read the host list less often at size

Ruled out: a log of recent changes at the answerer (needs a fallback, and sends rows already known). Change: 64 bucket digests are compared and the rows of differing buckets sent. The host list has an interval of its own.

--- a/tools/measure_core.py
+++ b/tools/measure_core.py
@@ -34,7 +34,7 @@
 from yewloom.placement import FleetState, PlacementTiming, Planner
 from yewloom.prefixes import block_hashes
 from yewloom.routing import Candidate, RouteRequest, TurnCounter, choose_group, default_routing
-from yewloom.schema.peer_pb2 import Member
+from yewloom.schema.peer_pb2 import FetchRowsRequest, FetchRowsResponse, Member
 from yewloom.schema.records_pb2 import (
     ClaimShard,
     Group,
@@ -221,9 +221,17 @@
         memory = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
         _row("apply a row", f"{count} rows", _time_us(fill, 3) / count, rows[0].ByteSize())
-        versions = table.versions()
-        cost = _time_us(partial(table.newer_than, versions), 5)
-        _row("compare all versions", f"{count} rows", cost, sum(v.ByteSize() for v in versions))
+        other = fill()
+        changed = VersionedRow()
+        changed.CopyFrom(rows[0])
+        changed.version = 2
+        other.apply(changed)
+        digests = other.bucket_digests
+        found = table.rows_where_different(digests)
+        cost = _time_us(partial(table.rows_where_different, digests), 50)
+        question = FetchRowsRequest(bucket_digests=digests).ByteSize()
+        size = question + FetchRowsResponse(rows=found).ByteSize()
+        _row("send a changed row, with its bucket", f"{count} rows", cost, size)
         print(f"| memory of the table besides its messages | {count} rows | | {memory:,} |")
 
 
--- a/tools/measure_daemons.py
+++ b/tools/measure_daemons.py
@@ -29,7 +29,7 @@
 seeds = {seeds}
 """
 LARGE = (
-    DEFAULTS
+    DEFAULTS.replace("[peers]", "hosts_interval_ms = 20000\n[peers]")
     + """
 exchange_interval_ms = 1000
 members_interval_ms = 4000
@@ -89,6 +89,21 @@
         fleet.stop()
 
 
+def measure_probes(members: int) -> None:
+    """Print one row for a single entry host that probes so many engines."""
+    fleet = Fleet(members_a=members, members_b=0, entries={"e1": "a"}, settings=DEFAULTS)
+    try:
+        fleet.start()
+        time.sleep(8)
+        pid = fleet.programs["e1"].process.pid
+        before_s = _cpu_s(pid)
+        time.sleep(IDLE_S)
+        used = (_cpu_s(pid) - before_s) / IDLE_S * 100
+        print(f"| {members} | {used:.2f} | {_memory_mb(pid):.0f} |", flush=True)
+    finally:
+        fleet.stop()
+
+
 def _load(work: Callable[[], int], workers: int, seconds: float) -> int:
     """Run work in threads for a time; return what it counted."""
     total, end_s, lock = 0, time.monotonic() + seconds, threading.Lock()
@@ -155,13 +170,18 @@
 
 def main() -> None:
     """Print both tables, or the one that the argument names."""
-    wanted = sys.argv[1:] or ["idle", "serving"]
+    wanted = sys.argv[1:] or ["idle", "probes", "serving"]
     if "idle" in wanted:
         print("| entry hosts | settings | % of a core | memory, MB | peer B/s | platform calls/s |")
         print("|---|---|---|---|---|---|")
         for count in (3, 12, 24):
             measure_idle(count, "default", DEFAULTS)
             measure_idle(count, "large", LARGE)
+    if "probes" in wanted:
+        print("| engines probed twice a second | % of a core | memory, MB |")
+        print("|---|---|---|")
+        for members in (9, 33, 65):
+            measure_probes(members)
     if "serving" in wanted:
         print("| load | units/s | % of a core | us a unit | memory, MB |")
         print("|---|---|---|---|---|")
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -55,6 +55,7 @@
         self._version = 0
         self._is_current = False
         self._was_holding = False
+        self._hosts_due_s = float("-inf")
         self._balancer = ShareBalancer(node, platform, new_attempt)
 
     @property
@@ -160,6 +161,10 @@
         return False
 
     async def _read_hosts(self) -> None:
+        now_s = trio.current_time()
+        if now_s < self._hosts_due_s:
+            return
+        self._hosts_due_s = now_s + self._node.settings.platform.hosts_interval_ms / 1000
         match await self._platform.hosts(self._node.data_centre):
             case Ok(hosts):
                 self._listed = {HostId(host.id): host for host in hosts}
--- a/yewloom/exchange.py
+++ b/yewloom/exchange.py
@@ -19,6 +19,7 @@
 )
 from yewloom.schema.records_pb2 import Placement
 from yewloom.schema.table_pb2 import VersionedRow
+from yewloom.tables import BUCKETS
 
 logger = structlog.get_logger(__name__)
 
@@ -79,12 +80,14 @@
 
 def ask_rows(node: Node) -> FetchRowsRequest:
     """Return the question for the rows that are newer at a peer."""
-    return FetchRowsRequest(known=node.table.versions())
+    return FetchRowsRequest(bucket_digests=node.table.bucket_digests)
 
 
 def answer_rows(node: Node, request: FetchRowsRequest) -> FetchRowsResponse:
-    """Return the rows that a peer lacks."""
-    return FetchRowsResponse(rows=node.table.newer_than(request.known))
+    """Return the rows that a peer may lack; a malformed question gets none."""
+    if len(request.bucket_digests) != BUCKETS:
+        return FetchRowsResponse()
+    return FetchRowsResponse(rows=node.table.rows_where_different(request.bucket_digests))
 
 
 def apply_rows(node: Node, rows: Iterable[VersionedRow], source: str) -> None:
--- a/yewloom/tables.py
+++ b/yewloom/tables.py
@@ -4,7 +4,7 @@
 version is above the one that it has, so neither a restart nor a stale peer can revert a change.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -30,6 +30,9 @@
 HISTORY_LENGTH = 16
 """Edits that a row remembers, so that an editor whose answer was lost can find its own."""
 
+BUCKETS = 64
+"""Parts of the table that are compared one by one when two tables differ."""
+
 TABLE_PREFIX = "table/"
 """Prefix of the platform keys that hold rows."""
 
@@ -49,11 +52,14 @@
 class Table:
     """The rows that a node has in force.
 
-    ``digest`` is 8 bytes over all names and versions; equal digests mean equal tables.
+    ``digest`` is 8 bytes over all names and versions; equal digests mean equal tables. When two
+    differ, the digests of their buckets tell which rows to send.
     """
 
     def __init__(self) -> None:
         self._rows: dict[RowName, VersionedRow] = {}
+        self._buckets: list[set[RowName]] = [set() for _ in range(BUCKETS)]
+        self._bucket_digests = [0] * BUCKETS
         self._digest = 0
 
     def __len__(self) -> int:
@@ -70,9 +76,13 @@
         current = self._rows.get(name)
         if current is not None and current.version >= row.version:
             return False
+        change = _row_hash(name, row.version)
         if current is not None:
-            self._digest ^= _row_hash(name, current.version)
-        self._digest ^= _row_hash(name, row.version)
+            change ^= _row_hash(name, current.version)
+        bucket = hash64(name) % BUCKETS
+        self._digest ^= change
+        self._bucket_digests[bucket] ^= change
+        self._buckets[bucket].add(name)
         self._rows[name] = row
         return True
 
@@ -80,10 +90,21 @@
         """Return name and version of every row."""
         return [RowVersion(name=row.name, version=row.version) for row in self._rows.values()]
 
-    def newer_than(self, known: Iterable[RowVersion]) -> list[VersionedRow]:
-        """Return the rows that someone with the ``known`` versions lacks."""
-        versions = {entry.name: entry.version for entry in known}
-        return [row for row in self._rows.values() if row.version > versions.get(row.name, 0)]
+    @property
+    def bucket_digests(self) -> list[int]:
+        """Digest of each bucket."""
+        return list(self._bucket_digests)
+
+    def rows_where_different(self, bucket_digests: Sequence[int]) -> list[VersionedRow]:
+        """Return the rows of all buckets in which someone with these digests differs."""
+        return [
+            self._rows[name]
+            for theirs, ours, names in zip(
+                bucket_digests, self._bucket_digests, self._buckets, strict=True
+            )
+            if theirs != ours
+            for name in sorted(names)
+        ]
 
     def get(self, name: RowName) -> VersionedRow | None:
         """Return a row in force, or nothing if it is unknown or deleted."""
--- a/yewloom/tests/test_tables.py
+++ b/yewloom/tests/test_tables.py
@@ -63,9 +63,12 @@
             mine.apply(row)
         for row in there:
             peers.apply(row)
-        for row in peers.newer_than(mine.versions()):
-            self.assertTrue(mine.apply(row))
-        self.assertEqual(peers.newer_than(mine.versions()), [])
+        for row in peers.rows_where_different(mine.bucket_digests):
+            mine.apply(row)
+        for row in mine.rows_where_different(peers.bucket_digests):
+            peers.apply(row)
+        self.assertEqual(mine.digest, peers.digest)
+        self.assertEqual(list(mine.rows()), list(peers.rows()))
 
     def test_a_deleted_row_is_gone_but_keeps_its_version(self) -> None:
         table = Table()
