Prove a dark fabric domain and a paused leader through real processes

After: with all of a domain killed the other data centre answers whole; a leader stopped with three streams in progress is given up, the streams end whole elsewhere, and when it wakes it gets nothing of its old group.

--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -123,6 +123,43 @@
         members = next(g["members"] for g in fleet.groups("e1") if g["id"] in ids)
         self.assertNotIn(group["members"][2], members)
 
+    def test_a_dark_fabric_domain_leaves_the_other_data_centre_to_answer(self) -> None:
+        fleet = self.fleet
+        for number in range(fleet.members_a):
+            fleet.kill(f"a{number}")
+        wait_for(lambda: {g["data_centre"] for g in fleet.open_groups("e1")} == {"b"}, "the loss")
+        self.assertEqual(_stream_text(_client(fleet, "e1"), "dark", 9), _expected("dark", 9))
+
+    def test_a_paused_leader_is_given_up_and_serves_nothing_of_its_old_group_again(self) -> None:
+        fleet, group = self.fleet, self.group_of("a")
+        leader = group["members"][0]
+        for other in fleet.open_groups("e1"):
+            fleet.control(other["members"][0], token_ms=30)
+        streams = [
+            self.in_background(_stream_text, _client(fleet, "e1"), "paused", 80) for _ in range(3)
+        ]
+        time.sleep(1)
+        fleet.signal(leader, signal.SIGSTOP)
+        for thread, results in streams:
+            thread.join()
+            self.assertEqual(results, [_expected("paused", 80)])
+        wait_for(lambda: self._replacement_of(group), "the replacement group")
+        ran = sum(fleet.runs(*self._replacement_of(group)).values())
+        fleet.signal(leader, signal.SIGCONT)
+        before = sum(fleet.runs(leader).values())
+        for number in range(6):
+            self.assertEqual(fleet.chat("e1", f"awake {number}").status, 200)
+        self.assertEqual(sum(fleet.runs(leader).values()), before)
+        self.assertNotIn(leader, self._replacement_of(group))
+        self.assertGreater(sum(fleet.runs(*self._replacement_of(group)).values()), ran)
+
+    def _replacement_of(self, lost: Any) -> list[str]:
+        """Return the members of the open group in the lost one's data centre."""
+        for group in self.fleet.open_groups("e1"):
+            if group["data_centre"] == lost["data_centre"] and group["id"] != lost["id"]:
+                return list(group["members"])
+        return []
+
     def test_shuffled_doubled_and_broken_streams_give_whole_answers(self) -> None:
         for group in self.fleet.groups("e1"):
             self.fleet.control(group["members"][0], shuffle=True, break_after=3)
