Survive records that can't be decoded; stop streams whose callers go before the first token

Cause: reading the code as a newcomer. A malformed lease, placement or shares record raised out of the coordinator and ended every entry host; a malformed claim record ended the claim writer. A stream whose caller went while it waited for its first token ran on. yewloom_sheds_total was never counted. Change: records are decoded in one place with an error of its own layer, which the loops log and claims tell as not run; streams without a key are watched for the caller from the start. Before: the new test of the coordinator fails (the mutation shows it). After: it passes.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -127,6 +127,13 @@
         "if True:",
         "test_claims",
     ),
+    Mutation(
+        "records: one that can't be decoded ends no daemon",
+        "coordinators",
+        "except RecordError as error:",
+        "except ZeroDivisionError as error:",
+        "test_coordinators",
+    ),
     Mutation(
         "claims: a key is known by its hash when its claim is gone",
         "claims",
--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -35,7 +35,7 @@
 from yewloom.idempotency import IdempotentRunner, KeptAnswer
 from yewloom.ids import AttemptId, CustomerId, IdempotencyKey, ServiceName
 from yewloom.node import Node
-from yewloom.problems import Problem, bad_request, unavailable
+from yewloom.problems import OVERLOADED_STATUS, Problem, bad_request, unavailable
 from yewloom.requests import ModelRequest, ServiceRequest, Tokens
 from yewloom.schema.table_pb2 import CustomerRow
 from yewloom.service_dispatch import ServiceDispatcher
@@ -97,8 +97,9 @@
         if last_event is not None:
             return await self._resume(completion, model_request, last_event)
         if completion.is_stream:
-            return await self._stream(completion, model_request, key)
-        answer = self._answer_whole(completion, model_request, key)
+            answer = self._stream(completion, model_request, key)
+        else:
+            answer = self._answer_whole(completion, model_request, key)
         # An unsafe request runs to its end, so that its answer can be kept for a repeat.
         return await (answer if key is not None else self._while_connected(request, answer))
 
@@ -167,7 +168,7 @@
         try:
             first = await anext(stream)
         except Problem as problem:
-            self._count(request.customer, problem.outcome)
+            self._count_problem(request.customer, problem)
             if claim is not None and problem.outcome is Outcome.NOT_RUN:
                 self._runner.finish(claim, ClaimState.RELEASED)
             raise
@@ -190,7 +191,7 @@
                     yield _event(writer, part)
             yield END_EVENT
         except Problem as problem:
-            self._count(request.customer, problem.outcome)
+            self._count_problem(request.customer, problem)
             yield error_event(problem.to_json())
             return
         self._count(request.customer, Outcome.ANSWERED)
@@ -240,7 +241,7 @@
         try:
             answer = await (run() if key is None else self._runner.run(key, run))
         except Problem as problem:
-            self._count(customer, problem.outcome)
+            self._count_problem(customer, problem)
             raise
         self._count(customer, Outcome.ANSWERED)
         headers = {"x-outcome": Outcome.ANSWERED.value}
@@ -316,6 +317,11 @@
             is_unsafe="idempotency-key" in request.headers or is_marked_unsafe(request),
         )
 
+    def _count_problem(self, customer: CustomerId, problem: Problem) -> None:
+        self._count(customer, problem.outcome)
+        if problem.status == OVERLOADED_STATUS:
+            self._node.metrics.sheds.labels(customer).inc()
+
     def _count(self, customer: CustomerId, outcome: Outcome) -> None:
         self._node.metrics.requests.labels(customer, outcome.value).inc()
 
--- a/yewloom/claim_writer.py
+++ b/yewloom/claim_writer.py
@@ -5,7 +5,6 @@
 
 import structlog
 import trio
-from google.protobuf import json_format
 from result import Err, Ok, Result
 
 from yewloom.claims import (
@@ -19,7 +18,14 @@
 from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.records_pb2 import ClaimShard
 from yewloom.states import ClaimState
-from yewloom.writes import WriteConflict, WriteNotApplied, WriteUnsettled, write_settled
+from yewloom.writes import (
+    RecordError,
+    WriteConflict,
+    WriteNotApplied,
+    WriteUnsettled,
+    parse_record,
+    write_settled,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -120,7 +126,7 @@
             while shard.waiting or shard.results:
                 batch, shard.waiting = shard.waiting, []
                 results, shard.results = shard.results, []
-                unavailable = await self._write_batch(shard, batch, results)
+                unavailable = await self._try_batch(shard, batch, results)
                 if unavailable is not None:
                     self._give_up(shard, batch, results, unavailable)
                     if not shard.waiting:
@@ -128,6 +134,15 @@
         finally:
             shard.is_writing = False
 
+    async def _try_batch(
+        self, shard: _Shard, batch: list[_Waiting], results: list[ClaimResult]
+    ) -> ClaimUnavailable | None:
+        """Write one batch; a record that can't be decoded counts as unavailable."""
+        try:
+            return await self._write_batch(shard, batch, results)
+        except RecordError as error:
+            return ClaimUnavailable(str(error))
+
     async def _write_batch(
         self, shard: _Shard, batch: list[_Waiting], results: list[ClaimResult]
     ) -> ClaimUnavailable | None:
@@ -208,7 +223,7 @@
 
 
 def _parse(stored: StoredObject) -> ClaimShard:
-    return json_format.Parse(stored.value, ClaimShard(), ignore_unknown_fields=True)
+    return parse_record(stored, ClaimShard())
 
 
 def _answer_all(batch: list[_Waiting], answers: dict[AttemptId, ClaimAnswer]) -> None:
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -5,11 +5,10 @@
 engines that check none, go out only within the lease less its margin.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 import trio
-from google.protobuf import json_format
 from result import Err, Ok
 
 from yewloom import exchange
@@ -25,7 +24,7 @@
 from yewloom.schema.records_pb2 import GroupMember, Host, Lease, Placement
 from yewloom.share_balancer import ShareBalancer
 from yewloom.watchers import PLACEMENT_PREFIX, parse_placement, take_in_object
-from yewloom.writes import WriteConflict, write_settled
+from yewloom.writes import RecordError, WriteConflict, parse_record, write_settled
 
 logger = structlog.get_logger(__name__)
 
@@ -77,10 +76,17 @@
         step_s = self._node.settings.lease.renew_interval_ms / 4000
         while True:
             if self._has_duty():
-                await self._step_lease()
+                await self._run_step(self._step_lease)
             self._tell_change()
             await trio.sleep(step_s)
 
+    async def _run_step(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run one step; a record that can't be decoded must not end the daemon."""
+        try:
+            await step()
+        except RecordError as error:
+            logger.error("object unreadable", reason=str(error))
+
     def _has_duty(self) -> bool:
         """Tell whether to keep an eye on the lease; a holder goes on until its lease ends."""
         now_s, membership = trio.current_time(), self._node.membership
@@ -130,7 +136,7 @@
         interval_s = self._node.settings.groups.probe_interval_ms / 1000
         while True:
             if self.is_holding:
-                await self._round()
+                await self._run_step(self._round)
             await trio.sleep(interval_s)
 
     async def _round(self) -> None:
@@ -259,7 +265,7 @@
 
 
 def _parse_lease(stored: StoredObject) -> Lease:
-    return json_format.Parse(stored.value, Lease(), ignore_unknown_fields=True)
+    return parse_record(stored, Lease())
 
 
 def _lease_timing(node: Node) -> LeaseTiming:
--- a/yewloom/operations.py
+++ b/yewloom/operations.py
@@ -10,11 +10,11 @@
 
 from yewloom.http_calls import HttpCaller, HttpCallError
 from yewloom.ids import AttemptId, RowName
-from yewloom.platforms import Platform
+from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.table_pb2 import Row, RowChange, VersionedRow
 from yewloom.tables import TABLE_PREFIX, TableError, contains_attempt, delete_row, edit_row
 from yewloom.watchers import parse_row
-from yewloom.writes import WriteConflict, WriteError, write_settled
+from yewloom.writes import RecordError, WriteConflict, WriteError, write_settled
 
 _WRITE_TIMEOUT_S = 10.0
 
@@ -49,8 +49,7 @@
     """Read all rows that are not deleted."""
     match await platform.list(TABLE_PREFIX):
         case Ok(listing):
-            rows = [parse_row(stored) for stored in listing.objects]
-            return Ok([row for row in rows if not row.row.deleted])
+            return _read_rows(listing.objects)
         case Err(error):
             return Err(OperationError(f"The platform did not answer ({error}); try again later."))
 
@@ -59,11 +58,26 @@
     """Read one row, deleted or not."""
     match await platform.get(f"{TABLE_PREFIX}{name}"):
         case Ok(stored):
-            return Ok(None if stored is None else parse_row(stored))
+            return Ok(None) if stored is None else _read_row(stored)
         case Err(error):
             return Err(OperationError(f"The platform did not answer ({error}); try again later."))
 
 
+def _read_rows(objects: Sequence[StoredObject]) -> Result[Sequence[VersionedRow], OperationError]:
+    try:
+        rows = [parse_row(stored) for stored in objects]
+    except RecordError as error:
+        return Err(OperationError(f"A row can't be read ({error}); write it again."))
+    return Ok([row for row in rows if not row.row.deleted])
+
+
+def _read_row(stored: StoredObject) -> Result[VersionedRow | None, OperationError]:
+    try:
+        return Ok(parse_row(stored))
+    except RecordError as error:
+        return Err(OperationError(f"The row can't be read ({error}); write it again."))
+
+
 async def apply_edit(platform: Platform, edit: Edit) -> Result[VersionedRow, OperationError]:
     """Write an edit; of two edits of one row at the same time, one is told of the conflict."""
     match await get_row(platform, edit.name):
--- a/yewloom/problems.py
+++ b/yewloom/problems.py
@@ -8,6 +8,8 @@
 
 from yewloom.states import Outcome
 
+OVERLOADED_STATUS = 429
+
 _MEDIA_TYPE = "application/problem+json"
 
 
@@ -61,4 +63,4 @@
 
 def overloaded(detail: str, retry_after_s: float) -> Problem:
     """Return the problem of a request that was turned away before it ran."""
-    return Problem(429, "Too Many Requests", detail, Outcome.NOT_RUN, retry_after_s)
+    return Problem(OVERLOADED_STATUS, "Too Many Requests", detail, Outcome.NOT_RUN, retry_after_s)
--- a/yewloom/tests/test_claims.py
+++ b/yewloom/tests/test_claims.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from yewloom.claim_writer import ClaimWriter
+from yewloom.claim_writer import CLAIM_PREFIX, ClaimWriter
 from yewloom.claims import (
     MAX_HASHES,
     MAX_WHOLE_CLAIMS,
@@ -19,6 +19,7 @@
 )
 from yewloom.idempotency import IdempotentRunner, KeptAnswer
 from yewloom.ids import AttemptId, EntryHostId, IdempotencyKey
+from yewloom.platforms import StoredObject
 from yewloom.problems import Problem, unavailable
 from yewloom.schema.records_pb2 import ClaimShard
 from yewloom.states import ClaimState, Outcome
@@ -164,6 +165,20 @@
         self.assertEqual(told, [(IdempotencyKey("k"), Outcome.NOT_RUN)])
         self.assertEqual(calls, 0)
 
+    def test_a_record_that_cannot_be_decoded_is_told_as_not_run(self) -> None:
+        async def scenario() -> _Trial:
+            platform = FakePlatform()
+            key = f"{CLAIM_PREFIX}0"
+            platform.objects[key] = StoredObject(key, 1, '{"claims": 7}')
+            trial = _Trial(platform)
+            async with trio.open_nursery() as nursery:
+                runner = trial.runner("e0", nursery)
+                await trial.send(runner, _Sending(IdempotencyKey("k"), 0, 0, 30, False))
+                nursery.cancel_scope.cancel()
+            return trial
+
+        self.assertEqual(run_on_mock_clock(scenario).told, [("k", Outcome.NOT_RUN)])
+
     def test_a_refused_request_may_be_sent_again(self) -> None:
         async def scenario() -> _Trial:
             trial = _Trial(FakePlatform())
--- a/yewloom/tests/test_coordinators.py
+++ b/yewloom/tests/test_coordinators.py
@@ -11,6 +11,7 @@
 from yewloom.node import Node, build_node
 from yewloom.observers import Observer
 from yewloom.orders import due_orders
+from yewloom.platforms import StoredObject
 from yewloom.schema.records_pb2 import Group, GroupMember, Host, HostReport, Order, Placement
 from yewloom.schema.table_pb2 import Row, VersionedRow
 from yewloom.settings import parse_settings
@@ -83,6 +84,18 @@
             self.assertGreater(before, 0)
             self.assertEqual(after, 0)
 
+    def test_records_that_cannot_be_decoded_end_no_daemon(self) -> None:
+        for key in ("leases/hall-a", "placements/hall-a", "shares/hall-a"):
+            trial = _Trial(checks_fences=True)
+            trial.platform.objects[key] = StoredObject(key, 1, '{"generation": "many"}')
+
+            async def scenario(trial: _Trial = trial) -> bool:
+                with trio.move_on_after(30) as scope:
+                    await trial.coordinator("entry-1").run()
+                return scope.cancelled_caught
+
+            self.assertTrue(run_on_mock_clock(scenario), key)
+
     def test_two_that_coordinate_form_each_group_once(self) -> None:
         trial = _Trial(checks_fences=True)
 
--- a/yewloom/watchers.py
+++ b/yewloom/watchers.py
@@ -6,7 +6,6 @@
 
 import structlog
 import trio
-from google.protobuf import json_format
 from result import Err, Ok
 
 from yewloom import exchange
@@ -15,6 +14,7 @@
 from yewloom.schema.records_pb2 import Placement, Shares
 from yewloom.schema.table_pb2 import Row, VersionedRow
 from yewloom.tables import TABLE_PREFIX
+from yewloom.writes import RecordError, parse_record
 
 logger = structlog.get_logger(__name__)
 
@@ -84,22 +84,22 @@
             exchange.apply_placements(node, [parse_placement(stored)])
         elif stored.key == f"{SHARES_PREFIX}{node.data_centre}":
             node.shares.apply(parse_shares(stored))
-    except json_format.ParseError as error:
-        logger.error("object unreadable", key=stored.key, reason=str(error))
+    except RecordError as error:
+        logger.error("object unreadable", reason=str(error))
 
 
 def parse_row(stored: StoredObject) -> VersionedRow:
-    """Decode a table row; raises json_format.ParseError."""
-    row = json_format.Parse(stored.value, Row(), ignore_unknown_fields=True)
+    """Decode a table row; raises RecordError."""
+    row = parse_record(stored, Row())
     name = stored.key.removeprefix(TABLE_PREFIX)
     return VersionedRow(name=name, version=stored.version, row=row)
 
 
 def parse_shares(stored: StoredObject) -> Shares:
-    """Decode a record of shares; raises json_format.ParseError."""
-    return json_format.Parse(stored.value, Shares(), ignore_unknown_fields=True)
+    """Decode a record of shares; raises RecordError."""
+    return parse_record(stored, Shares())
 
 
 def parse_placement(stored: StoredObject) -> Placement:
-    """Decode a placement record; raises json_format.ParseError."""
-    return json_format.Parse(stored.value, Placement(), ignore_unknown_fields=True)
+    """Decode a placement record; raises RecordError."""
+    return parse_record(stored, Placement())
--- a/yewloom/writes.py
+++ b/yewloom/writes.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import trio
 from google.protobuf import json_format
@@ -17,6 +18,8 @@
 
 _PAUSE_S = 0.1
 
+MessageT = TypeVar("MessageT", bound=Message)
+
 
 @dataclass(frozen=True)
 class WriteConflict:
@@ -47,6 +50,18 @@
     return json_format.MessageToJson(message, preserving_proto_field_name=True, indent=None)
 
 
+class RecordError(Exception):
+    """A record in the platform can't be decoded."""
+
+
+def parse_record(stored: StoredObject, record: MessageT) -> MessageT:
+    """Decode a stored object into an empty record; raises RecordError."""
+    try:
+        return json_format.Parse(stored.value, record, ignore_unknown_fields=True)
+    except json_format.ParseError as error:
+        raise RecordError(f"{stored.key} can't be decoded: {error}") from error
+
+
 async def write_settled(
     platform: Platform,
     key: str,
