--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -58,8 +58,8 @@
     Mutation(
         "placement: taken hosts are not free",
         "placement",
-        "or host_id in taken or host",
-        "or host",
+        "or host_id in taken\n",
+        "\n",
         "test_placement",
     ),
     Mutation(
