--- a/yewloom/standins/engine.py
+++ b/yewloom/standins/engine.py
@@ -27,7 +27,7 @@
 from yewloom.hashing import hash64
 from yewloom.prefixes import block_hashes
 from yewloom.schema.records_pb2 import CacheEvent, HostReport, Order
-from yewloom.standins.server import read_json, refuse, serve
+from yewloom.standins.server import read_json, refuse, serve, set_switches
 from yewloom.states import EngineState
 
 KEPT_STREAMS = 256
@@ -316,11 +316,7 @@
             await trio.sleep(0.05)
 
     async def _control(self, request: Request) -> Response:
-        for name, value in (await read_json(request)).items():
-            if not hasattr(self.switches, name):
-                return JSONResponse({"detail": f"no switch {name}"}, 400)
-            setattr(self.switches, name, value)
-        return JSONResponse(vars(self.switches))
+        return await set_switches(request, self.switches)
 
     async def _runs(self, request: Request) -> Response:
         cancelled = [name for name, run in self.runs.items() if run.is_cancelled]
--- a/yewloom/standins/platform.py
+++ b/yewloom/standins/platform.py
@@ -20,7 +20,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from yewloom.standins.server import read_json, serve
+from yewloom.standins.server import read_json, serve, set_switches
 
 
 @dataclass
@@ -172,14 +172,11 @@
         return JSONResponse({"hosts": hosts})
 
     async def _control(self, request: Request) -> Response:
-        for name, value in (await read_json(request)).items():
-            if not hasattr(self.switches, name):
-                return JSONResponse({"detail": f"no switch {name}"}, 400)
-            setattr(self.switches, name, value)
+        answer = await set_switches(request, self.switches)
         if self.switches.outage or self.switches.cut_ports:
             self.store.changed.set()
             self.store.changed = trio.Event()
-        return JSONResponse(vars(self.switches))
+        return answer
 
     async def _set_host(self, request: Request) -> Response:
         """Add, change or remove a host; it shows in the list after the lag."""
--- a/yewloom/standins/server.py
+++ b/yewloom/standins/server.py
@@ -39,6 +39,15 @@
     return dict(await request.json()) if body else {}
 
 
+async def set_switches(request: Request, switches: object) -> Response:
+    """Set the switches that a request names, and return all of them."""
+    for name, value in (await read_json(request)).items():
+        if not hasattr(switches, name):
+            return JSONResponse({"detail": f"no switch {name}"}, 400)
+        setattr(switches, name, value)
+    return JSONResponse(vars(switches))
+
+
 def refuse(reason: str, status: int = 409) -> Response:
     """Return the answer by which an endpoint says that it ran nothing."""
     return JSONResponse({"detail": reason}, status, {"x-outcome": "not_run"})
--- a/yewloom/standins/service.py
+++ b/yewloom/standins/service.py
@@ -18,7 +18,7 @@
 from starlette.routing import Route
 
 from yewloom.schema.records_pb2 import HostReport
-from yewloom.standins.server import read_json, refuse, serve
+from yewloom.standins.server import refuse, serve, set_switches
 from yewloom.states import EngineState
 
 
@@ -81,11 +81,7 @@
             await trio.sleep(0.05)
 
     async def _control(self, request: Request) -> Response:
-        for name, value in (await read_json(request)).items():
-            if not hasattr(self.switches, name):
-                return JSONResponse({"detail": f"no switch {name}"}, 400)
-            setattr(self.switches, name, value)
-        return JSONResponse(vars(self.switches))
+        return await set_switches(request, self.switches)
 
     async def _count_runs(self, request: Request) -> Response:
         return JSONResponse({"runs": dict(self.runs)})
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -193,8 +193,8 @@
 
     def test_an_unsafe_call_runs_once_though_its_entry_host_dies(self) -> None:
         fleet = self.fleet
-        fleet.control("sa", delay_ms=1500)
-        fleet.control("sb", delay_ms=1500)
+        fleet.control("sa", delay_ms=6000)
+        fleet.control("sb", delay_ms=6000)
         send = (fleet.service, "e1", "POST", "update/1")
         thread, _ = self.in_background(lambda: send[0](*send[1:], idempotency_key="k1"))
         wait_for(lambda: fleet.runs("sa", "sb").get("k1"), "the call at the endpoint")
@@ -218,10 +218,11 @@
 
     def test_a_planned_stop_cuts_off_no_request(self) -> None:
         fleet = self.fleet
-        for group in fleet.open_groups("e1"):
-            fleet.control(group["members"][0], token_ms=20)
+        leaders = [group["members"][0] for group in fleet.open_groups("e1")]
+        for leader in leaders:
+            fleet.control(leader, token_ms=20)
         thread, results = self.in_background(_stream_text, _client(fleet, "e1"), "calm", 150)
-        time.sleep(1)
+        wait_for(lambda: fleet.runs(*leaders), "the stream at an engine")
         fleet.signal("e1", signal.SIGTERM)
         wait_for(lambda: call("GET", f"{fleet.url('e1')}/readyz").status == 503, "unreadiness")
         thread.join()
