Plan shares in one pass over the record

Cause: planning the shares of 48 holders and 50 customers took 75 ms, for every customer looked through the shares of all. Change: shares are grouped by customer once.

--- a/yewloom/limits.py
+++ b/yewloom/limits.py
@@ -13,6 +13,7 @@
 Times are seconds of the caller's monotonic clock.
 """
 
+from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -205,31 +206,36 @@
 def _set_targets(shares: Shares, parts: Mapping[CustomerId, int], alive: Collection[str]) -> None:
     """Aim at equal parts for live holders and none for the others."""
     living = sorted(holder.instance for holder in shares.holders if holder.instance in alive)
+    places = {instance: place for place, instance in enumerate(living)}
     for holder in shares.holders:
         by_customer = {share.customer: share for share in holder.shares}
         for customer in sorted(set(parts) | set(by_customer)):
             share = by_customer.get(customer)
             if share is None:
                 share = holder.shares.add(customer=customer)
-            target = _equal_part(parts.get(CustomerId(customer), 0), holder.instance, living)
+            target = _equal_part(parts.get(CustomerId(customer), 0), holder.instance, places)
             if target < min(share.target, share.granted):
                 holder.changed_generation = shares.generation
             share.target = target
 
 
-def _equal_part(part: int, instance: str, living: Sequence[str]) -> int:
-    if instance not in living:
+def _equal_part(part: int, instance: str, places: Mapping[str, int]) -> int:
+    """Return the part of one of several instances, of which some get one more."""
+    if instance not in places:
         return 0
-    whole, rest = divmod(part, len(living))
-    return whole + (living.index(instance) < rest)
+    whole, rest = divmod(part, len(places))
+    return whole + (places[instance] < rest)
 
 
 def _grant(shares: Shares, parts: Mapping[CustomerId, int]) -> None:
     """Raise holders below their targets from what is granted to nobody."""
+    held: defaultdict[str, list[CustomerShare]] = defaultdict(list)
+    for holder in shares.holders:
+        for share in holder.shares:
+            held[share.customer].append(share)
     for customer, part in parts.items():
-        held = [s for holder in shares.holders for s in holder.shares if s.customer == customer]
-        free = part - sum(share.granted for share in held)
-        for share in held:
+        free = part - sum(share.granted for share in held[customer])
+        for share in held[customer]:
             raised = min(max(0, share.target - share.granted), max(0, free))
             share.granted += raised
             free -= raised
