--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -8,9 +8,8 @@
 import trio
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
-from starlette.types import Send
 
 from yewloom.claims import ClaimRequest
 from yewloom.completions import (
@@ -37,6 +36,12 @@
 from yewloom.node import Node
 from yewloom.problems import OVERLOADED_STATUS, Problem, bad_request, unavailable
 from yewloom.requests import ModelRequest, ServiceRequest, Tokens
+from yewloom.responses import (
+    EventStream,
+    answer_problem,
+    answer_unknown_path,
+    while_connected,
+)
 from yewloom.schema.table_pb2 import CustomerRow
 from yewloom.service_dispatch import ServiceDispatcher
 from yewloom.states import ClaimState, Outcome
@@ -45,7 +50,6 @@
 
 _PASSED_HEADERS = {"content-type", "accept", "idempotency-key"}
 _SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
-_CLIENT_GONE = 499
 
 
 class CallerInterface:
@@ -78,7 +82,7 @@
             Route("/status", self._status),
             Route("/experiments/{name}", self._experiment),
         ]
-        handlers = {Problem: _answer_problem, 404: _answer_unknown_path}
+        handlers = {Problem: answer_problem, 404: answer_unknown_path}
         return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
 
     async def _chat(self, request: Request) -> Response:
@@ -101,7 +105,7 @@
         else:
             answer = self._answer_whole(completion, model_request, key)
         # An unsafe request runs to its end, so that its answer can be kept for a repeat.
-        return await (answer if key is not None else self._while_connected(request, answer))
+        return await (answer if key is not None else while_connected(request, answer))
 
     async def _answer_whole(
         self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
@@ -118,19 +122,6 @@
 
         return await self._run_counted(request.customer, key, run)
 
-    async def _while_connected(self, request: Request, answer: Awaitable[Response]) -> Response:
-        """Return an answer, or stop working on it when the caller has gone."""
-        response = Response(status_code=_CLIENT_GONE)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, request, nursery.cancel_scope)
-            try:
-                response = await answer
-            except Problem as problem:
-                # A nursery would hand it on inside an exception group.
-                response = problem.to_response()
-            nursery.cancel_scope.cancel()
-        return response
-
     async def _stream(
         self, completion: CompletionRequest, request: ModelRequest, key: IdempotencyKey | None
     ) -> Response:
@@ -173,7 +164,7 @@
                 self._runner.finish(claim, ClaimState.RELEASED)
             raise
         events = self._events(completion, request, first, stream, claim)
-        return _EventStream(events, headers={"x-request-id": request.request_id})
+        return EventStream(events, headers={"x-request-id": request.request_id})
 
     async def _events(
         self,
@@ -326,29 +317,5 @@
         self._node.metrics.requests.labels(customer, outcome.value).inc()
 
 
-class _EventStream(StreamingResponse):
-    """A stream whose source is closed as soon as the caller has gone."""
-
-    media_type = "text/event-stream"
-
-    async def stream_response(self, send: Send) -> None:
-        async with aclosing(self.body_iterator):  # type: ignore[type-var]
-            await super().stream_response(send)
-
-
-async def _cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
-    while (await request.receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
-
-
 def _event(writer: ChunkWriter, part: Tokens) -> bytes:
     return writer.event(str(part.position), "".join(part.tokens), part.finish_reason)
-
-
-async def _answer_problem(request: Request, problem: Problem) -> Response:
-    return problem.to_response()
-
-
-async def _answer_unknown_path(request: Request, error: Exception) -> Response:
-    return bad_request(f"There is nothing at {request.url.path}.", 404).to_response()
