Require the list of data centres that limits are divided among

Cause: with the list left empty each data centre took the whole of every limit, so limits summed past themselves by default. Change: the list is required and must name the own data centre; an unlisted one gets no part. The test of part_of that expected the whole limit for an empty list asserted that fault; it now expects no part.

--- a/tools/measure_core.py
+++ b/tools/measure_core.py
@@ -59,6 +59,8 @@
 data_centre = dc-01
 caller_port = 1
 peer_port = 2
+[limits]
+data_centres = dc-01
 [platform]
 url = http://127.0.0.1:1
 """
--- a/tools/measure_daemons.py
+++ b/tools/measure_daemons.py
@@ -18,6 +18,8 @@
 
 IDLE_S = 20.0
 DEFAULTS = """
+[limits]
+data_centres = a b c
 [host]
 id = {name}
 data_centre = {place}
--- a/yewloom/limits.py
+++ b/yewloom/limits.py
@@ -31,7 +31,7 @@
 def part_of(limit: int, data_centre: DataCentreId, data_centres: Sequence[str]) -> int:
     """Return a data centre's part of a limit; the parts add up to the limit."""
     if data_centre not in data_centres:
-        return limit if not data_centres else 0
+        return 0
     whole, rest = divmod(limit, len(data_centres))
     return whole + (data_centres.index(data_centre) < rest)
 
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -102,6 +102,12 @@
             f"[groups] give_up_ms is {groups.give_up_ms}; set it to freshness_ms "
             f"({groups.freshness_ms}) or more, so that a group stops before it is dissolved.",
         )
+    if settings.host.data_centre not in settings.limits.data_centres.split():
+        return _fail(
+            source,
+            f"[limits] data_centres is {settings.limits.data_centres!r}; name "
+            f"{settings.host.data_centre!r} too, or this data centre has no part of any limit.",
+        )
     if bool(tls.certificate_file) != bool(tls.key_file):
         return _fail(source, "[tls] certificate_file and key_file go together; set both or none.")
     return _check_files(settings, source)
--- a/yewloom/tests/test_dispatch.py
+++ b/yewloom/tests/test_dispatch.py
@@ -43,6 +43,8 @@
 peer_port = 0
 [platform]
 url = http://127.0.0.1:1
+[limits]
+data_centres = hall-a
 [requests]
 timeout_ms = 20000
 stall_timeout_ms = 1000
--- a/yewloom/tests/test_limits.py
+++ b/yewloom/tests/test_limits.py
@@ -150,7 +150,7 @@
 
     def test_an_unlisted_data_centre_gets_nothing(self) -> None:
         self.assertEqual(part_of(10, DataCentreId("x"), ["a", "b"]), 0)
-        self.assertEqual(part_of(10, DataCentreId("x"), []), 10)
+        self.assertEqual(part_of(10, DataCentreId("x"), []), 0)
 
 
 class TestShares(unittest.TestCase):
--- a/yewloom/tests/test_settings.py
+++ b/yewloom/tests/test_settings.py
@@ -15,6 +15,8 @@
 data_centre = hall-a
 caller_port = 8080
 peer_port = 8081
+[limits]
+data_centres = hall-a hall-b
 [platform]
 url = http://127.0.0.1:7100
 """
@@ -46,6 +48,8 @@
             GOOD.replace("entry-1", ""): ["[host]", "id", "is empty"],
             GOOD + "[lease]\nmargin_ms = 3000\n": ["[lease]", "duration_ms", "set it above"],
             GOOD + "[groups]\ngive_up_ms = 100\n": ["[groups]", "give_up_ms", "or more"],
+            GOOD.replace("hall-a hall-b", "hall-b"): ["[limits]", "data_centres", "name 'hall-a'"],
+            GOOD.replace("data_centres = hall-a hall-b\n", ""): ["[limits]", "is missing"],
             GOOD + "[tls]\nkey_file = k\n": ["[tls]", "certificate_file", "both or none"],
             "no section": ["not an INI file"],
         }
