Keep the table's rows by kind until one changes

Cause: each lookup of policies, customers, services or experiments sorted and scanned all rows, and a request makes about five of them. Ruled out: a cache for each kind's callers; the table is the one place that knows when a row changes. Change: rows are grouped by kind on the first lookup after a change; an unused type variable went. Behaviour is as before; the test of a deleted row also looks it up by kind, before and after.

--- a/yewloom/tables.py
+++ b/yewloom/tables.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
-from typing import TypeVar
 
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
@@ -36,8 +35,6 @@
 TABLE_PREFIX = "table/"
 """Prefix of the platform keys that hold rows."""
 
-CellsT = TypeVar("CellsT", bound=Message)
-
 
 @dataclass(frozen=True)
 class TableError:
@@ -61,6 +58,8 @@
         self._buckets: list[set[RowName]] = [set() for _ in range(BUCKETS)]
         self._bucket_digests = [0] * BUCKETS
         self._digest = 0
+        # Requests look rows up by kind far more often than rows change.
+        self._by_kind: dict[RowKind, list[tuple[str, Row]]] = {}
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -84,6 +83,7 @@
         self._bucket_digests[bucket] ^= change
         self._buckets[bucket].add(name)
         self._rows[name] = row
+        self._by_kind.clear()
         return True
 
     def versions(self) -> list[RowVersion]:
@@ -135,11 +135,16 @@
         """Return the experiments in order of name."""
         return {n: row.experiment for n, row in self._named(RowKind.EXPERIMENT)}
 
-    def _named(self, kind: RowKind) -> Iterator[tuple[str, Row]]:
-        prefix = f"{kind.value}/"
-        for row in self.rows():
-            if row.name.startswith(prefix) and row.row.WhichOneof("cells") == kind.value:
-                yield row.name.removeprefix(prefix), row.row
+    def _named(self, kind: RowKind) -> list[tuple[str, Row]]:
+        """Return the rows of a kind by their own names, in order."""
+        if kind not in self._by_kind:
+            prefix = f"{kind.value}/"
+            self._by_kind[kind] = [
+                (row.name.removeprefix(prefix), row.row)
+                for row in self.rows()
+                if row.name.startswith(prefix) and row.row.WhichOneof("cells") == kind.value
+            ]
+        return self._by_kind[kind]
 
 
 def _row_hash(name: str, version: int) -> int:
--- a/yewloom/tests/test_tables.py
+++ b/yewloom/tests/test_tables.py
@@ -73,8 +73,10 @@
     def test_a_deleted_row_is_gone_but_keeps_its_version(self) -> None:
         table = Table()
         table.apply(_versioned(ROW, 1))
+        self.assertEqual(list(table.customers()), ["c"])
         table.apply(VersionedRow(name=ROW, version=2, row=Row(deleted=True)))
         self.assertIsNone(table.get(ROW))
+        self.assertEqual(table.customers(), {})
         self.assertFalse(table.apply(_versioned(ROW, 1)))
 
 
