--- /dev/null
+++ b/yewloom/endpoint_attempts.py
@@ -0,0 +1,215 @@
+"""One request at one endpoint: sending it, checking the answer and passing it on."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import structlog
+import trio
+
+from yewloom.attempts import AttemptState
+from yewloom.caller_headers import HeaderCodec, Sending
+from yewloom.directory import Endpoint
+from yewloom.endpoint_calls import (
+    AnswerHead,
+    Exchange,
+    ExchangeError,
+    ExchangeFailure,
+    Header,
+    OutgoingRequest,
+    open_exchange,
+)
+from yewloom.event_stream import EventSplitter, StreamOrderError
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.forwarding import Attempts, ForwardRequest, is_stream
+from yewloom.selection import Selector
+from yewloom.stalls import StallDetector
+
+logger = structlog.get_logger(__name__)
+
+CONNECT_TIMEOUT_S = 0.25
+"""Longest wait for a connection: one way between data centres takes at most 1.4 ms on the trial
+deployments, and a lost opening packet is sent again only after a second."""
+
+AVOID_UNREACHABLE_S = 1.0
+"""Time for which an endpoint that can't be reached, or broke off, gets nothing new."""
+
+AVOID_FULL_S = 0.15
+"""Time for which an endpoint that said it is full gets nothing new: a few of its batches."""
+
+AVOID_STALLED_S = 2.0
+"""Time for which a group that stands still gets nothing new. Its engine gives the lost member up
+after 5 s, and its replacement takes about 2 s."""
+
+RECHECK_S = 0.1
+"""Pause between two looks for another group while a stream stands still."""
+
+SERVER_ERROR = 500
+
+T = TypeVar("T")
+
+
+class _Stalled(Exception):  # noqa: N818 - ends an attempt
+    """The endpoint's group stands still."""
+
+
+class EndpointAttempts(Attempts):
+    """Sends requests to endpoints over connections of their own."""
+
+    def __init__(
+        self,
+        codec: HeaderCodec,
+        selector: Selector,
+        stalls: StallDetector,
+        metrics: ForwardMetrics,
+    ) -> None:
+        self._codec = codec
+        self._selector = selector
+        self._stalls = stalls
+        self._metrics = metrics
+
+    async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+        """Send a request to an endpoint; tell whether its answer is with the caller."""
+        try:
+            is_answered, outcome = await self._exchange(request, endpoint)
+        except ExchangeError as error:
+            is_answered, outcome = False, self._note_failure(request, endpoint, error)
+        except _Stalled:
+            is_answered, outcome = False, "stalled"
+            self._selector.avoid(endpoint.id, trio.current_time() + AVOID_STALLED_S)
+        except StreamOrderError as error:
+            is_answered, outcome = False, f"unreadable: {error}"
+        self._metrics.on_attempt(outcome.split(":")[0])
+        if not is_answered:
+            logger.info(
+                "attempt failed",
+                request_id=request.marks.request_id,
+                endpoint=endpoint.id,
+                outcome=outcome,
+                last_event_id=request.cursor.last_event_id,
+            )
+        return is_answered
+
+    def _note_failure(
+        self, request: ForwardRequest, endpoint: Endpoint, error: ExchangeError
+    ) -> str:
+        if not error.is_sent:
+            request.record.note(endpoint.id, AttemptState.NOTHING_SENT)
+        if error.failure is not ExchangeFailure.UNREADABLE:
+            self._selector.avoid(endpoint.id, trio.current_time() + AVOID_UNREACHABLE_S)
+        return str(error)
+
+    async def _exchange(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
+        async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
+            request.record.note(endpoint.id, AttemptState.SENT)
+            await exchange.send(self._outgoing(request, endpoint))
+            if not is_stream(request.route):
+                head = await exchange.head()
+                return await self._pass_whole(request, endpoint, exchange, head)
+            self._stalls.on_begin(endpoint.id, trio.current_time())
+            try:
+                head = await self._unless_stalled(request, endpoint, exchange.head)
+                if head.status != 200:
+                    return await self._pass_whole(request, endpoint, exchange, head)
+                self._check_answer(request, head)
+                return await self._pass_events(request, endpoint, exchange, head)
+            finally:
+                self._stalls.on_end(endpoint.id)
+
+    def _outgoing(self, request: ForwardRequest, endpoint: Endpoint) -> OutgoingRequest:
+        resumes = request.cursor.has_events or request.marks.last_event_id > 0
+        sending = Sending(
+            endpoint=endpoint.id,
+            customer=request.customer,
+            deadline_ms=max(1, request.left_ms(trio.current_time())),
+            last_event_id=request.cursor.last_event_id if resumes else None,
+        )
+        source = request.source
+        headers = self._codec.outgoing_headers(source.headers, sending)
+        if source.body or source.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            headers.append((b"content-length", str(len(source.body)).encode()))
+        return OutgoingRequest(source.method, source.target, headers, source.body)
+
+    def _check_answer(self, request: ForwardRequest, head: AnswerHead) -> None:
+        """Raise ExchangeError unless an answer belongs to the request."""
+        if self._codec.decode_answer(head).request_id != request.marks.request_id:
+            raise ExchangeError(ExchangeFailure.UNREADABLE, True, "answer to another request")
+
+    async def _pass_whole(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        exchange: Exchange,
+        head: AnswerHead,
+    ) -> tuple[bool, str]:
+        """Pass on an answer once it is whole, unless another endpoint may do better."""
+        if self._codec.decode_answer(head).is_not_run:
+            request.record.note(endpoint.id, AttemptState.NOT_RUN)
+            self._selector.avoid(endpoint.id, trio.current_time() + AVOID_FULL_S)
+            return False, f"not run: status {head.status}"
+        self._check_answer(request, head)
+        body = await exchange.whole_body()
+        if head.status >= SERVER_ERROR and self._may_go_on(request):
+            return False, f"failed: status {head.status}"
+        request.record.note(endpoint.id, AttemptState.ANSWERED)
+        if request.reply.is_started:
+            return False, f"failed: status {head.status} in the middle of a stream"
+        await request.reply.send_whole(head.status, self._codec.returned_headers(head), body)
+        return True, "answered"
+
+    def _may_go_on(self, request: ForwardRequest) -> bool:
+        """Tell whether another endpoint could still get the request after a failure."""
+        if not request.record.may_try_another:
+            return False
+        now_s = trio.current_time()
+        another = self._selector.choose(
+            request.wanted, request.configuration, request.record.states, now_s
+        )
+        return another is not None
+
+    async def _pass_events(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        exchange: Exchange,
+        head: AnswerHead,
+    ) -> tuple[bool, str]:
+        """Pass on events as they come; the answer begins with its first event."""
+        splitter = EventSplitter()
+        while True:
+            chunk = await self._unless_stalled(request, endpoint, exchange.next_chunk)
+            if chunk is None:
+                break
+            self._stalls.on_event(endpoint.id, trio.current_time())
+            data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
+            if data:
+                await self._pass_data(request, head, data)
+        if splitter.has_rest or not request.reply.is_started:
+            raise ExchangeError(ExchangeFailure.BROKEN, True, "the stream ended inside an event")
+        request.record.note(endpoint.id, AttemptState.ANSWERED)
+        await request.reply.finish()
+        return True, "answered"
+
+    async def _pass_data(self, request: ForwardRequest, head: AnswerHead, data: bytes) -> None:
+        if request.reply.is_started:
+            await request.reply.send(data)
+            return
+        request.first_event_s = trio.current_time()
+        headers: list[Header] = self._codec.returned_headers(head)
+        await request.reply.start(head.status, headers, data)
+
+    async def _unless_stalled(
+        self, request: ForwardRequest, endpoint: Endpoint, step: Callable[[], Awaitable[T]]
+    ) -> T:
+        """Run a step that may be cancelled and begun again.
+
+        Raises _Stalled when the group stands still and another one could go on.
+        """
+        if not request.route.may_repeat:
+            return await step()
+        while True:
+            due_s = self._stalls.due_s(endpoint.id)
+            with trio.move_on_at(max(due_s, trio.current_time() + RECHECK_S)):
+                return await step()
+            is_stalled = self._stalls.is_stalled(endpoint.id, trio.current_time())
+            if is_stalled and self._may_go_on(request):
+                raise _Stalled
--- /dev/null
+++ b/yewloom/entry_host.py
@@ -0,0 +1,254 @@
+"""One entry host on the users' platform: wires its parts and runs them until a planned stop."""
+
+import random
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import structlog
+import trio
+from prometheus_client import generate_latest
+
+from yewloom.caller_headers import HeaderCodec
+from yewloom.caller_server import CallerRequest, CallerServer, Reply
+from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
+from yewloom.directory import Endpoint, EndpointDirectory
+from yewloom.endpoint_attempts import EndpointAttempts
+from yewloom.followers import Follower, Update
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.forwarding import Forwarder
+from yewloom.ids import DataCentreId, HostId
+from yewloom.platforms import Platform, StoredObject
+from yewloom.replica_coordinator import ReplicaCoordinator
+from yewloom.replica_orders import EngineOrders
+from yewloom.retry_window import RetryWindow
+from yewloom.schema.entry_pb2 import EntrySettings
+from yewloom.selection import Selector
+from yewloom.stalls import StallDetector
+from yewloom.writes import RecordError
+
+logger = structlog.get_logger(__name__)
+
+EXPECTED_ENTRY_HOSTS = 12
+"""Entry hosts among which the extra retries are divided: nine and three spare ones on the larger
+trial deployment. Each keeps to its part, so the sum holds when they can't reach each other."""
+
+BALANCER_NOTICE_S = 2.6
+"""Time for which connections are still accepted after the host stops being ready: the balancer
+asks once a second and takes a host out after two answers."""
+
+STOP_MARGIN_S = 0.4
+"""Part of the time for a planned stop that is left for the process to end."""
+
+LAPSE_CHECK_S = 0.5
+"""Pause between two looks for endpoints that did not come back after an outage."""
+
+
+class PlatformRecords(Protocol):
+    """Decodes what the platform's own kinds of objects hold."""
+
+    configuration_kind: str
+    endpoint_kind: str
+
+    def decode_configuration(self, stored: StoredObject) -> Configuration | None:
+        """Return a configuration, or None if the object is not one; raises RecordError."""
+        ...
+
+    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
+        """Return an endpoint; raises RecordError."""
+        ...
+
+    def endpoint_id(self, key: str) -> HostId:
+        """Return the endpoint that an object's key names."""
+        ...
+
+
+@dataclass(frozen=True)
+class PlatformParts:
+    """What an entry host needs of the platform that it runs on.
+
+    ``configuration``, ``endpoints``, ``records_store`` and ``stale_store`` are one store with
+    different bounds; answers of the last may be seconds old and cost less.
+    """
+
+    configuration: Platform
+    endpoints: Platform
+    records_store: Platform
+    stale_store: Platform
+    records: PlatformRecords
+    codec: HeaderCodec
+    orders: EngineOrders
+
+
+class EntryHost:
+    """Wires the parts of an entry host."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        parts: PlatformParts,
+        metrics: ForwardMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._parts = parts
+        self._metrics = metrics
+        self._book = ConfigurationBook()
+        self._directory = EndpointDirectory()
+        self._stalls = StallDetector()
+        self._has_had_requests = False
+        self._is_leaving = False
+        data_centre = DataCentreId(settings.host.data_centre)
+        self._selector = Selector(self._directory, data_centre, rng)
+        bounds = settings.bounds
+        self._forwarder = Forwarder(
+            self._book,
+            parts.codec,
+            self._selector,
+            RetryWindow(
+                bounds.retry_ratio,
+                bounds.retry_window_s,
+                bounds.retry_extra / EXPECTED_ENTRY_HOSTS,
+            ),
+            EndpointAttempts(parts.codec, self._selector, self._stalls, metrics),
+            metrics,
+            bounds.key_revocation_ms / 1000,
+            lambda: self._directory.is_known,
+        )
+        self._callers = CallerServer(self._handle, self._caller_limits)
+        self._probes = CallerServer(self._answer_readiness, CallerLimits)
+        self._figures = CallerServer(self._answer_metrics, CallerLimits)
+        self._coordinator = ReplicaCoordinator(
+            settings,
+            self._book,
+            self._directory,
+            self._stalls,
+            parts.records_store,
+            parts.stale_store,
+            parts.orders,
+            metrics,
+            self._is_before_traffic,
+        )
+
+    async def run(self, reload: Callable[[], None]) -> None:
+        """Serve until a signal asks for a planned stop; ``reload`` reads the settings anew."""
+        host = self._settings.host
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._callers.serve, host.caller_address)
+                await nursery.start(self._probes.serve, host.readiness_address)
+                if host.metrics_port:
+                    ip = host.caller_address.rpartition(":")[0]
+                    await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
+                for follower in self._followers():
+                    nursery.start_soon(follower.run)
+                nursery.start_soon(self._drop_lapsed)
+                nursery.start_soon(self._coordinator.run)
+                logger.info("started", host=host.id, data_centre=host.data_centre)
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    reload()
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        logger.info("stopped", host=host.id)
+
+    def _followers(self) -> list[Follower]:
+        store, records = self._settings.store, self._parts.records
+        retry_s = store.retry_pause_ms / 1000
+        return [
+            Follower(
+                self._parts.configuration,
+                records.configuration_kind,
+                self._take_configuration,
+                0.0,
+                retry_s,
+            ),
+            Follower(
+                self._parts.endpoints,
+                records.endpoint_kind,
+                self._take_endpoints,
+                store.endpoint_pause_ms / 1000,
+                retry_s,
+            ),
+        ]
+
+    def _take_configuration(self, update: Update) -> None:
+        """Take in configurations that were read, and that an unchanged one is still current."""
+        for stored in update.listing.objects:
+            try:
+                configuration = self._parts.records.decode_configuration(stored)
+            except RecordError as error:
+                logger.error("object unreadable", reason=str(error), revision=stored.version)
+                continue
+            if configuration is not None and self._book.apply(configuration, update.asked_s):
+                logger.info("configuration applied", version=configuration.version)
+        if self._book.current is not None:
+            self._book.confirm(update.asked_s)
+
+    def _take_endpoints(self, update: Update) -> None:
+        now_s = trio.current_time()
+        endpoints = []
+        for stored in update.listing.objects:
+            try:
+                endpoints.append(self._parts.records.decode_endpoint(stored))
+            except RecordError as error:
+                logger.error("object unreadable", reason=str(error), revision=stored.version)
+        if update.is_whole:
+            self._directory.replace_all(endpoints, now_s, update.after_outage)
+            logger.info("endpoints listed", count=len(endpoints))
+            return
+        for endpoint in endpoints:
+            self._log_change(endpoint)
+            self._directory.put(endpoint)
+        for key in update.listing.removed:
+            endpoint_id = self._parts.records.endpoint_id(key)
+            logger.info("endpoint gone", endpoint=endpoint_id)
+            self._directory.remove(endpoint_id)
+            self._selector.forget(endpoint_id)
+
+    def _log_change(self, endpoint: Endpoint) -> None:
+        known = self._directory.by_id.get(endpoint.id)
+        if known is not None and known.is_leaving == endpoint.is_leaving:
+            return
+        word = "endpoint leaving" if endpoint.is_leaving else "endpoint listed"
+        logger.info(word, endpoint=endpoint.id, service=endpoint.service)
+
+    async def _drop_lapsed(self) -> None:
+        while True:
+            await trio.sleep(LAPSE_CHECK_S)
+            for endpoint_id in self._directory.drop_lapsed(trio.current_time()):
+                logger.info("endpoint gone", endpoint=endpoint_id, reason="not back after outage")
+
+    def _caller_limits(self) -> CallerLimits:
+        configuration = self._book.current
+        return configuration.limits if configuration is not None else CallerLimits()
+
+    def _is_before_traffic(self) -> bool:
+        """Tell whether the system starts for the first time and nobody asked for anything yet."""
+        return self._settings.host.is_first_start and not self._has_had_requests
+
+    async def _handle(self, request: CallerRequest, reply: Reply) -> None:
+        self._has_had_requests = True
+        await self._forwarder.handle(request, reply)
+
+    async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
+        is_known = self._book.current is not None and self._directory.is_known
+        is_ready = is_known and not self._is_leaving
+        await reply.send_whole(200 if is_ready else 503, [], b"")
+
+    async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
+
+    async def _stop(self) -> None:
+        """Stop without cutting requests off, within the time that the platform allows."""
+        began_s = trio.current_time()
+        ends_s = began_s + self._settings.host.stop_grace_s - STOP_MARGIN_S
+        logger.info("stopping", open_requests=self._callers.open_requests)
+        self._is_leaving = self._coordinator.is_leaving = self._callers.is_leaving = True
+        await trio.sleep(BALANCER_NOTICE_S)
+        self._callers.close_idle()
+        with trio.move_on_at(ends_s):
+            await self._callers.wait_until_idle()
--- /dev/null
+++ b/yewloom/forward_metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of an entry host that forwards requests, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
+
+
+class ForwardMetrics:
+    """Counters and histograms; labels take few values, so their number is bounded."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "yewloom_forwarded_requests",
+            "Requests of callers by route kind, status and outcome.",
+            ["kind", "status", "outcome"],
+            registry=self.registry,
+        )
+        self._duration_s = Histogram(
+            "yewloom_forwarded_request_seconds",
+            "Time from the whole request to the end of its answer.",
+            ["kind"],
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self._attempts = Counter(
+            "yewloom_endpoint_attempts",
+            "Sendings to endpoints by how they ended.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self._orders = Counter(
+            "yewloom_replica_orders",
+            "Orders to model engines by kind and answer.",
+            ["order", "answer"],
+            registry=self.registry,
+        )
+        self._log_lines_lost = Counter(
+            "yewloom_log_lines_lost",
+            "Log lines left out because nobody read the log.",
+            registry=self.registry,
+        )
+
+    def on_request(self, kind: str, status: int, outcome: str, took_s: float) -> None:
+        """Count a request that is over."""
+        word = "stale" if outcome.endswith(" old") else outcome
+        self._requests.labels(kind, str(status), word).inc()
+        self._duration_s.labels(kind).observe(took_s)
+
+    def on_attempt(self, outcome: str) -> None:
+        """Count a sending to an endpoint that is over."""
+        self._attempts.labels(outcome).inc()
+
+    def on_order(self, order: str, answer: str) -> None:
+        """Count an order to a model engine."""
+        self._orders.labels(order, answer).inc()
+
+    def on_log_line_lost(self) -> None:
+        """Count a log line that was left out."""
+        self._log_lines_lost.inc()
--- /dev/null
+++ b/yewloom/platform/engines.py
@@ -0,0 +1,110 @@
+"""Orders to model engines in the platform's form."""
+
+import json
+from functools import singledispatch
+from typing import Any
+
+from yewloom.http_calls import HttpCaller, HttpCallError, HttpFailure
+from yewloom.ids import HostId
+from yewloom.replica_orders import (
+    CloseGroup,
+    EngineOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    OrderAnswer,
+    StageModel,
+)
+
+ORDER_TIMEOUT_S = 0.8
+"""Longest wait for an engine's answer: it answers in some milliseconds, or not at all."""
+
+REPORT_TIMEOUT_S = 0.4
+"""Longest wait for an engine's report, which takes no place in its batch."""
+
+_ANSWERS = {
+    200: OrderAnswer.TAKEN,
+    202: OrderAnswer.TAKEN,
+    400: OrderAnswer.OUT_OF_DATE,
+    409: OrderAnswer.OUT_OF_DATE,
+    412: OrderAnswer.OUT_OF_DATE,
+    421: OrderAnswer.OTHER_ENGINE,
+}
+
+
+class HttpEngineOrders:
+    """Sends orders over HTTP."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def send(
+        self, engine: HostId, address: str, order: EngineOrder, expected_sequence: int | None
+    ) -> OrderAnswer:
+        """Give one order; it counts only if the engine has taken ``expected_sequence`` so far."""
+        fields = order_fields(order)
+        if expected_sequence is not None:
+            # The wire's "expectedRev" is the count of orders that the engine has taken.
+            fields["expectedRev"] = expected_sequence
+        headers = {"content-type": "application/json", "yewloom-expect-instance": engine}
+        url = f"http://{address}/order"
+        try:
+            answer = await self._caller.call(
+                "POST", url, ORDER_TIMEOUT_S, json.dumps(fields).encode(), headers, fresh=True
+            )
+        except HttpCallError as error:
+            is_sent = error.failure is not HttpFailure.NOT_SENT
+            return OrderAnswer.UNKNOWN if is_sent else OrderAnswer.UNREACHABLE
+        return _ANSWERS.get(answer.status, OrderAnswer.UNKNOWN)
+
+    async def read_sequence(self, address: str) -> int | None:
+        """Ask an engine how many orders it has taken; None if it does not answer."""
+        url = f"http://{address}/report"
+        try:
+            answer = await self._caller.call("GET", url, REPORT_TIMEOUT_S, fresh=True)
+            return int(answer.json()["sequence"])
+        except (HttpCallError, ValueError, KeyError, TypeError):
+            return None  # The caller logs that the engine is silent.
+
+
+@singledispatch
+def order_fields(order: Any) -> dict[str, Any]:
+    """Return the body of an order."""
+    raise TypeError(f"no order {type(order).__name__}")
+
+
+@order_fields.register
+def _(order: JoinGroup) -> dict[str, Any]:
+    return {
+        "op": "join",
+        "group": order.key.group_id,
+        "epoch": order.key.generation,
+        "model": order.model,
+        "members": list(order.members),
+    }
+
+
+@order_fields.register
+def _(order: OpenGroup) -> dict[str, Any]:
+    return {"op": "open", "group": order.key.group_id, "epoch": order.key.generation}
+
+
+@order_fields.register
+def _(order: CloseGroup) -> dict[str, Any]:
+    return {
+        "op": "close",
+        "group": order.key.group_id,
+        "epoch": order.key.generation,
+        "mode": "wait",
+    }
+
+
+@order_fields.register
+def _(order: LeaveGroup) -> dict[str, Any]:
+    return {"op": "leave", "group": order.key.group_id, "epoch": order.key.generation}
+
+
+@order_fields.register
+def _(order: StageModel) -> dict[str, Any]:
+    # The wire's "phase" with a model loads that model onto the host.
+    return {"op": "phase", "model": order.model}
--- /dev/null
+++ b/yewloom/platform/records.py
@@ -0,0 +1,150 @@
+"""The platform's own objects, decoded into the product's types."""
+
+import json
+from typing import Any
+
+from yewloom.configuration import (
+    CallerLimits,
+    Configuration,
+    EngineProfile,
+    ReplicaModel,
+    Service,
+)
+from yewloom.directory import Endpoint, GroupKey, Membership, MemberState
+from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.platforms import StoredObject
+from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
+from yewloom.writes import RecordError
+
+_ROUTE_KINDS = {
+    "idempotent": RouteKind.REPEATABLE,
+    "non_idempotent": RouteKind.UNSAFE,
+    "stream": RouteKind.STREAM,
+}
+
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class StoreRecords:
+    """Decodes the objects that the operator and the endpoints write."""
+
+    configuration_kind = "config"
+    endpoint_kind = "servers"
+
+    def decode_configuration(self, stored: StoredObject) -> Configuration | None:
+        """Return a configuration, or None if the object is not one; raises RecordError."""
+        if stored.key != f"{self.configuration_kind}/main":
+            return None
+        try:
+            return _configuration(json.loads(stored.value))
+        except _DECODE_ERRORS as error:
+            raise RecordError(f"{stored.key} can't be decoded: {error!r}") from error
+
+    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
+        """Return an endpoint; raises RecordError."""
+        try:
+            return _endpoint(self.endpoint_id(stored.key), json.loads(stored.value))
+        except _DECODE_ERRORS as error:
+            raise RecordError(f"{stored.key} can't be decoded: {error!r}") from error
+
+    def endpoint_id(self, key: str) -> HostId:
+        """Return the endpoint that an object's key names."""
+        return HostId(key.partition("/")[2])
+
+
+def _configuration(fields: Any) -> Configuration:
+    services = [_service(item) for item in fields.get("services") or []]
+    return Configuration(
+        version=int(fields["version"]),
+        routes=RouteTable([_route(item) for item in fields.get("routes") or []]),
+        services={service.name: service for service in services},
+        customers={
+            str(key): CustomerId(tenant["name"])
+            for tenant in fields.get("tenants") or []
+            for key in tenant.get("apiKeys") or []
+        },
+        limits=_limits(fields.get("limits") or {}),
+    )
+
+
+def _route(fields: Any) -> Route:
+    split = fields.get("split") or [{"service": fields["service"], "weight": 1}]
+    kind = _ROUTE_KINDS[fields["type"]]
+    return Route(
+        name=str(fields["name"]),
+        host=str(fields["host"]),
+        path_prefix=str(fields["pathPrefix"]),
+        kind=kind,
+        services=tuple(
+            ServiceWeight(ServiceName(part["service"]), float(part["weight"])) for part in split
+        ),
+        max_endpoints=int(fields.get("attempts") or 1),
+        timeout_ms=int(fields["timeoutMs"]),
+        # The wire's "sloMs" is the time within which an answer earns its full credit.
+        objective_ms=int(fields.get("sloMs") or 0),
+        priority=int(fields.get("priority") or 0),
+        is_open=bool(fields.get("anonymous")),
+        is_resumable=kind is RouteKind.STREAM and bool(fields.get("resumable")),
+    )
+
+
+def _service(fields: Any) -> Service:
+    engine = fields.get("engine")
+    return Service(ServiceName(fields["name"]), _engine(engine) if engine else None)
+
+
+def _engine(fields: Any) -> EngineProfile:
+    models = [
+        ReplicaModel(
+            name=ModelName(item["name"]),
+            group_size=int(item["size"]),
+            share=float(item.get("share") or 0),
+            pace=float(item.get("pace") or 1),
+            load_s=float(item["loadS"]),
+            # The wire's "warmupS" is the time to join when the weights lie on the host.
+            warm_up_s=float(item["warmupS"]),
+        )
+        for item in fields.get("models") or []
+    ]
+    return EngineProfile(
+        slots=int(fields["slots"]),
+        models={model.name: model for model in models},
+        loads_per_s=float(fields.get("loadsPerS") or 1),
+    )
+
+
+def _limits(fields: Any) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(fields.get("maxHeaderBytes") or usual.max_header_bytes),
+        max_body_bytes=int(fields.get("maxBodyBytes") or usual.max_body_bytes),
+        header_timeout_ms=int(fields.get("headerTimeoutMs") or usual.header_timeout_ms),
+        idle_timeout_ms=int(fields.get("idleTimeoutMs") or usual.idle_timeout_ms),
+    )
+
+
+def _endpoint(endpoint_id: HostId, fields: Any) -> Endpoint:
+    return Endpoint(
+        id=endpoint_id,
+        service=ServiceName(fields["service"]),
+        address=str(fields["address"]),
+        data_centre=DataCentreId(fields["zone"]),
+        is_leaving=fields.get("state") != "ready",
+        fabric_domain=str(fields.get("domain") or ""),
+        models=frozenset(ModelName(item["name"]) for item in fields.get("models") or []),
+        staged=frozenset(_model_name(item) for item in fields.get("staged") or []),
+        membership=_membership(fields.get("group")),
+        # The wire's "sequence" counts the orders that an endpoint has taken since its start.
+        order_sequence=int(fields.get("sequence") or 0),
+    )
+
+
+def _model_name(item: Any) -> ModelName:
+    return ModelName(item["name"] if isinstance(item, dict) else str(item))
+
+
+def _membership(fields: Any) -> Membership | None:
+    if not fields or not fields.get("name"):
+        return None
+    key = GroupKey(GroupId(fields["name"]), int(fields["epoch"]))
+    return Membership(key, int(fields["rank"]), MemberState(fields["state"]))
--- /dev/null
+++ b/yewloom/platform/store.py
@@ -0,0 +1,174 @@
+"""The platform's metadata store behind the product's ``Platform`` interface.
+
+A key is a kind and a name, ``kind/name``; a listing or a watch covers one kind.
+"""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
+from yewloom.ids import DataCentreId
+from yewloom.platforms import (
+    FAILURES_TO_BE_DOWN,
+    Listing,
+    PlatformError,
+    PlatformFailure,
+    StoredObject,
+)
+from yewloom.schema.records_pb2 import Host
+
+WATCH_SLACK_S = 0.8
+"""Time beyond its own length after which a watch counts as lost."""
+
+_JSON = {"content-type": "application/json"}
+
+_FAILURES = {
+    409: PlatformFailure.CONFLICT,
+    410: PlatformFailure.EXPIRED,
+    429: PlatformFailure.NOT_APPLIED,
+    503: PlatformFailure.NOT_APPLIED,
+}
+
+
+class ObjectStore:
+    """The store over HTTP. With ``allows_stale``, reads cost less and may be seconds old."""
+
+    def __init__(
+        self,
+        caller: HttpCaller,
+        address: str,
+        timeout_s: float,
+        watch_s: float = 1.0,
+        allows_stale: bool = False,
+    ) -> None:
+        self._caller = caller
+        self._url = f"http://{address}/objects/"
+        self._timeout_s = timeout_s
+        self._watch_s = watch_s
+        # The wire's "serializable" asks for an answer that need not be the latest.
+        self._read_options = {"serializable": 1} if allows_stale else {}
+        self._failures = 0
+
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the latest calls got no answer, so that waiting for one more is in vain."""
+        return self._failures >= FAILURES_TO_BE_DOWN
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        """Read one object; None if there is none."""
+        match await self._call("GET", key, self._read_options):
+            case Ok(HttpAnswer(status=404)):
+                return Ok(None)
+            case Ok(answer):
+                return Ok(_decode_object(_kind_of(key), answer.json()))
+            case Err(error):
+                return Err(error)
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Write an object if its version is the expected one (0: absent); return the new one."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": name}
+        if expected_version:
+            metadata["revision"] = expected_version
+        body = json.dumps({"metadata": metadata, "spec": json.loads(value)}).encode()
+        method, path = ("PUT", key) if expected_version else ("POST", kind)
+        match await self._call(method, path, {}, body):
+            case Ok(HttpAnswer(status=404)):
+                return Err(PlatformError(PlatformFailure.CONFLICT, "the object is gone"))
+            case Ok(answer):
+                return Ok(int(answer.json()["metadata"]["revision"]))
+            case Err(error):
+                return Err(error)
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Read all objects of a kind, over as many pages as they fill."""
+        objects: list[StoredObject] = []
+        position: int | None = None
+        query: dict[str, Any] = dict(self._read_options)
+        while True:
+            match await self._call("GET", prefix, query):
+                case Ok(answer):
+                    fields = answer.json()
+                case Err(error):
+                    return Err(error)
+            page = [_decode_object(prefix, item) for item in fields["items"]]
+            objects += page
+            # A watch goes on from the first page, so that changes between pages are seen.
+            position = int(fields["storeRevision"]) if position is None else position
+            if not fields.get("morePages") or not page:
+                return Ok(Listing(objects, position))
+            # The wire's "sinceRev" takes the name after which the next page begins.
+            query["sinceRev"] = page[-1].key.partition("/")[2]
+
+    async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
+        """Wait for changes of a kind after a position; the answer may be empty."""
+        query = {"watch": position, "waitMs": round(self._watch_s * 1000)}
+        timeout_s = self._watch_s + WATCH_SLACK_S
+        match await self._call("GET", prefix, query, timeout_s=timeout_s):
+            case Ok(answer):
+                fields = answer.json()
+            case Err(error):
+                return Err(error)
+        # Several changes of one object may come at once; the last one stands.
+        latest = {_name_of(event["object"]): event for event in fields["events"]}
+        changed = [e["object"] for e in latest.values() if not e["tombstone"]]
+        removed = [f"{prefix}/{name}" for name, e in latest.items() if e["tombstone"]]
+        objects = [_decode_object(prefix, item) for item in changed]
+        return Ok(Listing(objects, int(fields["storeRevision"]), removed))
+
+    async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
+        """Return nothing: endpoints are objects of a kind here, and are listed as such."""
+        return Ok([])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> Result[HttpAnswer, PlatformError]:
+        url = self._url + path + (f"?{urlencode(query)}" if query else "")
+        try:
+            answer = await self._caller.call(
+                method, url, timeout_s or self._timeout_s, body, _JSON if body else None
+            )
+        except HttpCallError as error:
+            self._failures += 1
+            sent = error.failure is not HttpFailure.NOT_SENT
+            failure = PlatformFailure.AMBIGUOUS if sent else PlatformFailure.NOT_APPLIED
+            return Err(PlatformError(failure, str(error)))
+        return self._check(answer)
+
+    def _check(self, answer: HttpAnswer) -> Result[HttpAnswer, PlatformError]:
+        self._failures = self._failures + 1 if answer.status >= 500 else 0
+        if answer.status in (200, 201, 202):
+            try:
+                answer.json()
+            except ValueError as error:
+                return Err(PlatformError(PlatformFailure.AMBIGUOUS, f"unreadable: {error}"))
+            return Ok(answer)
+        if answer.status == 404:
+            return Ok(answer)
+        usual = PlatformFailure.AMBIGUOUS if answer.status >= 500 else PlatformFailure.INVALID
+        failure = _FAILURES.get(answer.status, usual)
+        return Err(PlatformError(failure, f"status {answer.status}"))
+
+
+def _kind_of(key: str) -> str:
+    return key.partition("/")[0]
+
+
+def _name_of(item: Any) -> str:
+    return str(item["metadata"]["name"])
+
+
+def _decode_object(kind: str, item: Any) -> StoredObject:
+    revision = int(item["metadata"]["revision"])
+    return StoredObject(f"{kind}/{_name_of(item)}", revision, json.dumps(item["spec"]))
--- a/yewloom/platforms.py
+++ b/yewloom/platforms.py
@@ -35,6 +35,8 @@
     AMBIGUOUS = "ambiguous"
     FORBIDDEN = "forbidden"
     INVALID = "invalid"
+    EXPIRED = "expired"
+    """A watch asked for history that the platform no longer has."""
 
 
 @dataclass(frozen=True)
@@ -59,10 +61,14 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """Objects, and the point in the platform's history from which a watch goes on."""
+    """Objects, and the point in the platform's history from which a watch goes on.
+
+    ``removed`` holds the keys of objects that a watch reports as gone.
+    """
 
     objects: Sequence[StoredObject]
     position: int
+    removed: Sequence[str] = ()
 
 
 class Platform(Protocol):
--- /dev/null
+++ b/yewloom/replica_orders.py
@@ -0,0 +1,78 @@
+"""Orders to model engines: what the coordinator asks of them, and what their answers mean."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from yewloom.directory import GroupKey
+from yewloom.ids import HostId, ModelName
+
+
+@dataclass(frozen=True, slots=True)
+class JoinGroup:
+    """Take part in a group; the first member leads."""
+
+    key: GroupKey
+    model: ModelName
+    members: Sequence[HostId]
+
+
+@dataclass(frozen=True, slots=True)
+class OpenGroup:
+    """Take requests; for the leader of a group whose members are all ready."""
+
+    key: GroupKey
+
+
+@dataclass(frozen=True, slots=True)
+class CloseGroup:
+    """Take no more requests and finish those that run; for the leader."""
+
+    key: GroupKey
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveGroup:
+    """Belong to the group no more, at once."""
+
+    key: GroupKey
+
+
+@dataclass(frozen=True, slots=True)
+class StageModel:
+    """Load a model's weights onto the host beside everything else."""
+
+    model: ModelName
+
+
+EngineOrder = JoinGroup | OpenGroup | CloseGroup | LeaveGroup | StageModel
+
+
+class OrderAnswer(Enum):
+    """What an engine made of an order.
+
+    ``OUT_OF_DATE``: it does not fit the engine's state, or other orders came in between.
+    ``OTHER_ENGINE``: the address belongs to another endpoint now. ``UNREACHABLE``: nothing was
+    sent. ``UNKNOWN``: it may have been taken, or may still be carried out.
+    """
+
+    TAKEN = "taken"
+    OUT_OF_DATE = "out_of_date"
+    OTHER_ENGINE = "other_engine"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+
+
+class EngineOrders(Protocol):
+    """Sends orders to engines."""
+
+    async def send(
+        self, engine: HostId, address: str, order: EngineOrder, expected_sequence: int | None
+    ) -> OrderAnswer:
+        """Give one order; it counts only if the engine has taken ``expected_sequence`` so far."""
+        ...
+
+    async def read_sequence(self, address: str) -> int | None:
+        """Ask an engine how many orders it has taken; None if it does not answer."""
+        ...
--- /dev/null
+++ b/yewloom/selection.py
@@ -0,0 +1,121 @@
+"""Choice of the endpoint that gets a request, from what this entry host sees itself."""
+
+import random
+from collections import defaultdict
+from collections.abc import Container, Iterator, Mapping
+from dataclasses import dataclass
+
+from yewloom.configuration import Configuration, EngineProfile
+from yewloom.directory import Endpoint, EndpointDirectory, MemberState
+from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
+from yewloom.routes import Route
+
+REMOTE_PENALTY = 0.25
+"""Load that another data centre's endpoint must be below a near one to be preferred, as a part of
+its slots: bytes between data centres are priced and add some milliseconds."""
+
+INCOMPLETE_PENALTY = 10.0
+"""Added for a group of which a member is not listed or leaving: chosen only if all are so."""
+
+PLAIN_SLOTS = 6
+"""Requests at once that a plain service's endpoint is taken to bear."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs: an endpoint of ``service``, leading a group with ``model`` if given."""
+
+    service: ServiceName
+    model: ModelName | None
+
+
+class Selector:
+    """Chooses endpoints and keeps count of what this host has running at each."""
+
+    def __init__(
+        self, directory: EndpointDirectory, data_centre: DataCentreId, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._data_centre = data_centre
+        self._rng = rng
+        self._running: defaultdict[HostId, int] = defaultdict(int)
+        self._avoid_until_s: dict[HostId, float] = {}
+
+    def service_of(self, route: Route) -> ServiceName:
+        """Return the service for one request of a route, drawn by weight."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [share.weight for share in route.services]
+        return self._rng.choices(route.services, weights)[0].service
+
+    def choose(
+        self,
+        wanted: Wanted,
+        configuration: Configuration,
+        tried: Container[HostId],
+        now_s: float,
+    ) -> Endpoint | None:
+        """Return the least loaded endpoint that takes requests and was not tried; None if none."""
+        service = configuration.services.get(wanted.service)
+        engine = service.engine if service is not None else None
+        best, best_score = None, float("inf")
+        for endpoint, penalty in self._candidates(wanted, engine):
+            if endpoint.id in tried or self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+                continue
+            score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
+            if score < best_score:
+                best, best_score = endpoint, score
+        return best
+
+    def begin(self, endpoint: HostId) -> None:
+        """Count a request as running at an endpoint."""
+        self._running[endpoint] += 1
+
+    def end(self, endpoint: HostId) -> None:
+        """Count a request at an endpoint as over."""
+        self._running[endpoint] -= 1
+        if not self._running[endpoint]:
+            del self._running[endpoint]
+
+    def avoid(self, endpoint: HostId, until_s: float) -> None:
+        """Send nothing new to an endpoint for a time."""
+        self._avoid_until_s[endpoint] = max(until_s, self._avoid_until_s.get(endpoint, 0.0))
+
+    def forget(self, endpoint: HostId) -> None:
+        """Drop what is known of an endpoint that is no longer listed."""
+        self._avoid_until_s.pop(endpoint, None)
+
+    def running(self) -> Mapping[HostId, int]:
+        """Return how many requests of this host run at each endpoint."""
+        return self._running
+
+    def _candidates(
+        self, wanted: Wanted, engine: EngineProfile | None
+    ) -> Iterator[tuple[Endpoint, float]]:
+        for endpoint in self._directory.of_service(wanted.service):
+            if endpoint.is_leaving:
+                continue
+            penalty = 0.0 if endpoint.data_centre == self._data_centre else REMOTE_PENALTY
+            if engine is None:
+                yield endpoint, penalty
+            elif self._leads(endpoint, wanted.model):
+                yield endpoint, penalty + self._incompleteness(endpoint, engine)
+
+    def _leads(self, endpoint: Endpoint, model: ModelName | None) -> bool:
+        member = endpoint.membership
+        if member is None or member.rank != 0 or member.state is not MemberState.OPEN:
+            return False
+        return model is None or model in endpoint.models
+
+    def _incompleteness(self, head: Endpoint, engine: EngineProfile) -> float:
+        assert head.membership is not None
+        members = self._directory.members(head.membership.key)
+        sizes = [engine.models[m].group_size for m in head.models if m in engine.models]
+        is_whole = len(members) >= max(sizes, default=1)
+        if is_whole and not any(member.is_leaving for member in members.values()):
+            return 0.0
+        return INCOMPLETE_PENALTY
+
+    def _load(self, endpoint: Endpoint, engine: EngineProfile | None) -> float:
+        slots = engine.slots if engine is not None else PLAIN_SLOTS
+        return self._running.get(endpoint.id, 0) / slots
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -7,14 +7,18 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TypeVar
 
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 from result import Err, Ok, Result
 
-from yewloom.schema.settings_pb2 import Settings
+from yewloom.schema.entry_pb2 import EntrySettings
+from yewloom.schema.settings_pb2 import LeaseSettings, Settings
 from yewloom.validation import allowed_text, apply_defaults, fields_of, parse_value, rule_of
 
+SettingsT = TypeVar("SettingsT", bound=Message)
+
 
 @dataclass(frozen=True)
 class SettingsError:
@@ -28,22 +32,34 @@
 
 def read_settings(path: Path) -> Result[Settings, SettingsError]:
     """Read and check a settings file."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Err(SettingsError(f"{path} can't be read ({error}); give an INI file in UTF-8."))
-    return parse_settings(text, str(path))
+    return _read_text(path).and_then(lambda text: parse_settings(text, str(path)))
 
 
 def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
     """Turn the text of an INI file into settings; ``source`` names the file in errors."""
+    parsed = parse_sections(text, source, Settings())
+    return parsed.and_then(lambda settings: _check_together(settings, source))
+
+
+def read_entry_settings(path: Path) -> Result[EntrySettings, SettingsError]:
+    """Read and check the settings file of an entry host on the users' platform."""
+    return _read_text(path).and_then(lambda text: parse_entry_settings(text, str(path)))
+
+
+def parse_entry_settings(text: str, source: str) -> Result[EntrySettings, SettingsError]:
+    """Turn the text of an INI file into the settings of an entry host."""
+    parsed = parse_sections(text, source, EntrySettings())
+    return parsed.and_then(lambda s: _check_lease(s.lease, source).map(lambda _: s))
+
+
+def parse_sections(text: str, source: str, settings: SettingsT) -> Result[SettingsT, SettingsError]:
+    """Fill an empty message from an INI file with one section for each of its fields."""
     parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=("#", ";"))
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
         summary = " ".join(str(error).split())
         return Err(SettingsError(f"{source} is not an INI file ({summary}); mend that line."))
-    settings = Settings()
     sections = {field.name: field for field in settings.DESCRIPTOR.fields}
     for name in parser.sections():
         if name not in sections:
@@ -56,7 +72,7 @@
         problem = _fill_section(section, values)
         if problem is not None:
             return _fail(source, f"[{name}] {problem}")
-    return _check_together(settings, source)
+    return Ok(settings)
 
 
 def _fill_section(section: Message, values: dict[str, str]) -> str | None:
@@ -89,13 +105,10 @@
 
 def _check_together(settings: Settings, source: str) -> Result[Settings, SettingsError]:
     """Check the bounds that join several keys."""
-    lease, groups, tls = settings.lease, settings.groups, settings.tls
-    if lease.renew_interval_ms + 2 * lease.margin_ms >= lease.duration_ms:
-        return _fail(
-            source,
-            f"[lease] duration_ms is {lease.duration_ms}; set it above renew_interval_ms "
-            "plus twice margin_ms, so that a renewal comes before the lease ends.",
-        )
+    groups, tls = settings.groups, settings.tls
+    match _check_lease(settings.lease, source):
+        case Err(error):
+            return Err(error)
     if groups.give_up_ms < groups.freshness_ms:
         return _fail(
             source,
@@ -113,6 +126,17 @@
     return _check_files(settings, source)
 
 
+def _check_lease(lease: LeaseSettings, source: str) -> Result[None, SettingsError]:
+    if lease.renew_interval_ms + 2 * lease.margin_ms < lease.duration_ms:
+        return Ok(None)
+    return Err(
+        SettingsError(
+            f"{source}: [lease] duration_ms is {lease.duration_ms}; set it above "
+            "renew_interval_ms plus twice margin_ms, so that a renewal comes before the lease ends."
+        )
+    )
+
+
 def _check_files(settings: Settings, source: str) -> Result[Settings, SettingsError]:
     """Check that the files that the settings name can be read."""
     files = {
@@ -127,5 +151,12 @@
     return Ok(settings)
 
 
+def _read_text(path: Path) -> Result[str, SettingsError]:
+    try:
+        return Ok(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsError(f"{path} can't be read ({error}); give an INI file in UTF-8."))
+
+
 def _fail(source: str, sentence: str) -> Result[Settings, SettingsError]:
     return Err(SettingsError(f"{source}: {sentence}"))
--- /dev/null
+++ b/yewloom/stalls.py
@@ -0,0 +1,67 @@
+"""Signs that a group stands still: streams of it that should have moved and did not.
+
+A group moves only as a whole, so one event of any stream shows that all members work. Times are
+seconds of the caller's monotonic clock.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from yewloom.ids import HostId
+
+QUIET_S = 0.45
+"""Silence of all streams of a group after which it counts as standing still. Batches on the trial
+days gave an event at least every 0.12 s; prompts of 6,000 tokens add 0.13 s."""
+
+FIRST_EVENT_S = 1.0
+"""Silence after which a group with nothing but streams that wait for their first event counts as
+standing still."""
+
+
+@dataclass
+class _Pace:
+    streams: int = 0
+    moved_s: float = 0.0
+    has_events: bool = False
+
+
+class StallDetector:
+    """Follows the events of every group head that this host has streams at."""
+
+    def __init__(self) -> None:
+        self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
+
+    def on_begin(self, head: HostId, now_s: float) -> None:
+        """Take in that a stream was opened."""
+        pace = self._paces[head]
+        if not pace.streams:
+            pace.moved_s, pace.has_events = now_s, False
+        pace.streams += 1
+
+    def on_event(self, head: HostId, now_s: float) -> None:
+        """Take in that an event came."""
+        pace = self._paces[head]
+        pace.moved_s, pace.has_events = now_s, True
+
+    def on_end(self, head: HostId) -> None:
+        """Take in that a stream is over."""
+        pace = self._paces[head]
+        pace.streams -= 1
+        if not pace.streams:
+            del self._paces[head]
+
+    def stalled(self, now_s: float) -> list[HostId]:
+        """Return the heads of groups that stand still."""
+        return [head for head in self._paces if self.is_stalled(head, now_s)]
+
+    def is_stalled(self, head: HostId, now_s: float) -> bool:
+        """Tell whether a group stands still."""
+        pace = self._paces.get(head)
+        if pace is None:
+            return False
+        return now_s - pace.moved_s >= (QUIET_S if pace.has_events else FIRST_EVENT_S)
+
+    def due_s(self, head: HostId) -> float:
+        """Return when a group will count as standing still if nothing moves."""
+        pace = self._paces[head]
+        return pace.moved_s + (QUIET_S if pace.has_events else FIRST_EVENT_S)
