--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -43,8 +43,7 @@
 class Endpoint:
     """An endpoint as the platform lists it.
 
-    ``staged`` are the models whose weights its host keeps; ``order_sequence`` counts the orders
-    that it has taken since its start.
+    ``staged`` are the models whose weights its host keeps.
     """
 
     id: HostId
@@ -56,7 +55,6 @@
     models: frozenset[ModelName] = frozenset()
     staged: frozenset[ModelName] = frozenset()
     membership: Membership | None = None
-    order_sequence: int = 0
 
 
 class EndpointDirectory:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -212,7 +212,9 @@
         known = self._directory.by_id.get(endpoint.id)
         if known is not None and known.is_leaving == endpoint.is_leaving:
             return
-        word = "endpoint leaving" if endpoint.is_leaving else "endpoint listed"
+        if known is None and not endpoint.is_leaving:
+            return  # Several hundred come at a start; the coordinator's lines tell of new ones.
+        word = "endpoint leaving" if endpoint.is_leaving else "endpoint stays"
         logger.info(word, endpoint=endpoint.id, service=endpoint.service)
 
     async def _drop_lapsed(self) -> None:
--- a/yewloom/platform/engines.py
+++ b/yewloom/platform/engines.py
@@ -23,8 +23,8 @@
 """Longest wait for an engine's report, which takes no place in its batch."""
 
 _ANSWERS = {
-    200: OrderAnswer.TAKEN,
-    202: OrderAnswer.TAKEN,
+    200: OrderAnswer.HOLDS,
+    202: OrderAnswer.BEGUN,
     400: OrderAnswer.OUT_OF_DATE,
     409: OrderAnswer.OUT_OF_DATE,
     412: OrderAnswer.OUT_OF_DATE,
--- a/yewloom/platform/records.py
+++ b/yewloom/platform/records.py
@@ -134,8 +134,6 @@
         models=frozenset(ModelName(item["name"]) for item in fields.get("models") or []),
         staged=frozenset(_model_name(item) for item in fields.get("staged") or []),
         membership=_membership(fields.get("group")),
-        # The wire's "sequence" counts the orders that an endpoint has taken since its start.
-        order_sequence=int(fields.get("sequence") or 0),
     )
 
 
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -18,8 +18,14 @@
 from yewloom.ids import AttemptId, DataCentreId, EntryHostId, HostId
 from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
 from yewloom.platforms import Platform, StoredObject
-from yewloom.replica_orders import EngineOrders, LeaveGroup, OrderAnswer
-from yewloom.replica_plan import PlannedOrder, PlanState, ReplicaPlanner, key_of
+from yewloom.replica_orders import (
+    EngineOrders,
+    JoinGroup,
+    LeaveGroup,
+    OrderAnswer,
+    StageModel,
+)
+from yewloom.replica_plan import PlannedOrder, PlanState, ReplicaPlanner, key_of, order_key
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Lease, Placement
 from yewloom.stalls import StallDetector
@@ -74,6 +80,7 @@
         self._placement_key = f"yewloom-placements/{self._data_centre}"
         self._state = PlanState()
         self._placement: tuple[Placement, int] | None = None
+        self._sequences: dict[HostId, int] = {}
         self._looked_s: dict[HostId, float] = {}
         self._was_holding = False
         self.is_leaving = False
@@ -87,6 +94,7 @@
                 if holds != self._was_holding:
                     logger.info("coordinator changed", holds=holds, term=self._lease.term)
                     self._placement, self._was_holding = None, holds
+                    self._sequences.clear()
                 if holds:
                     await self._step()
             await trio.sleep(STEP_S)
@@ -164,7 +172,10 @@
             if not await self._write_placement(plan.record, version):
                 return
             new = [group for group in plan.record.groups if self._is_new(record, group.id)]
-            orders = [*orders, *(order for group in new for order in planner.join_orders(group))]
+            now_s = trio.current_time()
+            for order in (order for group in new for order in planner.join_orders(group)):
+                self._state.ordered_s[order_key(order.engine, order.order)] = now_s
+                orders.append(order)
         await self._give(orders)
 
     @staticmethod
@@ -215,9 +226,11 @@
                 nursery.start_soon(self._give_one, order)
 
     async def _give_one(self, planned: PlannedOrder) -> None:
+        sequence = await self._sequence_for(planned)
         answer = await self._engine_orders.send(
-            planned.engine, planned.address, planned.order, planned.expected_sequence
+            planned.engine, planned.address, planned.order, sequence
         )
+        self._note_sequence(planned, sequence, answer)
         kind = type(planned.order).__name__
         self._metrics.on_order(kind, answer.value)
         logger.info("order", engine=planned.engine, order=str(planned.order), answer=answer.value)
@@ -227,11 +240,36 @@
         else:
             self._state.unreachable_since_s.pop(planned.engine, None)
         if isinstance(planned.order, LeaveGroup) and answer in (
-            OrderAnswer.TAKEN,
+            OrderAnswer.BEGUN,
+            OrderAnswer.HOLDS,
             OrderAnswer.OTHER_ENGINE,
         ):
             self._state.left.add(planned.order.key)
 
+    async def _sequence_for(self, planned: PlannedOrder) -> int | None:
+        """Return the count of orders that the engine must have taken for an order to hold.
+
+        Orders that name a group are safe without: they affect no other group.
+        """
+        if not isinstance(planned.order, JoinGroup | StageModel):
+            return None
+        known = self._sequences.get(planned.engine)
+        return (
+            known if known is not None else await self._engine_orders.read_sequence(planned.address)
+        )
+
+    def _note_sequence(
+        self, planned: PlannedOrder, sequence: int | None, answer: OrderAnswer
+    ) -> None:
+        known = self._sequences.pop(planned.engine, sequence)
+        if answer is OrderAnswer.BEGUN and known is not None:
+            self._sequences[planned.engine] = known + 1
+        elif answer is OrderAnswer.HOLDS and known is not None:
+            self._sequences[planned.engine] = known
+        elif answer is OrderAnswer.OUT_OF_DATE:
+            # The next plan gives the order again, with the sequence as it is then.
+            self._state.ordered_s.pop(order_key(planned.engine, planned.order), None)
+
     async def _look_at_stalled_groups(self) -> None:
         """Ask the members of groups that stand still, and suspect those that do not answer."""
         if self._placement is None:
--- a/yewloom/replica_orders.py
+++ b/yewloom/replica_orders.py
@@ -52,12 +52,14 @@
 class OrderAnswer(Enum):
     """What an engine made of an order.
 
+    ``BEGUN``: it changes the engine's state. ``HOLDS``: the state was as ordered already.
     ``OUT_OF_DATE``: it does not fit the engine's state, or other orders came in between.
     ``OTHER_ENGINE``: the address belongs to another endpoint now. ``UNREACHABLE``: nothing was
     sent. ``UNKNOWN``: it may have been taken, or may still be carried out.
     """
 
-    TAKEN = "taken"
+    BEGUN = "begun"
+    HOLDS = "holds"
     OUT_OF_DATE = "out_of_date"
     OTHER_ENGINE = "other_engine"
     UNREACHABLE = "unreachable"
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -33,6 +33,10 @@
 CLOSE_LIMIT_S = 10.0
 """Longest time that a closing group is left to finish; engines hold a leaving member no longer."""
 
+GATHER_S = 0.9
+"""Time without a new host after which the first groups are formed: hosts appear within 3 s of the
+start, some hundred milliseconds apart, and loads cost nothing until the first request."""
+
 STAGE_LIMIT_FACTOR = 3.0
 """Loading that takes this many times its usual time is begun anew."""
 
@@ -43,12 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedOrder:
-    """An order to one engine; ``expected_sequence`` is the count of orders it must have taken."""
+    """An order to one engine."""
 
     engine: HostId
     address: str
     order: EngineOrder
-    expected_sequence: int | None = None
 
 
 @dataclass
@@ -62,6 +65,8 @@
     staging: dict[HostId, tuple[ModelName, float]] = field(default_factory=dict)
     suspects: set[HostId] = field(default_factory=set)
     load_times_s: list[float] = field(default_factory=list)
+    gathered: set[HostId] = field(default_factory=set)
+    gathered_s: float = 0.0
 
 
 @dataclass
@@ -77,6 +82,11 @@
     return GroupKey(GroupId(group.id), group.generation)
 
 
+def order_key(engine: HostId, order: EngineOrder) -> tuple[HostId, str]:
+    """Return the name under which an order is remembered as given."""
+    return engine, f"{type(order).__name__} {getattr(order, 'key', '')}"
+
+
 class ReplicaPlanner:
     """Plans for one service of engines in one data centre."""
 
@@ -123,7 +133,7 @@
         members = [HostId(member.host_id) for member in group.members]
         order = JoinGroup(key_of(group), ModelName(group.model), members)
         return [
-            PlannedOrder(endpoint.id, endpoint.address, order, endpoint.order_sequence)
+            PlannedOrder(endpoint.id, endpoint.address, order)
             for member in members
             if (endpoint := self._directory.by_id.get(member)) is not None
         ]
@@ -177,6 +187,9 @@
         present = [member for member in members if member is not None]
         in_group = [m for m in present if m.membership is not None and m.membership.key == key]
         if len(in_group) < len(members):
+            for order in self.join_orders(group):
+                if order.engine not in {member.id for member in in_group}:
+                    self._order_once(order.engine, order.address, order.order, now_s)
             return self._tend_forming(group, key, now_s - began_s)
         states = {m.membership.state for m in in_group if m.membership is not None}
         if MemberState.OPEN in states:
@@ -221,6 +234,8 @@
         """Form groups out of free hosts, the model that is furthest behind its share first."""
         formed: list[Group] = []
         free = self._free_by_domain(kept)
+        if self._is_gathering(free, now_s):
+            return formed
         hosts = self._hosts_by_model(kept)
         while (choice := self._next_group(free, hosts)) is not None:
             model, chosen = choice
@@ -239,6 +254,14 @@
                 free[endpoint.fabric_domain].remove(endpoint)
         return formed
 
+    def _is_gathering(self, free: Mapping[str, list[Endpoint]], now_s: float) -> bool:
+        """Tell whether hosts still appear before the first request, so that domains fill up."""
+        ids = {endpoint.id for endpoints in free.values() for endpoint in endpoints}
+        if not ids <= self._state.gathered:
+            self._state.gathered |= ids
+            self._state.gathered_s = now_s
+        return self._loads_are_free and now_s - self._state.gathered_s < GATHER_S
+
     def _next_group(
         self, free: Mapping[str, list[Endpoint]], hosts: Mapping[ModelName, int]
     ) -> tuple[ReplicaModel, list[Endpoint]] | None:
@@ -341,9 +364,9 @@
 
     def _order_once(self, engine: HostId, address: str, order: EngineOrder, now_s: float) -> None:
         """Give an order unless it was given a short while ago."""
-        kind = f"{type(order).__name__} {getattr(order, 'key', '')}"
-        given_s = self._state.ordered_s.get((engine, kind))
+        key = order_key(engine, order)
+        given_s = self._state.ordered_s.get(key)
         if given_s is not None and now_s - given_s < ORDER_REPEAT_S:
             return
-        self._state.ordered_s[engine, kind] = now_s
+        self._state.ordered_s[key] = now_s
         self._orders.append(PlannedOrder(engine, address, order))
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -158,5 +158,5 @@
         return Err(SettingsError(f"{path} can't be read ({error}); give an INI file in UTF-8."))
 
 
-def _fail(source: str, sentence: str) -> Result[Settings, SettingsError]:
+def _fail(source: str, sentence: str) -> Err[SettingsError]:
     return Err(SettingsError(f"{source}: {sentence}"))
--- a/yewloom/writes.py
+++ b/yewloom/writes.py
@@ -27,6 +27,9 @@
 
     current: StoredObject | None
 
+    def __str__(self) -> str:
+        return "another write came first"
+
 
 @dataclass(frozen=True)
 class WriteNotApplied:
