--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -36,9 +36,9 @@
 AVOID_FULL_S = 0.15
 """Time for which an endpoint that said it is full gets nothing new: a few of its batches."""
 
-AVOID_STALLED_S = 2.0
-"""Time for which a group that stands still gets nothing new. Its engine gives the lost member up
-after 5 s, and its replacement takes about 2 s."""
+AVOID_STALLED_S = 6.0
+"""Longest time for which a group that stands still gets nothing new. Its engine gives the lost
+member up after 5 s; a new formation of the group ends it at once."""
 
 RECHECK_S = 0.1
 """Pause between two looks for another group while a stream stands still."""
@@ -75,7 +75,9 @@
             is_answered, outcome = False, self._note_failure(request, endpoint, error)
         except _Stalled:
             is_answered, outcome = False, "stalled"
-            self._selector.avoid(endpoint.id, trio.current_time() + AVOID_STALLED_S)
+            now_s = trio.current_time()
+            self._selector.avoid(endpoint.id, now_s + AVOID_STALLED_S)
+            self._stalls.report(endpoint.id, now_s)
         except StreamOrderError as error:
             is_answered, outcome = False, f"unreadable: {error}"
         self._metrics.on_attempt(outcome.split(":")[0])
@@ -95,7 +97,9 @@
         if not error.is_sent:
             request.record.note(endpoint.id, AttemptState.NOTHING_SENT)
         if error.failure is not ExchangeFailure.UNREADABLE:
-            self._selector.avoid(endpoint.id, trio.current_time() + AVOID_UNREACHABLE_S)
+            now_s = trio.current_time()
+            self._selector.avoid(endpoint.id, now_s + AVOID_UNREACHABLE_S)
+            self._stalls.report(endpoint.id, now_s)
         return str(error)
 
     async def _exchange(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -201,6 +201,9 @@
             return
         for endpoint in endpoints:
             self._log_change(endpoint)
+            known = self._directory.by_id.get(endpoint.id)
+            if known is not None and known.membership != endpoint.membership:
+                self._selector.forget(endpoint.id)
             self._directory.put(endpoint)
         for key in update.listing.removed:
             endpoint_id = self._parts.records.endpoint_id(key)
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -25,7 +25,14 @@
     OrderAnswer,
     StageModel,
 )
-from yewloom.replica_plan import PlannedOrder, PlanState, ReplicaPlanner, key_of, order_key
+from yewloom.replica_plan import (
+    LOADS_WINDOW_S,
+    PlannedOrder,
+    PlanState,
+    ReplicaPlanner,
+    key_of,
+    order_key,
+)
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Lease, Placement
 from yewloom.stalls import StallDetector
@@ -164,7 +171,7 @@
             self._directory,
             self._state,
             self._is_before_traffic(),
-            max(1.0, service.engine.loads_per_s * LOADS_SHARE),
+            max(1, int(service.engine.loads_per_s * LOADS_WINDOW_S * LOADS_SHARE)),
         )
         plan = planner.plan(record, trio.current_time())
         orders = plan.orders
@@ -269,6 +276,7 @@
         elif answer is OrderAnswer.OUT_OF_DATE:
             # The next plan gives the order again, with the sequence as it is then.
             self._state.ordered_s.pop(order_key(planned.engine, planned.order), None)
+            self._state.staging.pop(planned.engine, None)
 
     async def _look_at_stalled_groups(self) -> None:
         """Ask the members of groups that stand still, and suspect those that do not answer."""
@@ -276,7 +284,7 @@
             return
         now_s = trio.current_time()
         await self._look_at_suspects(now_s)
-        stalled = set(self._stalls.stalled(now_s))
+        stalled = set(self._stalls.reported(now_s))
         for group in self._placement[0].groups:
             if group.intent != GroupIntent.ACTIVE.value or not group.members:
                 continue
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -37,6 +37,13 @@
 """Time without a new host after which the first groups are formed: hosts appear within 3 s of the
 start, some hundred milliseconds apart, and loads cost nothing until the first request."""
 
+EVEN_HOSTS = 3.0
+"""Hosts for a share of one by which models must differ to count as uneven: half a group of the
+trial deployments."""
+
+LOADS_WINDOW_S = 5.0
+"""Window over which loads from the weight store are counted, as the platform counts them."""
+
 STAGE_LIMIT_FACTOR = 3.0
 """Loading that takes this many times its usual time is begun anew."""
 
@@ -98,7 +105,7 @@
         directory: EndpointDirectory,
         state: PlanState,
         loads_are_free: bool,
-        max_loads_per_s: float,
+        max_loads: int,
     ) -> None:
         self._data_centre = data_centre
         self._service = service
@@ -106,7 +113,7 @@
         self._directory = directory
         self._state = state
         self._loads_are_free = loads_are_free
-        self._max_loads_per_s = max_loads_per_s
+        self._max_loads = max_loads
         self._orders: list[PlannedOrder] = []
 
     def plan(self, record: Placement, now_s: float) -> ReplicaPlan:
@@ -277,9 +284,16 @@
         return self._loads_are_free or model.name in endpoint.staged
 
     def _by_need(self, hosts: Mapping[ModelName, int]) -> list[ReplicaModel]:
-        """Return the models in order: the one with the fewest hosts for its share first."""
-        models = self._profile.models.values()
-        return sorted(models, key=lambda m: (hosts.get(m.name, 0) / max(m.share, 1e-6), m.name))
+        """Return the models in order: the one with the fewest hosts for its share first.
+
+        Models that are about even go by size: of small groups, a lost host breaks less.
+        """
+
+        def need(model: ReplicaModel) -> tuple[int, int, str]:
+            hosts_for_share = hosts.get(model.name, 0) / max(model.share, 1e-6)
+            return round(hosts_for_share / EVEN_HOSTS), model.group_size, model.name
+
+        return sorted(self._profile.models.values(), key=need)
 
     def _hosts_by_model(self, groups: Iterable[Group]) -> dict[ModelName, int]:
         hosts: defaultdict[ModelName, int] = defaultdict(int)
@@ -346,8 +360,8 @@
         return self._by_need(hosts)[0]
 
     def _stage_one(self, endpoint: Endpoint, model: ReplicaModel, now_s: float) -> None:
-        recent = [time_s for time_s in self._state.load_times_s if now_s - time_s < 1.0]
-        if len(recent) + 1 > self._max_loads_per_s:
+        recent = [time_s for time_s in self._state.load_times_s if now_s - time_s < LOADS_WINDOW_S]
+        if len(recent) >= self._max_loads:
             return
         self._state.load_times_s = [*recent, now_s]
         self._state.staging[endpoint.id] = (model.name, now_s)
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -13,7 +13,10 @@
 """Silence of all streams of a group after which it counts as standing still. Batches on the trial
 days gave an event at least every 0.12 s; prompts of 6,000 tokens add 0.13 s."""
 
-FIRST_EVENT_S = 1.0
+REPORT_S = 1.0
+"""Time for which a report that a group stands still counts."""
+
+FIRST_EVENT_S = 0.8
 """Silence after which a group with nothing but streams that wait for their first event counts as
 standing still."""
 
@@ -30,6 +33,7 @@
 
     def __init__(self) -> None:
         self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
+        self._reported_s: dict[HostId, float] = {}
 
     def on_begin(self, head: HostId, now_s: float) -> None:
         """Take in that a stream was opened."""
@@ -50,9 +54,16 @@
         if not pace.streams:
             del self._paces[head]
 
-    def stalled(self, now_s: float) -> list[HostId]:
-        """Return the heads of groups that stand still."""
-        return [head for head in self._paces if self.is_stalled(head, now_s)]
+    def report(self, head: HostId, now_s: float) -> None:
+        """Take in that a stream left a group because it stands still, or can't be reached."""
+        self._reported_s[head] = now_s
+
+    def reported(self, now_s: float) -> list[HostId]:
+        """Return the heads of groups that were reported a short while ago."""
+        self._reported_s = {
+            head: time_s for head, time_s in self._reported_s.items() if now_s - time_s < REPORT_S
+        }
+        return list(self._reported_s)
 
     def is_stalled(self, head: HostId, now_s: float) -> bool:
         """Tell whether a group stands still."""
