--- /dev/null
+++ b/yewloom/entry_exchange.py
@@ -0,0 +1,172 @@
+"""Datagrams among the entry hosts, and the addresses that they find each other by.
+
+Datagrams rather than calls: a message tells the whole of what its sender knows, the next one comes
+a fifth of a second later, and nobody waits for a peer that is cut off. The addresses lie in the
+platform's store, one object for each host.
+"""
+
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+import structlog
+import trio
+from google.protobuf.message import DecodeError
+from result import Err, Ok
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.entry_states import PeerBoard
+from yewloom.ids import EntryHostId, HostId
+from yewloom.platforms import Platform, PlatformFailure
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryAddress, EntryState
+from yewloom.selection import Selector
+from yewloom.stalls import StallDetector
+from yewloom.writes import RecordError, parse_record, to_json
+
+logger = structlog.get_logger(__name__)
+
+SEND_INTERVAL_S = 0.2
+"""Pause between two messages to each peer; some 300 bytes each on the trial deployments."""
+
+ADDRESS_KIND = "yewloom-entry-hosts"
+
+ADDRESS_INTERVAL_S = 4.0
+"""Pause between two reads of the peers' addresses. They change only with the machines."""
+
+ADDRESS_RETRY_S = 0.5
+"""Pause before the addresses are read again while none is known, or after a failure."""
+
+MAX_DATAGRAM_BYTES = 65507
+"""Longest datagram of UDP over IPv4."""
+
+
+class EntryExchange:
+    """Tells the peers what this host knows, and takes in what they tell."""
+
+    def __init__(
+        self,
+        host_id: EntryHostId,
+        address: str,
+        platform: Platform,
+        stale_platform: Platform,
+        board: PeerBoard,
+        book: ConfigurationBook,
+        selector: Selector,
+        stalls: StallDetector,
+        avoid_stalled: Callable[[HostId], None],
+    ) -> None:
+        self._host_id = host_id
+        self._address = address
+        self._platform = platform
+        self._stale_platform = stale_platform
+        self._board = board
+        self._book = book
+        self._selector = selector
+        self._stalls = stalls
+        self._avoid_stalled = avoid_stalled
+        self._peers: dict[EntryHostId, str] = {}
+        self._started_unix_ms = time.time_ns() // 1_000_000
+        self._sequence = 0
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        ip, _, port = self._address.rpartition(":")
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as socket:
+            await socket.bind((ip, int(port)))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._follow_addresses)
+                nursery.start_soon(self._receive, socket)
+                nursery.start_soon(self._send, socket)
+
+    async def _send(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            await trio.sleep(SEND_INTERVAL_S)
+            now_s = trio.current_time()
+            self._board.drop_silent(now_s)
+            state = self._state(now_s)
+            for peer, address in self._peers.items():
+                state.echoed_ms = self._board.echo_for(peer)
+                ip, _, port = address.rpartition(":")
+                # A peer that can't be reached gets the next message; nothing waits for this one.
+                with suppress(OSError):
+                    await socket.sendto(state.SerializeToString(), (ip, int(port)))
+
+    def _state(self, now_s: float) -> EntryState:
+        self._sequence += 1
+        configuration = self._book.current
+        age_ms = min(self._book.age_s(now_s), 1e6) * 1000
+        return EntryState(
+            host_id=self._host_id,
+            started_unix_ms=self._started_unix_ms,
+            sequence=self._sequence,
+            sent_ms=round(now_s * 1000),
+            configuration_version=configuration.version if configuration is not None else 0,
+            configuration_age_ms=round(age_ms),
+            loads=[
+                EndpointLoad(endpoint=endpoint, running=running)
+                for endpoint, running in self._selector.running().items()
+            ],
+            stalled=self._stalls.reported(now_s),
+        )
+
+    async def _receive(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data, _ = await socket.recvfrom(MAX_DATAGRAM_BYTES)
+                self._take(EntryState.FromString(data))
+            except (OSError, DecodeError) as error:
+                logger.info("datagram lost", reason=str(error))
+
+    def _take(self, state: EntryState) -> None:
+        word = self._board.take(state, trio.current_time())
+        current = self._book.current
+        if word is not None and current is not None and word.version == current.version:
+            self._book.confirm(word.confirmed_s)
+        for head in state.stalled:
+            self._avoid_stalled(HostId(head))
+
+    async def _follow_addresses(self) -> None:
+        is_published = False
+        while True:
+            is_published = is_published or await self._publish_address()
+            is_read = await self._read_addresses() and is_published
+            await trio.sleep(ADDRESS_INTERVAL_S if is_read else ADDRESS_RETRY_S)
+
+    async def _publish_address(self) -> bool:
+        """Write this host's address, unless the store holds it already."""
+        key = f"{ADDRESS_KIND}/{self._host_id}"
+        value = to_json(EntryAddress(address=self._address))
+        match await self._platform.update(key, value, 0):
+            case Ok(_):
+                return True
+            case Err(error):
+                if error.failure is not PlatformFailure.CONFLICT:
+                    logger.info("address not written", reason=str(error))
+                    return False
+        match await self._platform.get(key):
+            case Ok(stored):
+                if stored is None:
+                    return False
+                return (await self._platform.update(key, value, stored.version)).is_ok()
+            case Err(error):
+                logger.info("address not read", reason=str(error))
+        return False
+
+    async def _read_addresses(self) -> bool:
+        """Read the peers' addresses; tell whether there are any."""
+        match await self._stale_platform.list(ADDRESS_KIND):
+            case Ok(listing):
+                pass
+            case Err(error):
+                logger.info("addresses not read", reason=str(error))
+                return False
+        for stored in listing.objects:
+            peer = EntryHostId(stored.key.partition("/")[2])
+            try:
+                address = parse_record(stored, EntryAddress()).address
+            except RecordError as error:
+                logger.error("record unreadable", reason=str(error))
+                continue
+            if peer != self._host_id:
+                self._peers[peer] = address
+        return bool(self._peers)
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -14,11 +14,13 @@
 from yewloom.caller_server import CallerRequest, CallerServer, Reply
 from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
 from yewloom.directory import Endpoint, EndpointDirectory
-from yewloom.endpoint_attempts import EndpointAttempts
+from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
+from yewloom.entry_exchange import EntryExchange
+from yewloom.entry_states import PeerBoard
 from yewloom.followers import Follower, Update
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
-from yewloom.ids import DataCentreId, HostId
+from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.platforms import Platform, StoredObject
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.replica_orders import EngineOrders
@@ -41,6 +43,9 @@
 STOP_MARGIN_S = 0.4
 """Part of the time for a planned stop that is left for the process to end."""
 
+TASK_PAUSE_S = 0.5
+"""Pause before a task that failed is begun anew."""
+
 LAPSE_CHECK_S = 0.5
 """Pause between two looks for endpoints that did not come back after an outage."""
 
@@ -100,7 +105,8 @@
         self._has_had_requests = False
         self._is_leaving = False
         data_centre = DataCentreId(settings.host.data_centre)
-        self._selector = Selector(self._directory, data_centre, rng)
+        self._board = PeerBoard(EntryHostId(settings.host.id))
+        self._selector = Selector(self._directory, data_centre, self._board, rng)
         bounds = settings.bounds
         self._forwarder = Forwarder(
             self._book,
@@ -124,6 +130,7 @@
             self._book,
             self._directory,
             self._stalls,
+            self._selector,
             parts.records_store,
             parts.stale_store,
             parts.orders,
@@ -131,6 +138,18 @@
             self._is_before_traffic,
         )
 
+        self._exchange = EntryExchange(
+            EntryHostId(settings.host.id),
+            settings.host.peer_address,
+            parts.records_store,
+            parts.stale_store,
+            self._board,
+            self._book,
+            self._selector,
+            self._stalls,
+            self._avoid_stalled,
+        )
+
     async def run(self, reload: Callable[[], None]) -> None:
         """Serve until a signal asks for a planned stop; ``reload`` reads the settings anew."""
         host = self._settings.host
@@ -141,10 +160,10 @@
                 if host.metrics_port:
                     ip = host.caller_address.rpartition(":")[0]
                     await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
-                for follower in self._followers():
-                    nursery.start_soon(follower.run)
-                nursery.start_soon(self._drop_lapsed)
-                nursery.start_soon(self._coordinator.run)
+                tasks = [follower.run for follower in self._followers()]
+                tasks += [self._drop_lapsed, self._exchange.run, self._coordinator.run]
+                for task in tasks:
+                    nursery.start_soon(_keep_running, task)
                 logger.info("started", host=host.id, data_centre=host.data_centre)
                 async for number in signals:
                     if number != signal.SIGHUP:
@@ -226,6 +245,13 @@
             for endpoint_id in self._directory.drop_lapsed(trio.current_time()):
                 logger.info("endpoint gone", endpoint=endpoint_id, reason="not back after outage")
 
+    def _avoid_stalled(self, head: HostId) -> None:
+        """Take in that a peer saw a group stand still."""
+        now_s = trio.current_time()
+        if head not in self._stalls.suspected(now_s):
+            self._selector.avoid(head, now_s + AVOID_STALLED_S)
+        self._stalls.report_by_peer(head, now_s)
+
     def _caller_limits(self) -> CallerLimits:
         configuration = self._book.current
         return configuration.limits if configuration is not None else CallerLimits()
@@ -257,3 +283,13 @@
         self._callers.close_idle()
         with trio.move_on_at(ends_s):
             await self._callers.wait_until_idle()
+
+
+async def _keep_running(task: Callable[[], Awaitable[None]]) -> None:
+    """Run a task until cancelled; begin it anew after an error that nobody foresaw."""
+    while True:
+        try:
+            await task()
+        except Exception:
+            logger.exception("task failed", task=getattr(task, "__qualname__", ""))
+        await trio.sleep(TASK_PAUSE_S)
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -6,17 +6,20 @@
 """
 
 import uuid
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
 import trio
 from result import Err, Ok
 
-from yewloom.configuration import ConfigurationBook, Service
+from yewloom.configuration import ConfigurationBook, EngineProfile, Service
 from yewloom.directory import EndpointDirectory
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.ids import AttemptId, DataCentreId, EntryHostId, HostId
+from yewloom.ids import AttemptId, DataCentreId, EntryHostId, HostId, ModelName
 from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
+from yewloom.model_need import DemandMeter
+from yewloom.plan_state import PlannedOrder, PlanState, key_of, order_name
 from yewloom.platforms import Platform, StoredObject
 from yewloom.replica_orders import (
     EngineOrders,
@@ -25,16 +28,11 @@
     OrderAnswer,
     StageModel,
 )
-from yewloom.replica_plan import (
-    LOADS_WINDOW_S,
-    PlannedOrder,
-    PlanState,
-    ReplicaPlanner,
-    key_of,
-    order_key,
-)
+from yewloom.replica_plan import ReplicaPlanner
+from yewloom.replica_supply import LOADS_WINDOW_S, SupplyBounds
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Lease, Placement
+from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
 from yewloom.states import GroupIntent
 from yewloom.writes import RecordError, parse_record, write_settled
@@ -63,6 +61,7 @@
         book: ConfigurationBook,
         directory: EndpointDirectory,
         stalls: StallDetector,
+        selector: Selector,
         platform: Platform,
         stale_platform: Platform,
         orders: EngineOrders,
@@ -73,6 +72,7 @@
         self._book = book
         self._directory = directory
         self._stalls = stalls
+        self._selector = selector
         self._platform = platform
         self._stale_platform = stale_platform
         self._engine_orders = orders
@@ -87,6 +87,7 @@
         self._placement_key = f"yewloom-placements/{self._data_centre}"
         self._state = PlanState()
         self._placement: tuple[Placement, int] | None = None
+        self._demand = DemandMeter()
         self._sequences: dict[HostId, int] = {}
         self._looked_s: dict[HostId, float] = {}
         self._was_holding = False
@@ -156,6 +157,7 @@
             return
         services = configuration.engine_services()
         if services:
+            self._demand.sample(self._running_by_model(), trio.current_time())
             await self._look_at_stalled_groups()
             await self._step_service(services[0])
 
@@ -170,8 +172,8 @@
             service.engine,
             self._directory,
             self._state,
-            self._is_before_traffic(),
-            max(1, int(service.engine.loads_per_s * LOADS_WINDOW_S * LOADS_SHARE)),
+            self._supply_bounds(service.engine),
+            self._demand.demand(service.engine),
         )
         plan = planner.plan(record, trio.current_time())
         orders = plan.orders
@@ -181,10 +183,23 @@
             new = [group for group in plan.record.groups if self._is_new(record, group.id)]
             now_s = trio.current_time()
             for order in (order for group in new for order in planner.join_orders(group)):
-                self._state.ordered_s[order_key(order.engine, order.order)] = now_s
+                self._state.may_order(order, now_s)
                 orders.append(order)
         await self._give(orders)
 
+    def _running_by_model(self) -> Counter[ModelName]:
+        """Return how many requests of each model run at the groups' leaders."""
+        running: Counter[ModelName] = Counter()
+        for endpoint_id, count in self._selector.running_everywhere().items():
+            endpoint = self._directory.by_id.get(endpoint_id)
+            for model in endpoint.models if endpoint is not None else ():
+                running[model] += count
+        return running
+
+    def _supply_bounds(self, engine: EngineProfile) -> SupplyBounds:
+        max_loads = max(1, int(engine.loads_per_s * LOADS_WINDOW_S * LOADS_SHARE))
+        return SupplyBounds(self._is_before_traffic(), max_loads)
+
     @staticmethod
     def _is_new(record: Placement, group_id: str) -> bool:
         return all(group.id != group_id for group in record.groups)
@@ -220,7 +235,12 @@
             case Ok(stored):
                 self._placement = record, stored.version
                 groups = [f"{g.id} {g.model} {g.intent}" for g in record.groups]
-                logger.info("placement written", generation=record.generation, groups=groups)
+                logger.info(
+                    "placement written",
+                    generation=record.generation,
+                    groups=groups,
+                    running=self._running_by_model(),
+                )
                 return True
             case Err(error):
                 logger.info("placement not written", reason=str(error))
@@ -275,7 +295,7 @@
             self._sequences[planned.engine] = known
         elif answer is OrderAnswer.OUT_OF_DATE:
             # The next plan gives the order again, with the sequence as it is then.
-            self._state.ordered_s.pop(order_key(planned.engine, planned.order), None)
+            self._state.ordered_s.pop(order_name(planned), None)
             self._state.staging.pop(planned.engine, None)
 
     async def _look_at_stalled_groups(self) -> None:
@@ -284,7 +304,7 @@
             return
         now_s = trio.current_time()
         await self._look_at_suspects(now_s)
-        stalled = set(self._stalls.reported(now_s))
+        stalled = self._stalls.suspected(now_s)
         for group in self._placement[0].groups:
             if group.intent != GroupIntent.ACTIVE.value or not group.members:
                 continue
--- /dev/null
+++ b/yewloom/replica_lifecycle.py
@@ -0,0 +1,140 @@
+"""Groups that stand in the record: opening them, and giving up those that lost a member.
+
+A group is dissolved before its hosts are used again, and it counts as dissolved only once its
+leader is known to have left or ended.
+"""
+
+from yewloom.configuration import EngineProfile
+from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, MemberState
+from yewloom.ids import HostId, ModelName
+from yewloom.plan_state import PlannedOrder, PlanState, key_of
+from yewloom.replica_orders import CloseGroup, EngineOrder, JoinGroup, LeaveGroup, OpenGroup
+from yewloom.schema.records_pb2 import Group
+from yewloom.states import GroupIntent
+
+FORM_SLACK_S = 3.0
+"""Time beyond its warm-up after which a group that is not ready is formed anew."""
+
+CLOSE_LIMIT_S = 10.0
+"""Longest time that a closing group is left to finish; engines hold a leaving member no longer."""
+
+UNREACHABLE_IS_GONE_S = 3.0
+"""Time for which the leader of a lost group must be both unlisted and unreachable before it counts
+as ended: entries lapse after three heartbeats of 1.2 s."""
+
+
+class GroupLifecycle:
+    """Plans what follows for each recorded group; ``orders`` gathers what is to be ordered."""
+
+    def __init__(
+        self, profile: EngineProfile, directory: EndpointDirectory, state: PlanState
+    ) -> None:
+        self._profile = profile
+        self._directory = directory
+        self._state = state
+        self.orders: list[PlannedOrder] = []
+
+    def join_orders(self, group: Group) -> list[PlannedOrder]:
+        """Return the orders that form a group which the record holds."""
+        members = [HostId(member.host_id) for member in group.members]
+        order = JoinGroup(key_of(group), ModelName(group.model), members)
+        return [
+            PlannedOrder(endpoint.id, endpoint.address, order)
+            for member in members
+            if (endpoint := self._directory.by_id.get(member)) is not None
+        ]
+
+    def is_over(self, group: Group, now_s: float) -> bool:
+        """Tell whether a group that was given up is dissolved, so that its hosts are free."""
+        if group.intent == GroupIntent.ACTIVE.value:
+            return False
+        if group.intent == GroupIntent.DRAINING.value and not self._is_drained(group, now_s):
+            return False
+        key = key_of(group)
+        if key in self._state.left:
+            return True
+        head = HostId(group.members[0].host_id)
+        listed = self._directory.by_id.get(head)
+        if listed is not None and (listed.membership is None or listed.membership.key != key):
+            return True
+        since_s = self._state.unreachable_since_s.get(head)
+        if listed is None and since_s is not None and now_s - since_s >= UNREACHABLE_IS_GONE_S:
+            return True
+        self._order_once(head, group.members[0].address, LeaveGroup(key), now_s)
+        return False
+
+    def _is_drained(self, group: Group, now_s: float) -> bool:
+        """Tell whether a closing group has finished its requests."""
+        key = key_of(group)
+        head = HostId(group.members[0].host_id)
+        listed = self._directory.by_id.get(head)
+        if listed is None or listed.membership is None or listed.membership.key != key:
+            return True
+        if listed.membership.state in (MemberState.READY, MemberState.BROKEN):
+            return True
+        began_s = self._state.first_seen_s.setdefault(key, now_s)
+        if now_s - began_s > CLOSE_LIMIT_S:
+            return True
+        if listed.membership.state is MemberState.OPEN:
+            self._order_once(head, listed.address, CloseGroup(key), now_s)
+        return False
+
+    def tend(self, group: Group, now_s: float) -> bool:
+        """Open a group that is ready, and give up one that lost a member; tell of a change."""
+        if group.intent != GroupIntent.ACTIVE.value:
+            return False
+        key = key_of(group)
+        members = [self._directory.by_id.get(HostId(m.host_id)) for m in group.members]
+        began_s = self._state.first_seen_s.setdefault(key, now_s)
+        if any(member is None or self._has_failed(member, key) for member in members):
+            return self.retire(group, key, GroupIntent.REPLACING)
+        present = [member for member in members if member is not None]
+        in_group = [m for m in present if m.membership is not None and m.membership.key == key]
+        if len(in_group) < len(members):
+            for order in self.join_orders(group):
+                if order.engine not in {member.id for member in in_group}:
+                    self._order_once(order.engine, order.address, order.order, now_s)
+            return self._tend_forming(group, key, now_s - began_s)
+        states = {m.membership.state for m in in_group if m.membership is not None}
+        if MemberState.OPEN in states:
+            if any(member.is_leaving for member in present):
+                return self.retire(group, key, GroupIntent.DRAINING)
+            return False
+        if states == {MemberState.READY}:
+            self._order_once(present[0].id, present[0].address, OpenGroup(key), now_s)
+            return False
+        return self._tend_forming(group, key, now_s - began_s)
+
+    def _has_failed(self, member: Endpoint, key: GroupKey) -> bool:
+        if member.id in self._state.suspects:
+            return True
+        if member.membership is None or member.membership.key != key:
+            return False
+        return member.membership.state is MemberState.BROKEN
+
+    def _tend_forming(self, group: Group, key: GroupKey, age_s: float) -> bool:
+        """Give up a group that takes too long to form."""
+        model = self._profile.models.get(ModelName(group.model))
+        usual_s = (model.load_s if model is not None else 0.0) + FORM_SLACK_S
+        members = [HostId(member.host_id) for member in group.members]
+        if all(self._has_staged(member, group.model) for member in members):
+            usual_s = (model.warm_up_s if model is not None else 0.0) + FORM_SLACK_S
+        if age_s <= usual_s:
+            return False
+        return self.retire(group, key, GroupIntent.REPLACING)
+
+    def _has_staged(self, member: HostId, model: str) -> bool:
+        listed = self._directory.by_id.get(member)
+        return listed is not None and ModelName(model) in listed.staged
+
+    def retire(self, group: Group, key: GroupKey, intent: GroupIntent) -> bool:
+        """Give a group up, or close it; tell that the record changes."""
+        group.intent = intent.value
+        self._state.first_seen_s.pop(key, None)
+        return True
+
+    def _order_once(self, engine: HostId, address: str, order: EngineOrder, now_s: float) -> None:
+        """Give an order unless it was given a short while ago."""
+        planned = PlannedOrder(engine, address, order)
+        if self._state.may_order(planned, now_s):
+            self.orders.append(planned)
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -1,12 +1,13 @@
-"""Choice of the endpoint that gets a request, from what this entry host sees itself."""
+"""Choice of the endpoint that gets a request, from what this entry host and its peers run."""
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Container, Iterator, Mapping
 from dataclasses import dataclass
 
 from yewloom.configuration import Configuration, EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
+from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.routes import Route
 
@@ -33,9 +34,14 @@
     """Chooses endpoints and keeps count of what this host has running at each."""
 
     def __init__(
-        self, directory: EndpointDirectory, data_centre: DataCentreId, rng: random.Random
+        self,
+        directory: EndpointDirectory,
+        data_centre: DataCentreId,
+        peers: PeerBoard,
+        rng: random.Random,
     ) -> None:
         self._directory = directory
+        self._peers = peers
         self._data_centre = data_centre
         self._rng = rng
         self._running: defaultdict[HostId, int] = defaultdict(int)
@@ -89,6 +95,10 @@
         """Return how many requests of this host run at each endpoint."""
         return self._running
 
+    def running_everywhere(self) -> Counter[HostId]:
+        """Return how many requests this host and its peers run at each endpoint."""
+        return Counter(self._running) + Counter(self._peers.loads())
+
     def _candidates(
         self, wanted: Wanted, engine: EngineProfile | None
     ) -> Iterator[tuple[Endpoint, float]]:
@@ -118,4 +128,5 @@
 
     def _load(self, endpoint: Endpoint, engine: EngineProfile | None) -> float:
         slots = engine.slots if engine is not None else PLAIN_SLOTS
-        return self._running.get(endpoint.id, 0) / slots
+        running = self._running.get(endpoint.id, 0) + self._peers.running(endpoint.id)
+        return running / slots
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
         self._reported_s: dict[HostId, float] = {}
+        self._told_s: dict[HostId, float] = {}
 
     def on_begin(self, head: HostId, now_s: float) -> None:
         """Take in that a stream was opened."""
@@ -58,13 +59,20 @@
         """Take in that a stream left a group because it stands still, or can't be reached."""
         self._reported_s[head] = now_s
 
+    def report_by_peer(self, head: HostId, now_s: float) -> None:
+        """Take in that another entry host saw a group stand still."""
+        self._told_s[head] = now_s
+
     def reported(self, now_s: float) -> list[HostId]:
-        """Return the heads of groups that were reported a short while ago."""
-        self._reported_s = {
-            head: time_s for head, time_s in self._reported_s.items() if now_s - time_s < REPORT_S
-        }
+        """Return the heads of groups that this host itself reported a short while ago."""
+        self._reported_s = _recent(self._reported_s, now_s)
         return list(self._reported_s)
 
+    def suspected(self, now_s: float) -> set[HostId]:
+        """Return the heads of groups that any entry host reported a short while ago."""
+        self._told_s = _recent(self._told_s, now_s)
+        return {*self.reported(now_s), *self._told_s}
+
     def is_stalled(self, head: HostId, now_s: float) -> bool:
         """Tell whether a group stands still."""
         pace = self._paces.get(head)
@@ -76,3 +84,7 @@
         """Return when a group will count as standing still if nothing moves."""
         pace = self._paces[head]
         return pace.moved_s + (QUIET_S if pace.has_events else FIRST_EVENT_S)
+
+
+def _recent(times_s: dict[HostId, float], now_s: float) -> dict[HostId, float]:
+    return {head: time_s for head, time_s in times_s.items() if now_s - time_s < REPORT_S}
