--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -36,9 +36,9 @@
 AVOID_FULL_S = 0.15
 """Time for which an endpoint that said it is full gets nothing new: a few of its batches."""
 
-AVOID_STALLED_S = 6.0
-"""Longest time for which a group that stands still gets nothing new. Its engine gives the lost
-member up after 5 s; a new formation of the group ends it at once."""
+AVOID_STALLED_S = 2.0
+"""Longest time for which a group that stands still gets nothing new. The coordinator asks its
+members within half a second and gives the group up if one is silent; else it was only slow."""
 
 RECHECK_S = 0.1
 """Pause between two looks for another group while a stream stands still."""
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -22,10 +22,6 @@
 """Time without a new host after which the first groups are formed: hosts appear within 3 s of the
 start, some hundred milliseconds apart, and loads cost nothing until the first request."""
 
-TURN_S = 2.0
-"""Time between the first groups of one data centre and those of the next: before the first request
-groups are ready within 1.8 s, and requests begin 12 s after the start."""
-
 LOADS_WINDOW_S = 5.0
 """Window over which loads from the weight store are counted, as the platform counts them."""
 
@@ -158,17 +154,11 @@
 
     def _is_gathering(self, now_s: float) -> bool:
         """Tell whether hosts still appear before the first request, so that domains fill up."""
-        listed = list(self._directory.of_service(self._service))
-        ids = {endpoint.id for endpoint in listed}
+        ids = {endpoint.id for endpoint in self._directory.of_service(self._service)}
         if not ids <= self._state.gathered:
             self._state.gathered |= ids
             self._state.gathered_s = now_s
-        if not self._bounds.loads_are_free:
-            return False
-        # Data centres form one after the other, so that each sees what the earlier ones formed.
-        earlier = {e.data_centre for e in listed if e.data_centre < self._data_centre}
-        wait_s = GATHER_S + TURN_S * len(earlier)
-        return now_s - self._state.gathered_s < wait_s
+        return self._bounds.loads_are_free and now_s - self._state.gathered_s < GATHER_S
 
     def _next_group(
         self, free: Mapping[str, list[Endpoint]], need: ModelNeed
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -18,6 +18,10 @@
 INCOMPLETE_PENALTY = 10.0
 """Added for a group of which a member is not listed or leaving: chosen only if all are so."""
 
+AVOIDED_PENALTY = 5.0
+"""Added for an endpoint that is avoided for a time: chosen only if all are, since a request that
+is sent may still be answered and one that is refused is not."""
+
 PLAIN_SLOTS = 6
 """Requests at once that a plain service's endpoint is taken to bear."""
 
@@ -66,8 +70,10 @@
         engine = service.engine if service is not None else None
         best, best_score = None, float("inf")
         for endpoint, penalty in self._candidates(wanted, engine):
-            if endpoint.id in tried or self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+            if endpoint.id in tried:
                 continue
+            if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+                penalty += AVOIDED_PENALTY
             score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
             if score < best_score:
                 best, best_score = endpoint, score
@@ -84,7 +90,7 @@
             del self._running[endpoint]
 
     def avoid(self, endpoint: HostId, until_s: float) -> None:
-        """Send nothing new to an endpoint for a time."""
+        """Send nothing new to an endpoint for a time, while there is another."""
         self._avoid_until_s[endpoint] = max(until_s, self._avoid_until_s.get(endpoint, 0.0))
 
     def forget(self, endpoint: HostId) -> None:
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -16,7 +16,7 @@
 REPORT_S = 1.0
 """Time for which a report that a group stands still counts."""
 
-FIRST_EVENT_S = 0.8
+FIRST_EVENT_S = 1.2
 """Silence after which a group with nothing but streams that wait for their first event counts as
 standing still."""
 
@@ -56,8 +56,14 @@
             del self._paces[head]
 
     def report(self, head: HostId, now_s: float) -> None:
-        """Take in that a stream left a group because it stands still, or can't be reached."""
-        self._reported_s[head] = now_s
+        """Take in that a group stands still or can't be reached.
+
+        Streams that only wait for their first event may wait in a full engine's queue: that is no
+        news for others.
+        """
+        pace = self._paces.get(head)
+        if pace is None or pace.has_events:
+            self._reported_s[head] = now_s
 
     def report_by_peer(self, head: HostId, now_s: float) -> None:
         """Take in that another entry host saw a group stand still."""
