--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -5,7 +5,7 @@
 replicas to spare while they go on serving.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -79,10 +79,12 @@
         free = self._free_by_domain(kept, now_s)
         if self._is_gathering(now_s):
             return formed
-        while (choice := self._next_group(free, need)) is not None:
+        models = self._models_by_domain(kept)
+        while (choice := self._next_group(free, need, models)) is not None:
             model, chosen = choice
             name = f"{self._data_centre}-{generation}-{len(formed)}"
             formed.append(_new_group(name, model, chosen, generation))
+            models[chosen[0].fabric_domain][model.name] += 1
             need = need.with_one_more(model.name)
             for endpoint in chosen:
                 free[endpoint.fabric_domain].remove(endpoint)
@@ -118,7 +120,7 @@
         found = [
             exchange
             for domain, endpoints in free.items()
-            if 0 < len(endpoints) < wanted.group_size
+            if len(endpoints) < wanted.group_size
             and (exchange := self._exchange_in(domain, endpoints, groups, wanted, need))
         ]
         return min(found, key=lambda exchange: len(exchange.hosts_to_load()), default=None)
@@ -160,11 +162,27 @@
             self._state.gathered_s = now_s
         return self._bounds.loads_are_free and now_s - self._state.gathered_s < GATHER_S
 
+    def _models_by_domain(self, groups: Iterable[Group]) -> defaultdict[str, Counter[ModelName]]:
+        """Count each domain's groups by model."""
+        models: defaultdict[str, Counter[ModelName]] = defaultdict(Counter)
+        for group in groups:
+            for domain in {member.fabric_domain for member in self._members(group)}:
+                models[domain][ModelName(group.model)] += 1
+        return models
+
     def _next_group(
-        self, free: Mapping[str, list[Endpoint]], need: ModelNeed
+        self,
+        free: Mapping[str, list[Endpoint]],
+        need: ModelNeed,
+        models: Mapping[str, Counter[ModelName]],
     ) -> tuple[ReplicaModel, list[Endpoint]] | None:
+        """Return the next group's model and hosts.
+
+        Groups of one model share a domain where they can: what two lost groups leave behind makes
+        a new one without a load.
+        """
         for model in need.order():
-            for domain in sorted(free, key=lambda name: len(free[name])):
+            for domain in _domains_for(model, free, models):
                 ready = [e for e in free[domain] if self._can_join(e, model)]
                 if len(ready) >= model.group_size:
                     ready.sort(key=lambda e: (model.name not in e.models, e.id))
@@ -207,10 +225,8 @@
 
     def _stage_domain(self, endpoints: Sequence[Endpoint], need: ModelNeed, now_s: float) -> None:
         model = _model_to_stage(endpoints, need)
-        if model is None:
-            return
         loading = [e for e in endpoints if e.id in self._state.staging]
-        wanted = model.group_size if len(endpoints) >= model.group_size else 1
+        wanted = min(model.group_size, len(endpoints))
         wanted -= sum(model.name in e.staged for e in endpoints) + len(loading)
         idle = [e for e in endpoints if e not in loading and model.name not in e.staged]
         for endpoint in sorted(idle, key=lambda e: (bool(e.staged), e.id))[: max(0, wanted)]:
@@ -246,12 +262,30 @@
     )
 
 
-def _model_to_stage(endpoints: Sequence[Endpoint], need: ModelNeed) -> ReplicaModel | None:
-    """Return the model whose weights a domain's free hosts should have."""
+def _domains_for(
+    model: ReplicaModel,
+    free: Mapping[str, list[Endpoint]],
+    models: Mapping[str, Counter[ModelName]],
+) -> list[str]:
+    """Return the domains with free hosts, those with most groups of this model alone first."""
+
+    def rank(domain: str) -> tuple[int, int, int, str]:
+        here = models.get(domain, Counter())
+        others = here.total() - here[model.name]
+        return others, -here[model.name], len(free[domain]), domain
+
+    return sorted(free, key=rank)
+
+
+def _model_to_stage(endpoints: Sequence[Endpoint], need: ModelNeed) -> ReplicaModel:
+    """Return the model whose weights a domain's free hosts should have.
+
+    That is the one that lacks replicas most, if the hosts are enough for a group of it, or if some
+    keep its weights already and wait for more hosts.
+    """
     by_need = need.order()
-    fitting = [model for model in by_need if model.group_size <= len(endpoints)]
-    if fitting:
-        return fitting[0]
-    if all(endpoint.staged for endpoint in endpoints):
-        return None
+    for model in by_need:
+        has_weights = any(model.name in endpoint.staged for endpoint in endpoints)
+        if model.group_size <= len(endpoints) or has_weights:
+            return model
     return by_need[0]
