--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -28,6 +28,8 @@
 STAGE_LIMIT_FACTOR = 3.0
 """Loading that takes this many times its usual time is begun anew."""
 
+_SETTLED = (MemberState.READY, MemberState.OPEN)
+
 
 @dataclass(frozen=True, slots=True)
 class SupplyBounds:
@@ -92,23 +94,41 @@
 
     def load_ahead(self, groups: Sequence[Group], need: ModelNeed, now_s: float) -> list[Group]:
         """Load weights for the next groups; return the groups to close for one of them now."""
+        self._forget_staging(now_s)
         if self._bounds.loads_are_free:
+            self._stage_reserves(groups, now_s)
             return []
-        self._forget_staging(now_s)
         chosen = self._best_exchange(groups, need, now_s)
         for domain, endpoints in self._free_by_domain(groups, now_s).items():
             if chosen is None or domain != chosen.domain:
                 self._stage_domain(endpoints, need, now_s)
         return self._exchange(chosen, now_s) if chosen is not None else []
 
+    def _stage_reserves(self, groups: Sequence[Group], now_s: float) -> None:
+        """Load the largest model onto the hosts of one other group in each domain.
+
+        When a host of a large group is lost, such a host takes its place without a load.
+        """
+        by_domain: defaultdict[str, list[Group]] = defaultdict(list)
+        for group in groups:
+            for domain in {member.fabric_domain for member in self._members(group)}:
+                by_domain[domain].append(group)
+        for here in by_domain.values():
+            models = [self._profile.models[ModelName(g.model)] for g in here]
+            largest = max(models, key=lambda model: model.group_size)
+            others = [g for g in here if g.model != largest.name]
+            for host in self._members(others[0]) if others else ():
+                is_open = host.membership is not None and host.membership.state in _SETTLED
+                if is_open and largest.name not in host.staged:
+                    self._load(host, largest, now_s)
+
     def _exchange(self, chosen: Exchange, now_s: float) -> list[Group]:
         """Return the groups to close now; weights are loaded onto their hosts while they serve."""
         missing = chosen.hosts_to_load()
         if not missing:
             return list(chosen.given)
         for host in missing:
-            if host.id not in self._state.staging:
-                self._load(host, chosen.model, now_s)
+            self._load(host, chosen.model, now_s)
         return []
 
     def _best_exchange(
@@ -136,7 +156,8 @@
         """Return the exchange that completes the free hosts of one domain."""
         hosts = list(free)
         given: list[Group] = []
-        for group in groups:
+        by_weights = sorted(groups, key=lambda group: self._hosts_to_load(group, wanted))
+        for group in by_weights:
             members = self._members(group)
             is_here = any(member.fabric_domain == domain for member in members)
             is_active = group.intent == GroupIntent.ACTIVE.value
@@ -150,6 +171,9 @@
         hosts.sort(key=lambda host: wanted.name not in host.staged)
         return Exchange(domain, wanted, given, hosts[: wanted.group_size])
 
+    def _hosts_to_load(self, group: Group, wanted: ReplicaModel) -> int:
+        return sum(wanted.name not in member.staged for member in self._members(group))
+
     def _members(self, group: Group) -> list[Endpoint]:
         ids = [HostId(member.host_id) for member in group.members]
         return [self._directory.by_id[i] for i in ids if i in self._directory.by_id]
@@ -178,8 +202,8 @@
     ) -> tuple[ReplicaModel, list[Endpoint]] | None:
         """Return the next group's model and hosts.
 
-        Groups of one model share a domain where they can: what two lost groups leave behind makes
-        a new one without a load.
+        Groups of one model are spread over the domains, so that each has hosts of small groups
+        that can take the place of a lost host of a large one.
         """
         for model in need.order():
             for domain in _domains_for(model, free, models):
@@ -233,8 +257,10 @@
             self._load(endpoint, model, now_s)
 
     def _load(self, endpoint: Endpoint, model: ReplicaModel, now_s: float) -> None:
+        if endpoint.id in self._state.staging:
+            return
         recent = [time_s for time_s in self._state.load_times_s if now_s - time_s < LOADS_WINDOW_S]
-        if len(recent) >= self._bounds.max_loads:
+        if len(recent) >= self._bounds.max_loads and not self._bounds.loads_are_free:
             return
         self._state.load_times_s = [*recent, now_s]
         self._state.staging[endpoint.id] = Staging(model.name, now_s)
@@ -267,12 +293,11 @@
     free: Mapping[str, list[Endpoint]],
     models: Mapping[str, Counter[ModelName]],
 ) -> list[str]:
-    """Return the domains with free hosts, those with most groups of this model alone first."""
+    """Return the domains with free hosts, those with the fewest groups of this model first."""
 
-    def rank(domain: str) -> tuple[int, int, int, str]:
+    def rank(domain: str) -> tuple[int, int, str]:
         here = models.get(domain, Counter())
-        others = here.total() - here[model.name]
-        return others, -here[model.name], len(free[domain]), domain
+        return here[model.name], len(free[domain]), domain
 
     return sorted(free, key=rank)
 
