--- /dev/null
+++ b/yewloom/tests/entry_support.py
@@ -0,0 +1,107 @@
+"""Builders shared by the tests of an entry host on the users' platform."""
+
+from yewloom.configuration import Configuration, EngineProfile, ReplicaModel, Service
+from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, Membership, MemberState
+from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
+
+ENGINES = ServiceName("engines")
+PLAIN = ServiceName("plain")
+LARGE, SMALL = ModelName("large"), ModelName("small")
+HALL = DataCentreId("hall-a")
+
+
+def make_profile(slots: int = 13) -> EngineProfile:
+    """Return engines that serve a model on four hosts and one on two."""
+    return EngineProfile(
+        slots=slots,
+        models={
+            LARGE: ReplicaModel(LARGE, 4, 0.67, 1.0, 16.0, 1.6),
+            SMALL: ReplicaModel(SMALL, 2, 0.33, 0.6, 12.0, 1.1),
+        },
+        loads_per_s=4.0,
+    )
+
+
+def make_route(
+    kind: RouteKind = RouteKind.UNSAFE,
+    prefix: str = "/a/",
+    service: ServiceName = PLAIN,
+    max_endpoints: int = 2,
+    is_open: bool = False,
+    is_resumable: bool = False,
+) -> Route:
+    """Return a route of the host ``x.example``."""
+    return Route(
+        name=f"route {prefix}",
+        host="x.example",
+        path_prefix=prefix,
+        kind=kind,
+        services=(ServiceWeight(service, 1.0),),
+        max_endpoints=max_endpoints,
+        timeout_ms=2000,
+        objective_ms=300,
+        priority=1,
+        is_open=is_open,
+        is_resumable=is_resumable,
+    )
+
+
+def make_configuration(*routes: Route, version: int = 3) -> Configuration:
+    """Return a configuration with one customer, whose key is ``k1``."""
+    return Configuration(
+        version=version,
+        routes=RouteTable(routes),
+        services={
+            ENGINES: Service(ENGINES, make_profile()),
+            PLAIN: Service(PLAIN),
+        },
+        customers={"k1": CustomerId("hotel")},
+    )
+
+
+def make_engine(
+    name: str,
+    domain: str = "d1",
+    staged: ModelName | None = None,
+    membership: Membership | None = None,
+    model: ModelName | None = None,
+    data_centre: DataCentreId = HALL,
+    is_leaving: bool = False,
+) -> Endpoint:
+    """Return a model engine."""
+    return Endpoint(
+        id=HostId(name),
+        service=ENGINES,
+        address=f"{name}:1",
+        data_centre=data_centre,
+        is_leaving=is_leaving,
+        fabric_domain=domain,
+        models=frozenset({model} if model else ()),
+        staged=frozenset({staged} if staged else ()),
+        membership=membership,
+    )
+
+
+def make_plain(name: str, address: str = "127.0.0.1:1") -> Endpoint:
+    """Return an endpoint of the plain service."""
+    return Endpoint(HostId(name), PLAIN, address, HALL)
+
+
+def put_group(
+    directory: EndpointDirectory,
+    group: str,
+    model: ModelName,
+    names: list[str],
+    state: MemberState = MemberState.OPEN,
+    generation: int = 1,
+    domain: str = "d1",
+    staged: ModelName | None = None,
+) -> GroupKey:
+    """List engines as the members of a group; the first one leads."""
+    key = GroupKey(GroupId(group), generation)
+    for rank, name in enumerate(names):
+        shown = state if rank == 0 or state is not MemberState.OPEN else MemberState.READY
+        member = Membership(key, rank, shown)
+        directory.put(make_engine(name, domain, staged or model, member, model))
+    return key
--- /dev/null
+++ b/yewloom/tests/test_directory.py
@@ -0,0 +1,62 @@
+"""Tests of the listed endpoints and their groups."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.directory import LAPSE_GRACE_S, Endpoint, EndpointDirectory, MemberState
+from yewloom.ids import HostId
+from yewloom.tests.entry_support import ENGINES, SMALL, make_engine, put_group
+
+NAMES = st.sampled_from(["a", "b", "c"])
+
+
+class TestEndpointDirectory(unittest.TestCase):
+    """What is listed, and for how long."""
+
+    @given(st.lists(st.tuples(NAMES, st.booleans())))
+    def test_indexes_follow_any_changes(self, changes: list[tuple[str, bool]]) -> None:
+        directory = EndpointDirectory()
+        expected: dict[HostId, Endpoint] = {}
+        for name, is_listed in changes:
+            endpoint = make_engine(name)
+            if is_listed:
+                directory.put(endpoint)
+                expected[endpoint.id] = endpoint
+            else:
+                directory.remove(endpoint.id)
+                expected.pop(endpoint.id, None)
+        self.assertEqual(directory.by_id, expected)
+        self.assertEqual({e.id for e in directory.of_service(ENGINES)}, set(expected))
+
+    def test_members_are_found_by_group_and_leave_with_their_entry(self) -> None:
+        directory = EndpointDirectory()
+        key = put_group(directory, "g", SMALL, ["a", "b"])
+        self.assertEqual([e.id for e in directory.members(key).values()], ["a", "b"])
+        directory.remove(HostId("b"))
+        self.assertEqual(list(directory.members(key)), [0])
+        directory.put(make_engine("a"))
+        self.assertEqual(directory.members(key), {})
+
+    def test_a_member_that_joined_another_group_leaves_the_first(self) -> None:
+        directory = EndpointDirectory()
+        first = put_group(directory, "g", SMALL, ["a", "b"], MemberState.READY)
+        second = put_group(directory, "h", SMALL, ["b", "c"], MemberState.READY, generation=2)
+        self.assertEqual(list(directory.members(first)), [0])
+        self.assertEqual(len(directory.members(second)), 2)
+
+    def test_a_listing_in_calm_times_drops_what_it_lacks(self) -> None:
+        directory = EndpointDirectory()
+        directory.replace_all([make_engine("a"), make_engine("b")], 0.0, after_outage=False)
+        directory.replace_all([make_engine("a")], 1.0, after_outage=False)
+        self.assertEqual(set(directory.by_id), {"a"})
+
+    def test_after_an_outage_missing_endpoints_stay_for_the_grace_only(self) -> None:
+        directory = EndpointDirectory()
+        directory.replace_all([make_engine("a"), make_engine("b")], 0.0, after_outage=False)
+        directory.replace_all([], 10.0, after_outage=True)
+        directory.put(make_engine("a"))
+        self.assertEqual(directory.drop_lapsed(10.0 + LAPSE_GRACE_S - 0.1), [])
+        self.assertEqual(directory.drop_lapsed(10.0 + LAPSE_GRACE_S), [HostId("b")])
+        self.assertEqual(set(directory.by_id), {"a"})
--- /dev/null
+++ b/yewloom/tests/test_entry_states.py
@@ -0,0 +1,69 @@
+"""Tests of what entry hosts learn from each other."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.entry_states import FRESH_S, PeerBoard
+from yewloom.ids import EntryHostId, HostId
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
+
+ME = EntryHostId("me")
+
+
+def _state(
+    sequence: int, running: int = 0, started: int = 1, echoed_ms: int = 0, version: int = 0
+) -> EntryState:
+    return EntryState(
+        host_id="peer",
+        started_unix_ms=started,
+        sequence=sequence,
+        loads=[EndpointLoad(endpoint="a", running=running)] if running else [],
+        echoed_ms=echoed_ms,
+        configuration_version=version,
+        configuration_age_ms=1500,
+    )
+
+
+class TestPeerBoard(unittest.TestCase):
+    """Load, and words on the configuration."""
+
+    @given(st.permutations(list(range(1, 7))))
+    def test_datagrams_in_any_order_leave_the_latest(self, order: list[int]) -> None:
+        board = PeerBoard(ME)
+        for sequence in order:
+            board.take(_state(sequence, running=sequence), 0.0)
+        self.assertEqual(board.running(HostId("a")), 6)
+
+    def test_a_peer_that_restarted_begins_anew(self) -> None:
+        board = PeerBoard(ME)
+        board.take(_state(90, running=5, started=1), 0.0)
+        board.take(_state(1, running=2, started=2), 0.0)
+        board.take(_state(91, running=5, started=1), 0.0)
+        self.assertEqual(board.running(HostId("a")), 2)
+
+    def test_a_silent_peer_stops_counting(self) -> None:
+        board = PeerBoard(ME)
+        board.take(_state(1, running=5), 0.0)
+        board.drop_silent(FRESH_S + 0.1)
+        self.assertEqual(board.running(HostId("a")), 0)
+        self.assertEqual(board.live_peers(), 0)
+
+    def test_a_word_counts_from_what_this_host_had_sent(self) -> None:
+        board = PeerBoard(ME)
+        state = _state(1, echoed_ms=50_000, version=7)
+        word = board.take(state, 99.0)
+        assert word is not None
+        # However long the datagram was on its way, it proves nothing later than that.
+        self.assertEqual((word.version, word.confirmed_s), (7, 48.5))
+
+    def test_without_an_echo_or_a_version_nothing_is_proved(self) -> None:
+        board = PeerBoard(ME)
+        self.assertIsNone(board.take(_state(1, version=7), 0.0))
+        self.assertIsNone(board.take(_state(2, echoed_ms=1), 0.0))
+
+    def test_own_datagrams_are_ignored(self) -> None:
+        board = PeerBoard(EntryHostId("peer"))
+        self.assertIsNone(board.take(_state(1, running=3), 0.0))
+        self.assertEqual(board.running(HostId("a")), 0)
--- /dev/null
+++ b/yewloom/tests/test_event_stream.py
@@ -0,0 +1,59 @@
+"""Tests of streams over several endpoints: whole, in order, each event once."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.event_stream import EventSplitter, StreamCursor, StreamEvent, StreamOrderError
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class TestEventSplitter(unittest.TestCase):
+    """Events are cut at blank lines, however the bytes arrive."""
+
+    @given(st.integers(1, 12), st.lists(st.integers(1, 30)))
+    def test_any_cut_of_the_bytes_gives_the_same_events(self, count: int, cuts: list[int]) -> None:
+        data = b"".join(_event(number) for number in range(1, count + 1))
+        splitter = EventSplitter()
+        events: list[StreamEvent] = []
+        for cut in cuts:
+            events += splitter.feed(data[:cut])
+            data = data[cut:]
+        events += splitter.feed(data)
+        self.assertEqual([event.event_id for event in events], list(range(1, count + 1)))
+        self.assertEqual(b"".join(e.data for e in events)[:4], b"id: ")
+        self.assertFalse(splitter.has_rest)
+
+    def test_an_event_that_breaks_off_is_kept_back(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(len(splitter.feed(_event(1) + b"id: 2\nda")), 1)
+        self.assertTrue(splitter.has_rest)
+
+    def test_other_lines_may_come_before_the_id(self) -> None:
+        [event] = EventSplitter().feed(b"versions: 7\r\nid: 3\r\ndata: x\r\n\r\n")
+        self.assertEqual(event.event_id, 3)
+
+
+class TestStreamCursor(unittest.TestCase):
+    """Runs at several endpoints make one answer."""
+
+    @given(st.lists(st.integers(1, 8), min_size=1, max_size=4))
+    def test_runs_that_overlap_give_each_event_once(self, ends: list[int]) -> None:
+        cursor, passed = StreamCursor(0), []
+        for end in ends:
+            # Each run begins at or before the place where the last one broke off.
+            for number in range(max(1, cursor.last_event_id - 1), end + 1):
+                event = StreamEvent(number, b"")
+                if cursor.accept(event):
+                    passed.append(number)
+        self.assertEqual(passed, list(range(1, max(ends) + 1)))
+
+    def test_a_missing_event_is_an_error(self) -> None:
+        cursor = StreamCursor(4)
+        self.assertTrue(cursor.accept(StreamEvent(5, b"")))
+        with self.assertRaises(StreamOrderError):
+            cursor.accept(StreamEvent(7, b""))
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -11,24 +11,56 @@
 
 DECISIONS = (
     "admission",
+    "attempts",
     "claims",
+    "configuration",
+    "directory",
     "drafts",
+    "entry_states",
+    "event_stream",
     "experiments",
     "fleet",
     "formation",
     "groups",
     "leases",
     "membership",
+    "model_need",
     "orders",
     "placement",
+    "plan_state",
     "prefixes",
+    "replica_lifecycle",
+    "replica_plan",
+    "replica_supply",
     "retries",
+    "retry_window",
+    "routes",
     "routing",
+    "selection",
+    "stalls",
     "streams",
     "tables",
 )
 IO_MODULES = {"asyncio", "grpc", "httpcore", "hypercorn", "socket", "starlette", "time", "trio"}
 MAX_LINES = 380
+WIRE_NAMES = (
+    "yewloom-deadline-ms",
+    "yewloom-expect-instance",
+    "yewloom-model",
+    "yewloom-not-executed",
+    "yewloom-request-id",
+    "yewloom-server-stamp",
+    "yewloom-tenant",
+    "apiKeys",
+    "expectedRev",
+    "pathPrefix",
+    "serializable",
+    "sinceRev",
+    "storeRevision",
+    "tombstone",
+    "YEWLOOM_BOOT",
+)
+"""Names of the users' platform; only its adapter may know them."""
 
 
 def _imports(path: Path) -> set[str]:
@@ -68,8 +100,21 @@
             runpy.run_path(str(self.root.parent / "examples" / "embedding.py"), run_name="__main__")
         self.assertIn("route to archive-hall-a-1", output.getvalue())
 
+    def test_no_name_of_the_platform_stands_outside_its_adapter(self) -> None:
+        for path in [*self.root.glob("*.py"), *self.root.glob("standins/*.py")]:
+            text = path.read_text(encoding="utf-8")
+            for name in WIRE_NAMES:
+                self.assertNotIn(name, text, f"{path.name} names {name}")
+
+    def test_the_adapter_stays_small(self) -> None:
+        def lines(pattern: str) -> int:
+            paths = self.root.glob(pattern)
+            return sum(len(path.read_text(encoding="utf-8").splitlines()) for path in paths)
+
+        self.assertLess(lines("platform/*.py") * 10, lines("**/*.py"))
+
     def test_every_module_has_a_docstring_and_stays_small(self) -> None:
-        for path in self.root.glob("*.py"):
+        for path in [*self.root.glob("*.py"), *self.root.glob("platform/*.py")]:
             text = path.read_text(encoding="utf-8")
             self.assertTrue(ast.get_docstring(ast.parse(text)), path.name)
             self.assertLess(len(text.splitlines()), MAX_LINES, path.name)
--- /dev/null
+++ b/yewloom/tests/test_platform_adapter.py
@@ -0,0 +1,336 @@
+"""Tests of the adapter: what the platform's names are decoded into, and what is sent to it."""
+
+import json
+import unittest
+from collections.abc import Mapping
+from functools import partial
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from yewloom.caller_headers import HeaderError, Sending
+from yewloom.directory import GroupKey, MemberState
+from yewloom.endpoint_calls import AnswerHead
+from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
+from yewloom.ids import CustomerId, GroupId, HostId, ModelName
+from yewloom.platform.engines import HttpEngineOrders, order_fields
+from yewloom.platform.headers import WireHeaders
+from yewloom.platform.records import StoreRecords
+from yewloom.platform.store import ObjectStore
+from yewloom.platforms import PlatformFailure, StoredObject
+from yewloom.replica_orders import CloseGroup, JoinGroup, OrderAnswer, StageModel
+from yewloom.routes import RouteKind
+from yewloom.tests.support import run_on_mock_clock
+from yewloom.writes import RecordError
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "x.example",
+            "pathPrefix": "/a/",
+            "type": "stream",
+            "timeoutMs": 8000,
+            "sloMs": 500,
+            "priority": 1,
+            "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "attempts": 2,
+            "anonymous": False,
+            "resumable": True,
+            "somethingNew": [1],
+        },
+        {
+            "name": "r2",
+            "host": "x.example",
+            "pathPrefix": "/b/",
+            "type": "non_idempotent",
+            "timeoutMs": 1000,
+            "service": "s2",
+            "anonymous": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "engine": {
+                "slots": 13,
+                "models": [{"name": "m", "size": 4, "share": 0.67, "loadS": 16, "warmupS": 1.6}],
+                "loadsPerS": 4.0,
+            },
+        },
+        {"name": "s2"},
+    ],
+    "limits": {"maxBodyBytes": 99},
+    "tenants": [{"name": "hotel", "apiKeys": ["k1", "k2"]}],
+}
+
+ENDPOINT = {
+    "service": "s1",
+    "address": "10.1.0.1:80",
+    "zone": "hall-a",
+    "state": "ready",
+    "domain": "d1",
+    "models": [{"name": "m", "version": 1}],
+    "staged": ["m"],
+    "group": {"name": "g", "epoch": 4, "rank": 0, "state": "open"},
+    "sequence": 9,
+}
+
+
+def _stored(kind: str, name: str, fields: Any) -> StoredObject:
+    return StoredObject(f"{kind}/{name}", 3, json.dumps(fields))
+
+
+class TestStoreRecords(unittest.TestCase):
+    """Configurations and endpoints."""
+
+    def setUp(self) -> None:
+        self.records = StoreRecords()
+
+    def test_a_configuration_is_decoded(self) -> None:
+        found = self.records.decode_configuration(_stored("config", "main", CONFIGURATION))
+        assert found is not None
+        stream = found.routes.find("x.example", "/a/1")
+        unsafe = found.routes.find("x.example", "/b/1")
+        assert stream is not None and unsafe is not None
+        self.assertEqual((stream.kind, stream.is_resumable), (RouteKind.STREAM, True))
+        self.assertEqual([part.weight for part in stream.services], [90, 10])
+        self.assertEqual((unsafe.kind, unsafe.max_endpoints), (RouteKind.UNSAFE, 1))
+        self.assertTrue(unsafe.is_open)
+        self.assertEqual(found.customers["k2"], "hotel")
+        self.assertEqual(found.limits.max_body_bytes, 99)
+        [service] = found.engine_services()
+        assert service.engine is not None
+        self.assertEqual(service.engine.models[ModelName("m")].group_size, 4)
+
+    def test_other_objects_of_the_kind_are_no_configuration(self) -> None:
+        self.assertIsNone(self.records.decode_configuration(_stored("config", "other", {})))
+
+    def test_an_endpoint_is_decoded(self) -> None:
+        endpoint = self.records.decode_endpoint(_stored("servers", "i1", ENDPOINT))
+        assert endpoint.membership is not None
+        self.assertEqual(endpoint.id, "i1")
+        self.assertEqual(endpoint.membership.key, GroupKey(GroupId("g"), 4))
+        self.assertIs(endpoint.membership.state, MemberState.OPEN)
+        self.assertEqual(endpoint.staged, {"m"})
+        self.assertFalse(endpoint.is_leaving)
+
+    def test_any_state_but_ready_is_leaving(self) -> None:
+        fields = ENDPOINT | {"state": "draining", "group": None}
+        endpoint = self.records.decode_endpoint(_stored("servers", "i1", fields))
+        self.assertTrue(endpoint.is_leaving)
+        self.assertIsNone(endpoint.membership)
+
+    @given(st.sampled_from(sorted(ENDPOINT)), st.sampled_from([None, 3, "x", [], {}, [7]]))
+    def test_a_spoilt_object_is_decoded_or_named(self, field: str, value: Any) -> None:
+        try:
+            self.records.decode_endpoint(_stored("servers", "i1", ENDPOINT | {field: value}))
+        except RecordError as error:
+            self.assertIn("servers/i1", str(error))
+
+    @given(st.sampled_from(sorted(CONFIGURATION)), st.sampled_from([3, "x", [7], {"a": 1}]))
+    def test_a_spoilt_configuration_is_decoded_or_named(self, field: str, value: Any) -> None:
+        fields = CONFIGURATION | {field: value}
+        try:
+            self.records.decode_configuration(_stored("config", "main", fields))
+        except RecordError as error:
+            self.assertIn("config/main", str(error))
+
+
+REQUEST = [
+    (b"host", b"x.example:80"),
+    (b"yewloom-request-id", b"abc"),
+    (b"yewloom-deadline-ms", b"900"),
+    (b"authorization", b"Token k1"),
+    (b"yewloom-model", b"m"),
+    (b"yewloom-tenant", b"forged"),
+    (b"yewloom-expect-instance", b"forged"),
+    (b"last-event-id", b"12"),
+    (b"connection", b"close, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-end", b"2"),
+    (b"content-length", b"3"),
+]
+
+
+class TestWireHeaders(unittest.TestCase):
+    """Headers of requests and answers."""
+
+    def setUp(self) -> None:
+        self.codec = WireHeaders()
+
+    def test_a_request_is_decoded(self) -> None:
+        marks = self.codec.decode_request(REQUEST)
+        self.assertEqual((marks.request_id, marks.host, marks.api_key), ("abc", "x.example", "k1"))
+        self.assertEqual((marks.deadline_ms, marks.model, marks.last_event_id), (900, "m", 12))
+
+    def test_a_number_that_is_none_is_an_error(self) -> None:
+        with self.assertRaises(HeaderError):
+            self.codec.decode_request([(b"yewloom-deadline-ms", b"soon")])
+
+    def test_the_endpoint_gets_no_key_and_nothing_forged(self) -> None:
+        sending = Sending(HostId("i1"), CustomerId("hotel"), 700, last_event_id=15)
+        sent = self.codec.outgoing_headers(REQUEST, sending)
+        names = [name for name, _ in sent]
+        self.assertEqual(len(names), len(set(names)))
+        found = dict(sent)
+        self.assertNotIn(b"authorization", found)
+        self.assertNotIn(b"x-hop", found)
+        self.assertNotIn(b"connection", found)
+        self.assertEqual(found[b"x-end"], b"2")
+        self.assertEqual(found[b"yewloom-tenant"], b"hotel")
+        self.assertEqual(found[b"yewloom-expect-instance"], b"i1")
+        self.assertEqual(found[b"yewloom-deadline-ms"], b"700")
+        self.assertEqual(found[b"last-event-id"], b"15")
+        self.assertEqual(found[b"yewloom-request-id"], b"abc")
+
+    def test_without_a_customer_a_forged_name_is_dropped(self) -> None:
+        sent = dict(self.codec.outgoing_headers(REQUEST, Sending(HostId("i1"), None, 1, None)))
+        self.assertNotIn(b"yewloom-tenant", sent)
+        self.assertEqual(sent[b"last-event-id"], b"12")
+
+    def test_only_the_endpoint_itself_says_that_nothing_ran(self) -> None:
+        marked = AnswerHead(503, [(b"yewloom-not-executed", b"1")])
+        self.assertTrue(self.codec.decode_answer(marked).is_not_run)
+        self.assertTrue(self.codec.decode_answer(AnswerHead(421, [])).is_not_run)
+        self.assertFalse(self.codec.decode_answer(AnswerHead(503, [])).is_not_run)
+
+    def test_framing_stays_with_the_connection(self) -> None:
+        head = AnswerHead(
+            200,
+            [(b"yewloom-server-stamp", b"s"), (b"transfer-encoding", b"chunked")],
+        )
+        self.assertEqual(self.codec.returned_headers(head), [(b"yewloom-server-stamp", b"s")])
+
+
+class _FakeCaller(HttpCaller):
+    """Answers calls from a list and keeps what was asked."""
+
+    def __init__(self, *answers: HttpAnswer | HttpFailure) -> None:
+        super().__init__(1.0)
+        self.answers = list(answers)
+        self.asked: list[tuple[str, str, Any]] = []
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        self.asked.append((method, url, json.loads(body) if body else None))
+        answer = self.answers.pop(0)
+        if isinstance(answer, HttpFailure):
+            raise HttpCallError(answer, "lost")
+        return answer
+
+
+def _json(status: int, fields: Any) -> HttpAnswer:
+    return HttpAnswer(status, {}, json.dumps(fields).encode())
+
+
+def _object(name: str, revision: int, spec: Any = None) -> Any:
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+class TestObjectStore(unittest.TestCase):
+    """The store's calls and answers."""
+
+    def test_a_listing_follows_its_pages_and_watches_from_the_first(self) -> None:
+        caller = _FakeCaller(
+            _json(200, {"items": [_object("a", 1)], "morePages": True, "storeRevision": 5}),
+            _json(200, {"items": [_object("b", 2)], "morePages": False, "storeRevision": 9}),
+        )
+        listing = run_on_mock_clock(lambda: ObjectStore(caller, "s:1", 1.0).list("k")).unwrap()
+        self.assertEqual([stored.key for stored in listing.objects], ["k/a", "k/b"])
+        self.assertEqual(listing.position, 5)
+        self.assertIn("sinceRev=a", caller.asked[1][1])
+
+    def test_the_last_of_several_changes_stands(self) -> None:
+        events = [
+            {"object": _object("a", 6, 1), "tombstone": False},
+            {"object": _object("b", 7), "tombstone": True},
+            {"object": _object("a", 8, 2), "tombstone": False},
+            {"object": _object("c", 9), "tombstone": False},
+            {"object": _object("c", 10), "tombstone": True},
+        ]
+        caller = _FakeCaller(_json(200, {"events": events, "storeRevision": 10}))
+        listing = run_on_mock_clock(lambda: ObjectStore(caller, "s:1", 1.0).watch("k", 5)).unwrap()
+        self.assertEqual([(s.key, s.version, s.value) for s in listing.objects], [("k/a", 8, "2")])
+        self.assertEqual(sorted(listing.removed), ["k/b", "k/c"])
+
+    def test_the_first_write_creates_and_later_ones_name_the_revision(self) -> None:
+        caller = _FakeCaller(_json(201, _object("a", 4)), _json(200, _object("a", 6)))
+        store = ObjectStore(caller, "s:1", 1.0)
+        self.assertEqual(run_on_mock_clock(lambda: store.update("k/a", "{}", 0)).unwrap(), 4)
+        self.assertEqual(run_on_mock_clock(lambda: store.update("k/a", "{}", 4)).unwrap(), 6)
+        self.assertEqual([call[0] for call in caller.asked], ["POST", "PUT"])
+        self.assertEqual(caller.asked[1][2]["metadata"]["revision"], 4)
+
+    def test_each_failure_says_what_is_known(self) -> None:
+        cases = {
+            409: PlatformFailure.CONFLICT,
+            410: PlatformFailure.EXPIRED,
+            429: PlatformFailure.NOT_APPLIED,
+            503: PlatformFailure.NOT_APPLIED,
+            500: PlatformFailure.AMBIGUOUS,
+            400: PlatformFailure.INVALID,
+        }
+        for status, failure in cases.items():
+            with self.subTest(status=status):
+                self.assertIs(self._failure(_json(status, {})), failure)
+
+    def test_a_lost_answer_leaves_the_write_open(self) -> None:
+        self.assertIs(self._failure(HttpFailure.NOT_SENT), PlatformFailure.NOT_APPLIED)
+        self.assertIs(self._failure(HttpFailure.MAYBE_SENT), PlatformFailure.AMBIGUOUS)
+        self.assertIs(self._failure(HttpFailure.TIMED_OUT), PlatformFailure.AMBIGUOUS)
+
+    def _failure(self, answer: HttpAnswer | HttpFailure) -> PlatformFailure:
+        store = ObjectStore(_FakeCaller(answer), "s:1", 1.0)
+        match run_on_mock_clock(lambda: store.update("k/a", "{}", 3)):
+            case Err(error):
+                return error.failure
+        raise AssertionError("the write was taken")
+
+
+KEY = GroupKey(GroupId("g"), 4)
+
+
+class TestEngineOrders(unittest.TestCase):
+    """Orders and what their answers mean."""
+
+    def test_orders_name_what_they_affect(self) -> None:
+        join = order_fields(JoinGroup(KEY, ModelName("m"), [HostId("a"), HostId("b")]))
+        self.assertEqual(join["members"], ["a", "b"])
+        self.assertEqual((join["op"], join["group"], join["epoch"]), ("join", "g", 4))
+        self.assertEqual(order_fields(CloseGroup(KEY))["mode"], "wait")
+        self.assertEqual(order_fields(StageModel(ModelName("m"))), {"op": "phase", "model": "m"})
+
+    def test_answers(self) -> None:
+        pairs: list[tuple[HttpAnswer | HttpFailure, OrderAnswer]] = [
+            (_json(202, {}), OrderAnswer.BEGUN),
+            (_json(200, {}), OrderAnswer.HOLDS),
+            (_json(409, {}), OrderAnswer.OUT_OF_DATE),
+            (_json(412, {}), OrderAnswer.OUT_OF_DATE),
+            (_json(421, {}), OrderAnswer.OTHER_ENGINE),
+            (_json(500, {}), OrderAnswer.UNKNOWN),
+            (HttpFailure.NOT_SENT, OrderAnswer.UNREACHABLE),
+            (HttpFailure.TIMED_OUT, OrderAnswer.UNKNOWN),
+        ]
+        for answer, expected in pairs:
+            caller = _FakeCaller(answer)
+            orders = HttpEngineOrders(caller)
+            send = partial(orders.send, HostId("i"), "i:1", StageModel(ModelName("m")), 6)
+            found = run_on_mock_clock(send)
+            self.assertIs(found, expected)
+            self.assertEqual(caller.asked[0][2]["expectedRev"], 6)
+
+    def test_a_silent_engine_tells_no_sequence(self) -> None:
+        orders = HttpEngineOrders(_FakeCaller(HttpFailure.TIMED_OUT, _json(200, {"sequence": 5})))
+        self.assertIsNone(run_on_mock_clock(lambda: orders.read_sequence("i:1")))
+        self.assertEqual(run_on_mock_clock(lambda: orders.read_sequence("i:1")), 5)
--- /dev/null
+++ b/yewloom/tests/test_selection.py
@@ -0,0 +1,115 @@
+"""Tests of the choice of endpoints."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.directory import EndpointDirectory, MemberState
+from yewloom.entry_states import PeerBoard
+from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
+from yewloom.selection import Selector, Wanted
+from yewloom.tests.entry_support import (
+    ENGINES,
+    HALL,
+    LARGE,
+    PLAIN,
+    SMALL,
+    make_configuration,
+    make_engine,
+    make_plain,
+    put_group,
+)
+
+CONFIGURATION = make_configuration()
+
+
+class TestSelector(unittest.TestCase):
+    """Which endpoint gets a request."""
+
+    def setUp(self) -> None:
+        self.directory = EndpointDirectory()
+        self.board = PeerBoard(EntryHostId("me"))
+        self.selector = Selector(self.directory, HALL, self.board, random.Random(1))
+
+    def choose(self, *tried: str) -> str | None:
+        """Choose a leader of the small model."""
+        return self._choose(Wanted(ENGINES, SMALL), *tried)
+
+    def _choose(self, wanted: Wanted, *tried: str) -> str | None:
+        names = {HostId(name) for name in tried}
+        found = self.selector.choose(wanted, CONFIGURATION, names, 0.0)
+        return found.id if found is not None else None
+
+    def test_only_open_leaders_of_the_model_take_requests(self) -> None:
+        put_group(self.directory, "g1", LARGE, ["a", "b", "c", "d"])
+        put_group(self.directory, "g2", SMALL, ["e", "f"], MemberState.READY)
+        self.assertIsNone(self.choose())
+        put_group(self.directory, "g3", SMALL, ["g", "h"])
+        self.assertEqual(self.choose(), "g")
+        self.assertIsNone(self.choose("g"))
+
+    def test_leaving_endpoints_get_nothing(self) -> None:
+        self.directory.put(make_plain("p"))
+        self.assertEqual(self._choose(Wanted(PLAIN, None)), "p")
+        key = put_group(self.directory, "g", SMALL, ["a", "b"])
+        head = self.directory.members(key)[0]
+        self.directory.put(
+            make_engine("a", membership=head.membership, model=SMALL, is_leaving=True)
+        )
+        self.assertIsNone(self.choose())
+
+    def test_a_whole_group_goes_before_one_that_lacks_a_member(self) -> None:
+        put_group(self.directory, "g1", SMALL, ["a", "b"])
+        put_group(self.directory, "g2", SMALL, ["c", "d"])
+        self.directory.remove(HostId("b"))
+        for _ in range(12):
+            self.selector.begin(HostId("c"))
+        self.assertEqual(self.choose(), "c")
+        self.assertEqual(self.choose("c"), "a")
+
+    def test_an_avoided_endpoint_is_chosen_only_without_another(self) -> None:
+        put_group(self.directory, "g1", SMALL, ["a", "b"])
+        self.selector.avoid(HostId("a"), 5.0)
+        self.assertEqual(self.choose(), "a")
+        put_group(self.directory, "g2", SMALL, ["c", "d"])
+        self.assertEqual(self.choose(), "c")
+
+    def test_near_endpoints_go_first_until_they_are_busier(self) -> None:
+        put_group(self.directory, "g1", SMALL, ["a", "b"])
+        key = put_group(self.directory, "g2", SMALL, ["c", "d"])
+        for member in list(self.directory.members(key).values()):
+            self.directory.put(
+                make_engine(
+                    member.id,
+                    membership=member.membership,
+                    model=SMALL,
+                    data_centre=DataCentreId("hall-b"),
+                )
+            )
+        self.assertEqual(self.choose(), "a")
+        for _ in range(5):
+            self.selector.begin(HostId("a"))
+        self.assertEqual(self.choose(), "c")
+
+    def test_what_peers_run_counts_as_well(self) -> None:
+        put_group(self.directory, "g1", SMALL, ["a", "b"])
+        put_group(self.directory, "g2", SMALL, ["c", "d"])
+        loads = [EndpointLoad(endpoint="a", running=4)]
+        self.board.take(EntryState(host_id="peer", sequence=1, loads=loads), 0.0)
+        self.assertEqual(self.choose(), "c")
+        self.board.drop_silent(10.0)
+        for _ in range(2):
+            self.selector.begin(HostId("c"))
+        self.assertEqual(self.choose(), "a")
+
+    @given(st.lists(st.sampled_from("abc"), max_size=30))
+    def test_counts_return_to_nothing(self, names: list[str]) -> None:
+        selector = Selector(self.directory, HALL, self.board, random.Random(1))
+        for name in names:
+            selector.begin(HostId(name))
+        for name in names:
+            selector.end(HostId(name))
+        self.assertEqual(dict(selector.running()), {})
