--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -64,9 +64,9 @@
 
     def final_answer(self, is_out_of_time: bool) -> FinalAnswer:
         """Return what the caller is told when no endpoint answered."""
-        if self.is_proved_not_run or self.route.may_repeat:
-            return FinalAnswer.TIMED_OUT if is_out_of_time else FinalAnswer.REFUSED
-        return FinalAnswer.TIMED_OUT if is_out_of_time else FinalAnswer.MAY_HAVE_RUN
+        if is_out_of_time:
+            return FinalAnswer.TIMED_OUT
+        return FinalAnswer.REFUSED if self.is_proved_not_run else FinalAnswer.MAY_HAVE_RUN
 
     def _reached(self) -> int:
         return sum(state is not AttemptState.NOTHING_SENT for state in self.states.values())
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -20,6 +20,12 @@
 MAX_EARLY_BYTES = 65536
 """Bytes of a next request that are held while one is answered; then nothing more is read."""
 
+REQUEST_LINE_REST_BYTES = 12
+"""Bytes of a request line beside method and target: two blanks, ``HTTP/1.1`` and the line's end."""
+
+HEADER_REST_BYTES = 4
+"""Bytes of a header line beside name and value: colon, blank and the line's end."""
+
 LINGER_S = 0.5
 """Time for which unread bytes are drained behind a last answer, so that a reset does not overtake
 it."""
@@ -201,6 +207,7 @@
             raise h11.RemoteProtocolError("the headers took too long", error_status_hint=408)
         if not isinstance(head, h11.Request):
             return None
+        self._check_size(head)
         if self._connection.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(go_on) or b"")
@@ -211,6 +218,13 @@
             head.method, head.target, list(head.headers), body, trio.current_time()
         )
 
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuse headers over the limit; h11 itself counts only those that come in parts."""
+        size = len(head.method) + len(head.target) + REQUEST_LINE_REST_BYTES
+        size += sum(len(name) + len(value) + HEADER_REST_BYTES for name, value in head.headers)
+        if size > self._limits.max_header_bytes:
+            raise h11.RemoteProtocolError("the headers are too long", error_status_hint=431)
+
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; tell whether there are any."""
         data = b""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -212,7 +212,7 @@
             return "cut off"  # Left unfinished, so that it can't look complete.
         match request.record.final_answer(is_out_of_time):
             case FinalAnswer.REFUSED:
-                reason = "no endpoint free" if request.record.is_proved_not_run else "given up"
+                reason = "no endpoint free"
                 await self._send_refusal(request.reply, Refusal(503, reason, RETRY_AFTER_S))
                 return reason
             case FinalAnswer.MAY_HAVE_RUN:
--- a/yewloom/tests/test_attempts.py
+++ b/yewloom/tests/test_attempts.py
@@ -24,11 +24,11 @@
 class TestAttemptRecord(unittest.TestCase):
     """Refusals are proved, and unsafe requests run once at most."""
 
-    @given(STATES, st.booleans())
-    def test_an_unsafe_request_is_refused_only_if_no_endpoint_can_have_run_it(
-        self, states: list[AttemptState], is_late: bool
+    @given(st.sampled_from(RouteKind), STATES, st.booleans())
+    def test_a_request_is_refused_only_if_no_endpoint_can_have_run_it(
+        self, kind: RouteKind, states: list[AttemptState], is_late: bool
     ) -> None:
-        record = _record(RouteKind.UNSAFE, states)
+        record = _record(kind, states)
         may_have_run = bool({AttemptState.SENT, AttemptState.ANSWERED} & set(states))
         if may_have_run:
             self.assertNotEqual(record.final_answer(is_late), FinalAnswer.REFUSED)
