--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -54,6 +54,7 @@
         selector: Selector,
         stalls: StallDetector,
         avoid_stalled: Callable[[HostId], None],
+        read_configuration: Callable[[], None],
     ) -> None:
         self._host_id = host_id
         self._address = address
@@ -64,6 +65,8 @@
         self._selector = selector
         self._stalls = stalls
         self._avoid_stalled = avoid_stalled
+        self._read_configuration = read_configuration
+        self._asked_for_version = 0
         self._peers: dict[EntryHostId, str] = {}
         self._started_unix_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -120,8 +123,13 @@
     def _take(self, state: EntryState) -> None:
         word = self._board.take(state, trio.current_time())
         current = self._book.current
-        if word is not None and current is not None and word.version == current.version:
-            self._book.confirm(word.confirmed_s)
+        if word is not None and current is not None:
+            if word.version == current.version:
+                self._book.confirm(word.confirmed_s)
+            elif word.version > max(current.version, self._asked_for_version):
+                self._asked_for_version = word.version
+                logger.info("peer has a newer configuration", version=word.version)
+                self._read_configuration()
         for head in state.stalled:
             self._avoid_stalled(HostId(head))
 
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -138,6 +138,21 @@
             self._is_before_traffic,
         )
 
+        retry_s = settings.store.retry_pause_ms / 1000
+        self._configuration_follower = Follower(
+            parts.configuration,
+            parts.records.configuration_kind,
+            self._take_configuration,
+            lambda: 0.0,
+            retry_s,
+        )
+        self._endpoint_follower = Follower(
+            parts.endpoints,
+            parts.records.endpoint_kind,
+            self._take_endpoints,
+            self._endpoint_pause_s,
+            retry_s,
+        )
         self._exchange = EntryExchange(
             EntryHostId(settings.host.id),
             settings.host.peer_address,
@@ -148,6 +163,7 @@
             self._selector,
             self._stalls,
             self._avoid_stalled,
+            self._configuration_follower.list_anew,
         )
 
     async def run(self, reload: Callable[[], None]) -> None:
@@ -160,8 +176,13 @@
                 if host.metrics_port:
                     ip = host.caller_address.rpartition(":")[0]
                     await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
-                tasks = [follower.run for follower in self._followers()]
-                tasks += [self._drop_lapsed, self._exchange.run, self._coordinator.run]
+                tasks = [
+                    self._configuration_follower.run,
+                    self._endpoint_follower.run,
+                    self._drop_lapsed,
+                    self._exchange.run,
+                    self._coordinator.run,
+                ]
                 for task in tasks:
                     nursery.start_soon(_keep_running, task)
                 logger.info("started", host=host.id, data_centre=host.data_centre)
@@ -173,25 +194,12 @@
                 nursery.cancel_scope.cancel()
         logger.info("stopped", host=host.id)
 
-    def _followers(self) -> list[Follower]:
-        store, records = self._settings.store, self._parts.records
-        retry_s = store.retry_pause_ms / 1000
-        return [
-            Follower(
-                self._parts.configuration,
-                records.configuration_kind,
-                self._take_configuration,
-                0.0,
-                retry_s,
-            ),
-            Follower(
-                self._parts.endpoints,
-                records.endpoint_kind,
-                self._take_endpoints,
-                store.endpoint_pause_ms / 1000,
-                retry_s,
-            ),
-        ]
+    def _endpoint_pause_s(self) -> float:
+        """Return how long changes of endpoints are gathered; a coordinator waits for them."""
+        store = self._settings.store
+        is_hurried = self._coordinator.is_holding or self._is_before_traffic()
+        pause_ms = store.coordinator_pause_ms if is_hurried else store.endpoint_pause_ms
+        return pause_ms / 1000
 
     def _take_configuration(self, update: Update) -> None:
         """Take in configurations that were read, and that an unchanged one is still current."""
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -34,7 +34,7 @@
         platform: Platform,
         kind: str,
         take: Callable[[Update], None],
-        pause_s: float,
+        pause_s: Callable[[], float],
         retry_pause_s: float,
     ) -> None:
         self._platform = platform
@@ -44,24 +44,34 @@
         self._retry_pause_s = retry_pause_s
         self._position: int | None = None
         self._failures = 0
+        self._watch_scope: trio.CancelScope | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             await self._step()
 
+    def list_anew(self) -> None:
+        """End a watch that has missed a change, and list."""
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+
     async def _step(self) -> None:
         asked_s = trio.current_time()
         position = self._position
         if position is None:
             found = await self._platform.list(self._kind)
         else:
-            found = await self._platform.watch(self._kind, position)
+            with trio.CancelScope() as self._watch_scope:
+                found = await self._platform.watch(self._kind, position)
+            if self._watch_scope.cancelled_caught:
+                self._position = None
+                return
         match found:
             case Ok(listing):
                 self._take_in(Update(listing, position is None, asked_s, self._failures > 0))
                 if position is not None and (listing.objects or listing.removed):
-                    await trio.sleep(self._pause_s)
+                    await trio.sleep(self._pause_s())
             case Err(error):
                 await self._on_error(error)
 
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -93,6 +93,11 @@
         self._was_holding = False
         self.is_leaving = False
 
+    @property
+    def is_holding(self) -> bool:
+        """Tell whether this host coordinates now."""
+        return self._was_holding
+
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
