--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -80,18 +80,18 @@
         self.current: Configuration | None = None
         self._confirmed_s = float("-inf")
 
-    def apply(self, configuration: Configuration, asked_s: float) -> bool:
-        """Take in a configuration read after ``asked_s``; tell whether it replaced another."""
+    def apply(self, configuration: Configuration, proved_s: float) -> bool:
+        """Take in a configuration read after ``proved_s``; tell whether it replaced another."""
         is_newer = self.current is None or configuration.version > self.current.version
         if is_newer:
             self.current = configuration
         if self.current is not None and configuration.version >= self.current.version:
-            self.confirm(asked_s)
+            self.confirm(proved_s)
         return is_newer
 
-    def confirm(self, asked_s: float) -> None:
-        """Take in that no newer version existed at some time after ``asked_s``."""
-        self._confirmed_s = max(self._confirmed_s, asked_s)
+    def confirm(self, proved_s: float) -> None:
+        """Take in that no newer version existed at some time after ``proved_s``."""
+        self._confirmed_s = max(self._confirmed_s, proved_s)
 
     def age_s(self, now_s: float) -> float:
         """Return the time for which a newer version may have gone unseen; infinite at first."""
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -209,10 +209,10 @@
             except RecordError as error:
                 logger.error("object unreadable", reason=str(error), revision=stored.version)
                 continue
-            if configuration is not None and self._book.apply(configuration, update.asked_s):
+            if configuration is not None and self._book.apply(configuration, update.proved_s):
                 logger.info("configuration applied", version=configuration.version)
         if self._book.current is not None:
-            self._book.confirm(update.asked_s)
+            self._book.confirm(update.proved_s)
 
     def _take_endpoints(self, update: Update) -> None:
         now_s = trio.current_time()
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -16,13 +16,13 @@
 class Update:
     """What one call to the platform brought.
 
-    ``is_whole`` says that the listing holds all objects of the kind; ``asked_s`` is from before
-    the call was sent; ``after_outage`` says that earlier calls failed.
+    ``is_whole`` says that the listing holds all objects of the kind; at ``proved_s`` nothing had
+    changed that it does not tell; ``after_outage`` says that earlier calls failed.
     """
 
     listing: Listing
     is_whole: bool
-    asked_s: float
+    proved_s: float
     after_outage: bool
 
 
@@ -69,7 +69,8 @@
                 return
         match found:
             case Ok(listing):
-                self._take_in(Update(listing, position is None, asked_s, self._failures > 0))
+                proved_s = asked_s + listing.proved_after_s
+                self._take_in(Update(listing, position is None, proved_s, self._failures > 0))
                 if position is not None and (listing.objects or listing.removed):
                     await trio.sleep(self._pause_s())
             case Err(error):
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -22,10 +22,10 @@
 
 logger = structlog.get_logger(__name__)
 
-KEY_AGE_SHARE = 0.6
+KEY_AGE_SHARE = 0.76
 """Part of the time allowed for taking keys away after which this host, having no proof that its
-configuration is current, refuses keyed requests. The rest covers a watch that hears nothing for a
-second before it is cut and the request's way to the endpoint."""
+configuration is current, refuses keyed requests. Of 5 s, 1.2 s are left: a watch may hear nothing
+for a second before it is cut, and the request has some milliseconds to go."""
 
 ANSWER_MARGIN_S = 0.04
 """Time before the deadline at which a request is given up, so that the caller still hears it."""
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -29,18 +29,20 @@
 """Longest wait for a connection to the store or to an engine that is given an order."""
 
 
-def build_parts(settings: EntrySettings) -> PlatformParts:
+def build_parts(settings: EntrySettings, rng: random.Random) -> PlatformParts:
     """Return the platform's side of an entry host."""
     store = settings.store
     caller = HttpCaller(CONNECT_TIMEOUT_S)
     timeout_s = store.timeout_ms / 1000
     return PlatformParts(
         configuration=ObjectStore(
-            caller, store.address, timeout_s, store.configuration_watch_ms / 1000
+            caller, store.address, timeout_s, rng, store.configuration_watch_ms / 1000
         ),
-        endpoints=ObjectStore(caller, store.address, timeout_s, store.endpoint_watch_ms / 1000),
-        records_store=ObjectStore(caller, store.address, timeout_s),
-        stale_store=ObjectStore(caller, store.address, timeout_s, allows_stale=True),
+        endpoints=ObjectStore(
+            caller, store.address, timeout_s, rng, store.endpoint_watch_ms / 1000
+        ),
+        records_store=ObjectStore(caller, store.address, timeout_s, rng),
+        stale_store=ObjectStore(caller, store.address, timeout_s, rng, allows_stale=True),
         records=StoreRecords(),
         codec=WireHeaders(),
         orders=HttpEngineOrders(caller),
@@ -60,7 +62,8 @@
         case Ok(settings):
             pass
     set_up_logs(settings.host.log_level, sink)
-    host = EntryHost(settings, build_parts(settings), metrics, random.Random())
+    rng = random.Random()
+    host = EntryHost(settings, build_parts(settings, rng), metrics, rng)
     trio.run(host.run, lambda: _reload(path))
     return 0
 
--- a/yewloom/platform/store.py
+++ b/yewloom/platform/store.py
@@ -4,10 +4,12 @@
 """
 
 import json
+import random
 from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlencode
 
+import trio
 from result import Err, Ok, Result
 
 from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
@@ -24,6 +26,10 @@
 WATCH_SLACK_S = 0.8
 """Time beyond its own length after which a watch counts as lost."""
 
+WATCH_SHORTEST = 0.75
+"""Shortest watch as a part of the longest: lengths are drawn, so that the watches of several hosts
+end at different times and one of them has a recent proof."""
+
 _JSON = {"content-type": "application/json"}
 
 _FAILURES = {
@@ -42,12 +48,14 @@
         caller: HttpCaller,
         address: str,
         timeout_s: float,
+        rng: random.Random,
         watch_s: float = 1.0,
         allows_stale: bool = False,
     ) -> None:
         self._caller = caller
         self._url = f"http://{address}/objects/"
         self._timeout_s = timeout_s
+        self._rng = rng
         self._watch_s = watch_s
         # The wire's "serializable" asks for an answer that need not be the latest.
         self._read_options = {"serializable": 1} if allows_stale else {}
@@ -108,9 +116,10 @@
 
     async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
         """Wait for changes of a kind after a position; the answer may be empty."""
-        query = {"watch": position, "waitMs": round(self._watch_s * 1000)}
-        timeout_s = self._watch_s + WATCH_SLACK_S
-        match await self._call("GET", prefix, query, timeout_s=timeout_s):
+        wait_s = self._watch_s * self._rng.uniform(WATCH_SHORTEST, 1.0)
+        query = {"watch": position, "waitMs": round(wait_s * 1000)}
+        sent_s = trio.current_time()
+        match await self._call("GET", prefix, query, timeout_s=wait_s + WATCH_SLACK_S):
             case Ok(answer):
                 fields = answer.json()
             case Err(error):
@@ -120,7 +129,10 @@
         changed = [e["object"] for e in latest.values() if not e["tombstone"]]
         removed = [f"{prefix}/{name}" for name, e in latest.items() if e["tombstone"]]
         objects = [_decode_object(prefix, item) for item in changed]
-        return Ok(Listing(objects, int(fields["storeRevision"]), removed))
+        # A watch that was cut before its time proves nothing beyond its beginning.
+        ended_empty = not latest and trio.current_time() - sent_s >= wait_s
+        proved_after_s = wait_s if ended_empty else 0.0
+        return Ok(Listing(objects, int(fields["storeRevision"]), removed, proved_after_s))
 
     async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
         """Return nothing: endpoints are objects of a kind here, and are listed as such."""
--- a/yewloom/platforms.py
+++ b/yewloom/platforms.py
@@ -63,12 +63,15 @@
 class Listing:
     """Objects, and the point in the platform's history from which a watch goes on.
 
-    ``removed`` holds the keys of objects that a watch reports as gone.
+    ``removed`` holds the keys of objects that a watch reports as gone. ``proved_after_s`` is the
+    time after the call was sent at which nothing more had changed: that of a watch that ended
+    empty, else 0.
     """
 
     objects: Sequence[StoredObject]
     position: int
     removed: Sequence[str] = ()
+    proved_after_s: float = 0.0
 
 
 class Platform(Protocol):
