--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -10,6 +10,7 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.routes import Route
+from yewloom.stalls import StallDetector
 
 REMOTE_PENALTY = 0.25
 """Load that another data centre's endpoint must be below a near one to be preferred, as a part of
@@ -18,6 +19,9 @@
 INCOMPLETE_PENALTY = 10.0
 """Added for a group of which a member is not listed or leaving: chosen only if all are so."""
 
+BASE_LOAD = 0.15
+"""Load that an idle endpoint counts with, so that a slow one is avoided though it is idle."""
+
 AVOIDED_PENALTY = 5.0
 """Added for an endpoint that is avoided for a time: chosen only if all are, since a request that
 is sent may still be answered and one that is refused is not."""
@@ -42,10 +46,12 @@
         directory: EndpointDirectory,
         data_centre: DataCentreId,
         peers: PeerBoard,
+        stalls: StallDetector,
         rng: random.Random,
     ) -> None:
         self._directory = directory
         self._peers = peers
+        self._stalls = stalls
         self._data_centre = data_centre
         self._rng = rng
         self._running: defaultdict[HostId, int] = defaultdict(int)
@@ -74,7 +80,7 @@
                 continue
             if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
                 penalty += AVOIDED_PENALTY
-            score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
+            score = penalty + self._load(endpoint, engine, now_s) + self._rng.random() * 0.01
             if score < best_score:
                 best, best_score = endpoint, score
         return best
@@ -132,7 +138,8 @@
             return 0.0
         return INCOMPLETE_PENALTY
 
-    def _load(self, endpoint: Endpoint, engine: EngineProfile | None) -> float:
+    def _load(self, endpoint: Endpoint, engine: EngineProfile | None, now_s: float) -> float:
+        """Return the load as a part of the slots; a slow group's weighs the more."""
         slots = engine.slots if engine is not None else PLAIN_SLOTS
         running = self._running.get(endpoint.id, 0) + self._peers.running(endpoint.id)
-        return running / slots
+        return (running / slots + BASE_LOAD) * self._stalls.slowness(endpoint.id, now_s)
