--- /dev/null
+++ b/yewloom/tests/test_followers.py
@@ -0,0 +1,110 @@
+"""Tests of following the platform's objects through outages and lost history."""
+
+import unittest
+from collections.abc import Sequence
+
+import trio
+from result import Err, Ok, Result
+
+from yewloom.followers import Follower, Update
+from yewloom.ids import DataCentreId
+from yewloom.platforms import Listing, PlatformError, PlatformFailure, StoredObject
+from yewloom.schema.records_pb2 import Host
+from yewloom.tests.support import run_on_mock_clock
+
+LOST = PlatformError(PlatformFailure.NOT_APPLIED, "down")
+EXPIRED = PlatformError(PlatformFailure.EXPIRED, "history gone")
+STORED = StoredObject("k/a", 3, "{}")
+
+
+class _ScriptedPlatform:
+    """Answers calls from a list, each after a pause; then watches wait for ever."""
+
+    is_down = False
+
+    def __init__(self, *answers: Listing | PlatformError, pause_s: float = 0.5) -> None:
+        self.answers = list(answers)
+        self.pause_s = pause_s
+        self.calls: list[str] = []
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        return await self._answer("list")
+
+    async def watch(self, prefix: str, position: int) -> Result[Listing, PlatformError]:
+        return await self._answer(f"watch {position}")
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        return Ok(None)
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        return Ok(1)
+
+    async def hosts(self, data_centre: DataCentreId) -> Result[Sequence[Host], PlatformError]:
+        return Ok([])
+
+    async def _answer(self, call: str) -> Result[Listing, PlatformError]:
+        self.calls.append(call)
+        if not self.answers:
+            await trio.sleep_forever()
+        await trio.sleep(self.pause_s)
+        answer = self.answers.pop(0)
+        return Err(answer) if isinstance(answer, PlatformError) else Ok(answer)
+
+
+def _follow(platform: _ScriptedPlatform, for_s: float = 60.0) -> list[Update]:
+    """Follow for a while and return the updates."""
+    updates: list[Update] = []
+
+    async def main() -> None:
+        follower = Follower(platform, "k", updates.append, lambda: 0.1, 0.2)
+        with trio.move_on_after(for_s):
+            await follower.run()
+
+    run_on_mock_clock(main)
+    return updates
+
+
+class TestFollower(unittest.TestCase):
+    """What is listed anew, and what an update proves."""
+
+    def test_a_watch_goes_on_from_the_listing(self) -> None:
+        platform = _ScriptedPlatform(Listing([STORED], 5), Listing([], 7), Listing([STORED], 9))
+        updates = _follow(platform)
+        self.assertEqual(platform.calls, ["list", "watch 5", "watch 7", "watch 9"])
+        self.assertEqual([update.is_whole for update in updates], [True, False, False])
+
+    def test_an_update_counts_from_before_its_call_or_from_a_proof(self) -> None:
+        proved = Listing([], 7, proved_after_s=0.4)
+        updates = _follow(_ScriptedPlatform(Listing([], 5), proved))
+        self.assertAlmostEqual(updates[1].proved_s - updates[0].proved_s, 0.5 + 0.4)
+
+    def test_lost_history_is_listed_anew_at_once_and_is_no_outage(self) -> None:
+        platform = _ScriptedPlatform(Listing([], 5), EXPIRED, Listing([], 9))
+        updates = _follow(platform)
+        self.assertEqual(platform.calls[2], "list")
+        self.assertFalse(updates[-1].after_outage)
+
+    def test_after_an_outage_the_first_listing_says_so(self) -> None:
+        platform = _ScriptedPlatform(
+            Listing([], 5), LOST, LOST, Listing([], 9), Listing([], 11), EXPIRED, Listing([], 12)
+        )
+        updates = _follow(platform)
+        self.assertEqual(platform.calls[2:4], ["list", "list"])
+        self.assertEqual([u.after_outage for u in updates], [False, True, False, False])
+
+    def test_a_watch_that_missed_a_change_can_be_ended(self) -> None:
+        platform = _ScriptedPlatform(Listing([], 5), pause_s=0.1)
+
+        async def main() -> None:
+            follower = Follower(platform, "k", lambda update: None, lambda: 0.1, 0.2)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(1.0)
+                follower.list_anew()
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+
+        run_on_mock_clock(main)
+        self.assertEqual(platform.calls, ["list", "watch 5", "list"])
--- /dev/null
+++ b/yewloom/tests/test_model_need.py
@@ -0,0 +1,71 @@
+"""Tests of which model needs another replica."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.model_need import DEMAND_AVERAGE_S, DemandMeter, ModelNeed
+from yewloom.tests.entry_support import LARGE, SMALL, make_profile
+
+PROFILE = make_profile()
+COUNTS = st.integers(0, 30)
+DEMANDS = st.floats(0.1, 100)
+
+
+def _need(large: int, small: int, demand_large: float = 1, demand_small: float = 1) -> ModelNeed:
+    replicas = {LARGE: large, SMALL: small}
+    return ModelNeed(PROFILE, replicas, {LARGE: demand_large, SMALL: demand_small})
+
+
+class TestModelNeed(unittest.TestCase):
+    """Replicas follow demand."""
+
+    def test_the_model_with_the_fewest_replicas_for_its_demand_comes_first(self) -> None:
+        self.assertEqual(_need(2, 8).order()[0].name, LARGE)
+        self.assertEqual(_need(8, 2).order()[0].name, SMALL)
+        self.assertEqual(_need(4, 4, demand_large=3).order()[0].name, LARGE)
+
+    def test_even_models_go_by_size(self) -> None:
+        self.assertEqual(_need(4, 4).order()[0].name, SMALL)
+
+    @given(COUNTS, COUNTS, DEMANDS, DEMANDS, st.integers(1, 3))
+    def test_an_exchange_never_makes_the_giver_the_needier(
+        self, large: int, small: int, demand_large: float, demand_small: float, given_count: int
+    ) -> None:
+        need = _need(large, small, demand_large, demand_small)
+        if need.may_exchange(SMALL, LARGE, given_count):
+            left = small - given_count
+            self.assertGreater(left, 0)
+            self.assertGreaterEqual(left / demand_small, (large + 1) / demand_large)
+
+    @given(COUNTS, COUNTS, DEMANDS, DEMANDS)
+    def test_no_exchange_goes_both_ways(
+        self, large: int, small: int, demand_large: float, demand_small: float
+    ) -> None:
+        need = _need(large, small, demand_large, demand_small)
+        if need.may_exchange(SMALL, LARGE, 1):
+            after = _need(large + 1, small - 1, demand_large, demand_small)
+            self.assertFalse(after.may_exchange(LARGE, SMALL, 1) and large + 1 > small)
+
+
+class TestDemandMeter(unittest.TestCase):
+    """Demand is what runs, over some seconds."""
+
+    def test_configured_shares_stand_in_until_requests_come(self) -> None:
+        demand = DemandMeter().demand(PROFILE)
+        self.assertAlmostEqual(demand[LARGE], demand[SMALL], delta=0.2)
+
+    def test_what_runs_takes_over(self) -> None:
+        meter = DemandMeter()
+        for second in range(60):
+            meter.sample({LARGE: 10, SMALL: 90}, float(second))
+        demand = meter.demand(PROFILE)
+        self.assertGreater(demand[SMALL], 5 * demand[LARGE])
+
+    def test_one_sample_weighs_little(self) -> None:
+        meter = DemandMeter()
+        meter.sample({LARGE: 50, SMALL: 50}, 0.0)
+        meter.sample({LARGE: 0, SMALL: 500}, DEMAND_AVERAGE_S / 50)
+        demand = meter.demand(PROFILE)
+        self.assertLess(demand[SMALL], 2 * demand[LARGE])
--- a/yewloom/tests/test_settings.py
+++ b/yewloom/tests/test_settings.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from yewloom.schema.settings_pb2 import Settings
-from yewloom.settings import parse_settings
+from yewloom.settings import parse_entry_settings, parse_settings
 
 GOOD = """
 [host]
@@ -65,3 +65,37 @@
     def test_any_text_gives_settings_or_one_sentence(self, text: str) -> None:
         result = parse_settings(text, "x.ini")
         self.assertTrue(isinstance(result.ok(), Settings) or str(result.err()))
+
+
+ENTRY = """
+[host]
+id = e1
+data_centre = hall-a
+caller_address = 10.0.0.1:80
+readiness_address = 10.0.0.1:81
+peer_address = 10.0.0.1:82
+[store]
+address = 10.0.0.9:80
+"""
+
+
+class TestEntrySettings(unittest.TestCase):
+    """The settings of an entry host on the users' platform."""
+
+    def test_defaults_fill_what_the_file_leaves_out(self) -> None:
+        settings = parse_entry_settings(ENTRY, "e.ini").unwrap()
+        self.assertEqual(settings.bounds.key_revocation_ms, 5000)
+        self.assertFalse(settings.host.is_first_start)
+
+    def test_each_mistake_names_section_key_and_remedy(self) -> None:
+        cases = {
+            ENTRY.replace("peer_address = 10.0.0.1:82\n", ""): ["[host]", "peer_address"],
+            ENTRY + "[lease]\nduration_ms = 100\n": ["[lease]", "set it above"],
+            ENTRY + "[bounds]\nstall_ms = x\n": ["[bounds]", "stall_ms"],
+            ENTRY + "[table]\n": ["[table]", "use one of"],
+        }
+        for text, words in cases.items():
+            with self.subTest(words=words):
+                sentence = str(parse_entry_settings(text, "e.ini").err())
+                for word in ["e.ini", *words]:
+                    self.assertIn(word, sentence)
