--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -266,7 +266,8 @@
 
     def _is_before_traffic(self) -> bool:
         """Tell whether the system starts for the first time and nobody asked for anything yet."""
-        return self._settings.host.is_first_start and not self._has_had_requests
+        has_traffic = self._has_had_requests or bool(self._board.loads())
+        return self._settings.host.is_first_start and not has_traffic
 
     async def _handle(self, request: CallerRequest, reply: Reply) -> None:
         self._has_had_requests = True
--- /dev/null
+++ b/yewloom/platform/standin_engine.py
@@ -0,0 +1,141 @@
+"""A stand-in for the users' model engines: orders, groups, reports and streams of events.
+
+Times are short, and nothing is checked that the users' engines don't check.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from yewloom.platform.standin_store import StandinStore
+
+JOIN_S = 0.1
+"""Time to join a group; some seconds at the users' engines."""
+
+EVENT_S = 0.02
+"""Time between two events."""
+
+EVENTS = 5
+"""Events of each answer."""
+
+
+def _set_event() -> trio.Event:
+    event = trio.Event()
+    event.set()
+    return event
+
+
+@dataclass
+class StandinEngine:
+    """One engine; while ``moves`` is not set, its group stands still, as after a lost member."""
+
+    name: str
+    address: str
+    service: str
+    domain: str
+    zone: str
+    store: StandinStore
+    staged: list[str] = field(default_factory=list)
+    models: list[str] = field(default_factory=list)
+    group: dict[str, Any] | None = None
+    members: list[str] = field(default_factory=list)
+    sequence: int = 0
+    moves: trio.Event = field(default_factory=_set_event)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/order", self._order, methods=["POST"]),
+            Route("/report", self._report, methods=["GET"]),
+            Route("/{path:path}", self._answer, methods=["GET", "POST"]),
+        ]
+        return Starlette(routes=routes)
+
+    def publish(self) -> None:
+        """Write the engine's entry into the store."""
+        spec = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 13,
+            "state": "ready",
+            "domain": self.domain,
+            "models": [{"name": name, "version": 1, "adapters": []} for name in self.models],
+            "staged": self.staged,
+            "group": self.group,
+        }
+        self.store.put("servers", self.name, spec)
+
+    async def _order(self, request: Request) -> Response:
+        order = json.loads(await request.body())
+        self.orders.append(order)
+        if request.headers.get("yewloom-expect-instance") != self.name:
+            return Response(status_code=421)
+        expected = order.get("expectedRev")
+        if expected is not None and expected != self.sequence:
+            return Response(status_code=409)
+        if order["op"] == "join":
+            return await self._join(order)
+        if order["op"] == "phase":
+            self.staged = [order["model"]]
+            return self._begun()
+        if self.group is None or self.group["name"] != order["group"]:
+            return Response(status_code=200 if order["op"] == "leave" else 409)
+        return self._change_group(order["op"])
+
+    async def _join(self, order: dict[str, Any]) -> Response:
+        self.members = order["members"]
+        rank = self.members.index(self.name)
+        self.group = {"name": order["group"], "epoch": order["epoch"], "rank": rank}
+        self.group["state"] = "joining"
+        self.publish()
+        await trio.sleep(JOIN_S)
+        self.models = self.staged = [order["model"]]
+        self.group = {**self.group, "state": "ready"}
+        return self._begun()
+
+    def _change_group(self, op: str) -> Response:
+        assert self.group is not None
+        if op == "leave":
+            self.group = None
+        elif op == "open" and self.group["state"] == "ready":
+            self.group = {**self.group, "state": "open"}
+        elif op == "close" and self.group["state"] == "open":
+            self.group = {**self.group, "state": "ready"}
+        else:
+            return Response(status_code=200)
+        return self._begun()
+
+    def _begun(self) -> Response:
+        self.sequence += 1
+        self.publish()
+        return Response(status_code=202)
+
+    async def _report(self, request: Request) -> Response:
+        return JSONResponse({"phase": "both", "sequence": self.sequence, "queued": 0, "active": 0})
+
+    async def _answer(self, request: Request) -> Response:
+        headers = {"yewloom-request-id": request.headers["yewloom-request-id"]}
+        is_serving = self.group is not None and self.group["state"] == "open"
+        if request.headers.get("yewloom-expect-instance") != self.name or not is_serving:
+            return Response(status_code=421, headers=headers)
+        headers["yewloom-server-stamp"] = self.name
+        last = int(request.headers.get("last-event-id", "0"))
+        return StreamingResponse(
+            self._events(last), headers=headers, media_type="text/event-stream"
+        )
+
+    async def _events(self, last: int) -> AsyncIterator[bytes]:
+        for number in range(last + 1, EVENTS + 1):
+            await self.moves.wait()
+            yield b"id: %d\ndata: %d\n\n" % (number, number)
+            await trio.sleep(EVENT_S)
--- /dev/null
+++ b/yewloom/tests/test_entry_host.py
@@ -0,0 +1,294 @@
+"""Tests of a whole entry host before stand-ins of the users' store and engines."""
+
+import random
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+from starlette.applications import Starlette
+
+from yewloom.endpoint_calls import ExchangeError, OutgoingRequest, open_exchange
+from yewloom.entry_host import EntryHost, PlatformParts
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.http_calls import HttpCaller
+from yewloom.platform.engines import HttpEngineOrders
+from yewloom.platform.headers import WireHeaders
+from yewloom.platform.records import StoreRecords
+from yewloom.platform.standin_engine import EVENTS, StandinEngine
+from yewloom.platform.standin_store import StandinStore
+from yewloom.platform.store import ObjectStore
+from yewloom.schema.entry_pb2 import EntrySettings
+from yewloom.settings import parse_entry_settings
+
+SERVICE = "s1"
+MODEL = "m"
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def _configuration(version: int, keys: list[str]) -> dict[str, object]:
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "x.example",
+                "pathPrefix": "/a/",
+                "type": "stream",
+                "timeoutMs": 8000,
+                "sloMs": 500,
+                "priority": 1,
+                "service": SERVICE,
+                "attempts": 2,
+                "resumable": True,
+            }
+        ],
+        "services": [
+            {
+                "name": SERVICE,
+                "engine": {
+                    "slots": 13,
+                    "models": [{"name": MODEL, "size": 2, "share": 1, "loadS": 1, "warmupS": 0.1}],
+                    "loadsPerS": 4.0,
+                },
+            }
+        ],
+        "tenants": [{"name": "hotel", "apiKeys": keys}],
+    }
+
+
+class World:
+    """A store, engines and entry hosts on the loopback."""
+
+    def __init__(self) -> None:
+        self.store = StandinStore()
+        self.store_address = _free_address()
+        self.engines: list[StandinEngine] = []
+        self.hosts: list[EntrySettings] = []
+        self._nursery: trio.Nursery | None = None
+
+    async def start(self, nursery: trio.Nursery, engines: int, hosts: int) -> None:
+        """Start everything and wait until requests can be served."""
+        self._nursery = nursery
+        self.store.put("config", "main", _configuration(3, ["k1"]))
+        await self._serve(self.store.application(), self.store_address)
+        for number in range(engines):
+            await self.add_engine(f"i{number}")
+        for number in range(hosts):
+            settings = self._settings(f"e{number}")
+            self.hosts.append(settings)
+            nursery.start_soon(self._run_host, settings)
+
+        async def all_serve() -> bool:
+            return all([await self._serves(host) for host in range(hosts)])
+
+        await self.wait_for(all_serve)
+
+    async def _serves(self, host: int) -> bool:
+        try:
+            return (await self.ask(host))[0] == 200
+        except ExchangeError:
+            return False
+
+    async def add_engine(self, name: str) -> StandinEngine:
+        """Start an engine and list it."""
+        engine = StandinEngine(name, _free_address(), SERVICE, "d1", "hall-a", self.store)
+        self.engines.append(engine)
+        await self._serve(engine.application(), engine.address)
+        engine.publish()
+        return engine
+
+    async def ask(self, host: int = 0, key: str = "k1") -> tuple[int, bytes]:
+        """Send a request to an entry host; return status and body."""
+        headers = [
+            (b"host", b"x.example"),
+            (b"yewloom-request-id", b"r1"),
+            (b"yewloom-model", MODEL.encode()),
+            (b"yewloom-deadline-ms", b"6000"),
+            (b"authorization", f"Token {key}".encode()),
+            (b"content-length", b"0"),
+        ]
+        async with open_exchange(self.hosts[host].host.caller_address, 1.0) as exchange:
+            await exchange.send(OutgoingRequest(b"POST", b"/a/1", headers, b""))
+            head = await exchange.head()
+            return head.status, await exchange.whole_body()
+
+    async def wait_for(self, is_so: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until something is so; the test's own limit ends it otherwise."""
+        while True:
+            if await is_so():
+                return
+            await trio.sleep(0.05)
+
+    def heads(self) -> list[StandinEngine]:
+        """Return the engines that lead open groups."""
+        return [e for e in self.engines if e.group is not None and e.group["state"] == "open"]
+
+    def _settings(self, name: str) -> EntrySettings:
+        text = f"""
+[host]
+id = {name}
+data_centre = hall-a
+caller_address = {_free_address()}
+readiness_address = {_free_address()}
+peer_address = {_free_address()}
+metrics_port = 0
+is_first_start = true
+[store]
+address = {self.store_address}
+configuration_watch_ms = 300
+"""
+        return parse_entry_settings(text, "test").unwrap()
+
+    async def _run_host(self, settings: EntrySettings) -> None:
+        rng, caller = random.Random(1), HttpCaller(1.0)
+        address = settings.store.address
+        parts = PlatformParts(
+            configuration=ObjectStore(caller, address, 1.0, rng, 0.3),
+            endpoints=ObjectStore(caller, address, 1.0, rng, 0.5),
+            records_store=ObjectStore(caller, address, 1.0, rng),
+            stale_store=ObjectStore(caller, address, 1.0, rng, allows_stale=True),
+            records=StoreRecords(),
+            codec=WireHeaders(),
+            orders=HttpEngineOrders(caller),
+        )
+        await EntryHost(settings, parts, ForwardMetrics(), rng).run(lambda: None)
+
+    async def _serve(self, application: Starlette, address: str) -> None:
+        config = Config()
+        config.bind = [address]
+        config.errorlog = None
+        assert self._nursery is not None
+        self._nursery.start_soon(hypercorn.trio.serve, application, config)
+        while True:
+            try:
+                async with open_exchange(address, 1.0):
+                    return
+            except ExchangeError:
+                await trio.sleep(0.01)
+
+
+def run(test: Callable[[World], Awaitable[None]], engines: int = 4, hosts: int = 2) -> None:
+    """Run a test in a world that serves."""
+
+    async def main() -> None:
+        world = World()
+        async with trio.open_nursery() as nursery:
+            with trio.fail_after(60):
+                await world.start(nursery, engines, hosts)
+                await test(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class TestEntryHost(unittest.TestCase):
+    """From an empty store to answers, and through failures."""
+
+    def test_engines_are_formed_into_groups_and_serve(self) -> None:
+        async def test(world: World) -> None:
+            status, body = await world.ask()
+            self.assertEqual((status, body.count(b"id: ")), (200, EVENTS))
+            self.assertEqual((await world.ask(key="no"))[0], 401)
+            self.assertEqual(world.store.names("yewloom-placements"), ["hall-a"])
+            for engine in world.engines:
+                opened = [o for o in engine.orders if o["op"] == "open"]
+                self.assertTrue(not opened or engine.members[0] == engine.name)
+
+        run(test)
+
+    def test_a_key_that_is_taken_away_is_refused_at_every_host(self) -> None:
+        async def test(world: World) -> None:
+            world.store.put("config", "main", _configuration(4, ["k2"]))
+
+            async def is_refused() -> bool:
+                return all([(await world.ask(host))[0] == 401 for host in (0, 1)])
+
+            await world.wait_for(is_refused)
+            self.assertEqual((await world.ask(key="k2"))[0], 200)
+
+        run(test)
+
+    def test_an_older_configuration_is_never_applied(self) -> None:
+        async def test(world: World) -> None:
+            world.store.put("config", "main", _configuration(2, ["k2"]))
+            await trio.sleep(0.6)
+            self.assertEqual((await world.ask())[0], 200)
+            self.assertEqual((await world.ask(key="k2"))[0], 401)
+
+        run(test)
+
+    def test_hosts_serve_on_while_the_store_is_down_until_keys_are_too_old(self) -> None:
+        async def test(world: World) -> None:
+            world.store.faults.status = 503
+            self.assertEqual((await world.ask())[0], 200)
+
+            async def is_refused() -> bool:
+                return (await world.ask())[0] == 503
+
+            await world.wait_for(is_refused)
+            world.store.faults.status = 0
+
+            async def is_served() -> bool:
+                return (await world.ask())[0] == 200
+
+            await world.wait_for(is_served)
+
+        run(test)
+
+    def test_a_listing_after_lost_history_brings_what_was_missed(self) -> None:
+        async def test(world: World) -> None:
+            world.store.put("config", "main", _configuration(4, ["k1", "k2"]))
+            world.store.forget_history()
+
+            async def is_served() -> bool:
+                return (await world.ask(key="k2"))[0] == 200
+
+            await world.wait_for(is_served)
+
+        run(test)
+
+    def test_a_stream_leaves_a_group_that_stands_still(self) -> None:
+        async def test(world: World) -> None:
+            await world.wait_for(self._has_two_groups(world))
+            world.heads()[0].moves = trio.Event()
+            for _ in range(4):
+                status, body = await world.ask()
+                self.assertEqual((status, body.count(b"id: ")), (200, EVENTS))
+
+        run(test)
+
+    def test_a_group_that_lost_a_member_is_formed_anew(self) -> None:
+        async def test(world: World) -> None:
+            await world.wait_for(self._has_two_groups(world))
+            spare = await world.add_engine("spare")
+            spare.staged = [MODEL]
+            spare.publish()
+            head = world.heads()[0]
+            lost = next(e for e in world.engines if e.name == head.members[1])
+            old = head.group
+            world.store.remove("servers", lost.name)
+            world.engines.remove(lost)
+
+            async def is_formed_anew() -> bool:
+                groups = [e.group for e in world.heads()]
+                return len(groups) == 2 and old not in groups
+
+            await world.wait_for(is_formed_anew)
+            self.assertIn(spare.name, [name for e in world.heads() for name in e.members])
+
+        run(test)
+
+    @staticmethod
+    def _has_two_groups(world: World) -> Callable[[], Awaitable[bool]]:
+        async def check() -> bool:
+            return len(world.heads()) == 2
+
+        return check
