--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -56,6 +56,7 @@
 
     first_seen_s: dict[GroupKey, float] = field(default_factory=dict)
     ordered_s: dict[OrderName, float] = field(default_factory=dict)
+    leaving_since_s: dict[GroupKey, float] = field(default_factory=dict)
     left: set[GroupKey] = field(default_factory=set)
     unreachable_since_s: dict[HostId, float] = field(default_factory=dict)
     staging: dict[HostId, Staging] = field(default_factory=dict)
--- a/yewloom/replica_lifecycle.py
+++ b/yewloom/replica_lifecycle.py
@@ -18,6 +18,10 @@
 CLOSE_LIMIT_S = 10.0
 """Longest time that a closing group is left to finish; engines hold a leaving member no longer."""
 
+LEAVING_SERVICE_S = 4.0
+"""Time for which a group serves on with a leaving member that does not lead: leaving members serve
+for 2 s and longer, and stay for up to 10 s while their group has work."""
+
 UNREACHABLE_IS_GONE_S = 3.0
 """Time for which the leader of a lost group must be both unlisted and unreachable before it counts
 as ended: entries lapse after three heartbeats of 1.2 s."""
@@ -97,7 +101,7 @@
             return self._tend_forming(group, key, now_s - began_s)
         states = {m.membership.state for m in in_group if m.membership is not None}
         if MemberState.OPEN in states:
-            if any(member.is_leaving for member in present):
+            if self._must_close(present, key, now_s):
                 return self.retire(group, key, GroupIntent.DRAINING)
             return False
         if states == {MemberState.READY}:
@@ -105,6 +109,20 @@
             return False
         return self._tend_forming(group, key, now_s - began_s)
 
+    def _must_close(self, members: list[Endpoint], key: GroupKey, now_s: float) -> bool:
+        """Tell whether a leaving member ends a group that serves.
+
+        A leader takes nothing new at once. Another member stays while its group has work, so the
+        group serves on for a while, in which hosts for the next one may come.
+        """
+        if members[0].is_leaving:
+            return True
+        if not any(member.is_leaving for member in members):
+            self._state.leaving_since_s.pop(key, None)
+            return False
+        since_s = self._state.leaving_since_s.setdefault(key, now_s)
+        return now_s - since_s >= LEAVING_SERVICE_S
+
     def _has_failed(self, member: Endpoint, key: GroupKey) -> bool:
         if member.id in self._state.suspects:
             return True
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -17,11 +17,14 @@
 its slots: bytes between data centres are priced and add some milliseconds."""
 
 INCOMPLETE_PENALTY = 10.0
-"""Added for a group of which a member is not listed or leaving: chosen only if all are so."""
+"""Added for a group of which a member is not listed: chosen only if all are so."""
 
 BASE_LOAD = 0.15
 """Load that an idle endpoint counts with, so that a slow one is avoided though it is idle."""
 
+LEAVING_PENALTY = 0.3
+"""Added for a group with a leaving member: it may stop taking requests at any moment."""
+
 AVOIDED_PENALTY = 5.0
 """Added for an endpoint that is avoided for a time: chosen only if all are, since a request that
 is sent may still be answered and one that is refused is not."""
@@ -133,10 +136,10 @@
         assert head.membership is not None
         members = self._directory.members(head.membership.key)
         sizes = [engine.models[m].group_size for m in head.models if m in engine.models]
-        is_whole = len(members) >= max(sizes, default=1)
-        if is_whole and not any(member.is_leaving for member in members.values()):
-            return 0.0
-        return INCOMPLETE_PENALTY
+        if len(members) < max(sizes, default=1):
+            return INCOMPLETE_PENALTY
+        is_leaving = any(member.is_leaving for member in members.values())
+        return LEAVING_PENALTY if is_leaving else 0.0
 
     def _load(self, endpoint: Endpoint, engine: EngineProfile | None, now_s: float) -> float:
         """Return the load as a part of the slots; a slow group's weighs the more."""
--- a/yewloom/tests/test_replica_plan.py
+++ b/yewloom/tests/test_replica_plan.py
@@ -15,6 +15,7 @@
 from yewloom.ids import HostId, ModelName
 from yewloom.model_need import starting_demand
 from yewloom.plan_state import PlannedOrder, PlanState
+from yewloom.replica_lifecycle import LEAVING_SERVICE_S
 from yewloom.replica_orders import (
     CloseGroup,
     EngineOrder,
@@ -135,6 +136,16 @@
         [leave] = _orders(plan.orders, LeaveGroup)
         self.assertEqual((leave.engine, leave.order), ("a", LeaveGroup(key)))
 
+    def test_a_leaving_leader_ends_its_group_at_once_and_another_member_later(self) -> None:
+        for leaving, ends_s in (("a", 0.0), ("b", LEAVING_SERVICE_S)):
+            directory, state = EndpointDirectory(), PlanState()
+            record = _record(directory, SMALL, ["a", "b"])
+            listed = directory.by_id[HostId(leaving)]
+            directory.put(replace(listed, is_leaving=True))
+            for now_s in (0.0, 1.0, LEAVING_SERVICE_S):
+                plan = _planner(directory, state, RATIONED).plan(record, now_s)
+                self.assertEqual(plan.record is not None, now_s >= ends_s)
+
     def test_a_host_of_a_small_group_takes_a_lost_place_without_a_load(self) -> None:
         directory, state = EndpointDirectory(), PlanState()
         for name in ("a", "b", "c"):
