--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -179,15 +179,11 @@
     ) -> tuple[bool, str]:
         """Pass on events as they come; the answer begins with its first event."""
         splitter = EventSplitter()
-        last_s: float | None = None
         while True:
             chunk = await self._unless_stalled(request, endpoint, exchange.next_chunk)
             if chunk is None:
                 break
-            now_s = trio.current_time()
-            gap_s = now_s - last_s if last_s is not None else None
-            self._stalls.on_event(endpoint.id, now_s, gap_s)
-            last_s = now_s
+            self._stalls.on_event(endpoint.id, trio.current_time())
             data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
             if data:
                 await self._pass_data(request, head, data)
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -106,7 +106,7 @@
         self._is_leaving = False
         data_centre = DataCentreId(settings.host.data_centre)
         self._board = PeerBoard(EntryHostId(settings.host.id))
-        self._selector = Selector(self._directory, data_centre, self._board, self._stalls, rng)
+        self._selector = Selector(self._directory, data_centre, self._board, rng)
         bounds = settings.bounds
         self._forwarder = Forwarder(
             self._book,
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -10,7 +10,6 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.routes import Route
-from yewloom.stalls import StallDetector
 
 REMOTE_PENALTY = 0.25
 """Load that another data centre's endpoint must be below a near one to be preferred, as a part of
@@ -19,9 +18,6 @@
 INCOMPLETE_PENALTY = 10.0
 """Added for a group of which a member is not listed: chosen only if all are so."""
 
-BASE_LOAD = 0.15
-"""Load that an idle endpoint counts with, so that a slow one is avoided though it is idle."""
-
 LEAVING_PENALTY = 0.3
 """Added for a group with a leaving member: it may stop taking requests at any moment."""
 
@@ -49,12 +45,10 @@
         directory: EndpointDirectory,
         data_centre: DataCentreId,
         peers: PeerBoard,
-        stalls: StallDetector,
         rng: random.Random,
     ) -> None:
         self._directory = directory
         self._peers = peers
-        self._stalls = stalls
         self._data_centre = data_centre
         self._rng = rng
         self._running: defaultdict[HostId, int] = defaultdict(int)
@@ -83,7 +77,7 @@
                 continue
             if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
                 penalty += AVOIDED_PENALTY
-            score = penalty + self._load(endpoint, engine, now_s) + self._rng.random() * 0.01
+            score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
             if score < best_score:
                 best, best_score = endpoint, score
         return best
@@ -141,8 +135,7 @@
         is_leaving = any(member.is_leaving for member in members.values())
         return LEAVING_PENALTY if is_leaving else 0.0
 
-    def _load(self, endpoint: Endpoint, engine: EngineProfile | None, now_s: float) -> float:
-        """Return the load as a part of the slots; a slow group's weighs the more."""
+    def _load(self, endpoint: Endpoint, engine: EngineProfile | None) -> float:
         slots = engine.slots if engine is not None else PLAIN_SLOTS
         running = self._running.get(endpoint.id, 0) + self._peers.running(endpoint.id)
-        return (running / slots + BASE_LOAD) * self._stalls.slowness(endpoint.id, now_s)
+        return running / slots
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -4,7 +4,6 @@
 seconds of the caller's monotonic clock.
 """
 
-import math
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -14,16 +13,6 @@
 """Silence of all streams of a group after which it counts as standing still. Batches on the trial
 days gave an event at least every 0.12 s; prompts of 6,000 tokens add 0.13 s."""
 
-USUAL_EVENT_S = 0.09
-"""Time between two events of a stream at a group in good order: 5 tokens at 6 to 12 ms, and a part
-of the prompts that are read in between."""
-
-SLOWNESS_WEIGHT = 0.3
-"""Weight of one event in a group's average."""
-
-SLOWNESS_HALF_LIFE_S = 3.0
-"""Time in which half of a group's slowness is forgotten, so that it is tried again."""
-
 REPORT_S = 1.0
 """Time for which a report that a group stands still counts."""
 
@@ -39,17 +28,6 @@
     has_events: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _Slowness:
-    ratio: float
-    noted_s: float
-
-    def at(self, now_s: float) -> float:
-        """Return the ratio as far as it is not forgotten."""
-        half_lives = (now_s - self.noted_s) / SLOWNESS_HALF_LIFE_S
-        return 1.0 + (self.ratio - 1.0) * math.exp2(-half_lives)
-
-
 class StallDetector:
     """Follows the events of every group head that this host has streams at."""
 
@@ -57,7 +35,6 @@
         self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
         self._reported_s: dict[HostId, float] = {}
         self._told_s: dict[HostId, float] = {}
-        self._slowness: dict[HostId, _Slowness] = {}
 
     def on_begin(self, head: HostId, now_s: float) -> None:
         """Take in that a stream was opened."""
@@ -66,22 +43,10 @@
             pace.moved_s, pace.has_events = now_s, False
         pace.streams += 1
 
-    def on_event(self, head: HostId, now_s: float, gap_s: float | None = None) -> None:
-        """Take in that an event came, ``gap_s`` after the one before it in the same stream."""
+    def on_event(self, head: HostId, now_s: float) -> None:
+        """Take in that an event came."""
         pace = self._paces[head]
         pace.moved_s, pace.has_events = now_s, True
-        if gap_s is not None:
-            self._note_gap(head, gap_s, now_s)
-
-    def slowness(self, head: HostId, now_s: float) -> float:
-        """Return how many times slower than usual a group's events come; 1 if not slower."""
-        known = self._slowness.get(head)
-        return known.at(now_s) if known is not None else 1.0
-
-    def _note_gap(self, head: HostId, gap_s: float, now_s: float) -> None:
-        ratio = max(1.0, gap_s / USUAL_EVENT_S)
-        known = self.slowness(head, now_s)
-        self._slowness[head] = _Slowness(known + SLOWNESS_WEIGHT * (ratio - known), now_s)
 
     def on_end(self, head: HostId) -> None:
         """Take in that a stream is over."""
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -127,16 +127,16 @@
     def __init__(self, configuration: Configuration | None = None) -> None:
         self.book = ConfigurationBook()
         self.directory = EndpointDirectory()
-        stalls = StallDetector()
-        board = PeerBoard(EntryHostId("me"))
-        self.selector = Selector(self.directory, HALL, board, stalls, random.Random(1))
+        self.selector = Selector(
+            self.directory, HALL, PeerBoard(EntryHostId("me")), random.Random(1)
+        )
         codec, metrics = WireHeaders(), ForwardMetrics()
         self.forwarder = Forwarder(
             self.book,
             codec,
             self.selector,
             RetryWindow(0.2, 10.0, 10.0),
-            EndpointAttempts(codec, self.selector, stalls, metrics),
+            EndpointAttempts(codec, self.selector, StallDetector(), metrics),
             metrics,
             5.0,
             lambda: True,
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -11,7 +11,6 @@
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
 from yewloom.selection import Selector, Wanted
-from yewloom.stalls import StallDetector
 from yewloom.tests.entry_support import (
     ENGINES,
     HALL,
@@ -33,11 +32,7 @@
     def setUp(self) -> None:
         self.directory = EndpointDirectory()
         self.board = PeerBoard(EntryHostId("me"))
-        self.stalls = StallDetector()
-        self.selector = self._selector()
-
-    def _selector(self) -> Selector:
-        return Selector(self.directory, HALL, self.board, self.stalls, random.Random(1))
+        self.selector = Selector(self.directory, HALL, self.board, random.Random(1))
 
     def choose(self, *tried: str) -> str | None:
         """Choose a leader of the small model."""
@@ -99,18 +94,6 @@
             self.selector.begin(HostId("a"))
         self.assertEqual(self.choose(), "c")
 
-    def test_a_slow_group_is_passed_over_until_that_is_forgotten(self) -> None:
-        put_group(self.directory, "g1", SMALL, ["a", "b"])
-        put_group(self.directory, "g2", SMALL, ["c", "d"])
-        for _ in range(10):
-            self.stalls.on_event(HostId("a"), 0.0, gap_s=0.5)
-        for _ in range(4):
-            self.selector.begin(HostId("c"))
-        self.assertEqual(self.choose(), "c")
-        found = self.selector.choose(Wanted(ENGINES, SMALL), CONFIGURATION, (), 30.0)
-        assert found is not None
-        self.assertEqual(found.id, "a")
-
     def test_what_peers_run_counts_as_well(self) -> None:
         put_group(self.directory, "g1", SMALL, ["a", "b"])
         put_group(self.directory, "g2", SMALL, ["c", "d"])
@@ -124,7 +107,7 @@
 
     @given(st.lists(st.sampled_from("abc"), max_size=30))
     def test_counts_return_to_nothing(self, names: list[str]) -> None:
-        selector = self._selector()
+        selector = Selector(self.directory, HALL, self.board, random.Random(1))
         for name in names:
             selector.begin(HostId(name))
         for name in names:
