--- a/tools/reference.py
+++ b/tools/reference.py
@@ -5,7 +5,7 @@
 
 from google.protobuf.descriptor import Descriptor
 
-from yewloom.schema import settings_pb2, table_pb2
+from yewloom.schema import entry_pb2, settings_pb2, table_pb2
 from yewloom.validation import allowed_text, is_scalar, rule_of
 
 _HEAD = "| {} | accepts | default | meaning |\n|---|---|---|---|\n"
@@ -23,9 +23,19 @@
 
 
 def settings_reference() -> str:
-    """Return the page of all settings."""
-    parts = ["# Settings\n\nGenerated from `yewloom/schema/settings.proto` by `make docs`.\n"]
-    for section in settings_pb2.Settings.DESCRIPTOR.fields:
+    """Return the page of all settings of ``yewloomd``."""
+    return _sections_reference("Settings", "settings.proto", settings_pb2.Settings.DESCRIPTOR)
+
+
+def entry_settings_reference() -> str:
+    """Return the page of all settings of an entry host on the users' platform."""
+    title = "Settings on the users' platform"
+    return _sections_reference(title, "entry.proto", entry_pb2.EntrySettings.DESCRIPTOR)
+
+
+def _sections_reference(title: str, source: str, settings: Descriptor) -> str:
+    parts = [f"# {title}\n\nGenerated from `yewloom/schema/{source}` by `make docs`.\n"]
+    for section in settings.fields:
         parts.append(f"\n## [{section.name}]\n\n{_table('key', section.message_type)}")
     return "".join(parts)
 
@@ -47,6 +57,7 @@
     """Write the pages with --write; otherwise return 1 if one is out of date."""
     pages = {
         Path("docs/settings.md"): settings_reference(),
+        Path("docs/entry-settings.md"): entry_settings_reference(),
         Path("docs/table-cells.md"): table_reference(),
     }
     if "--write" in sys.argv:
--- a/yewloom/cli.py
+++ b/yewloom/cli.py
@@ -17,6 +17,7 @@
 
 from yewloom import comparison
 from yewloom.experiments import join_records, record_from
+from yewloom.explanation import Story
 from yewloom.http_calls import HttpCaller, HttpCallError
 from yewloom.ids import RowName
 from yewloom.node import unix_ms
@@ -97,6 +98,24 @@
             _fail(str(error), EXIT_USAGE)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[list[Path], typer.Argument(help="Log files of entry hosts.")],
+) -> None:
+    """Print what the logs of entry hosts tell of one request, in order of time."""
+    story = Story(request_id)
+    for path in files:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as lines:
+                story.read(lines)
+        except OSError as error:
+            _fail(f"{path} can't be read ({error}); name a log file.", EXIT_USAGE)
+    typer.echo("\n".join(story.lines()))
+    if not story.is_known:
+        _fail(f"No line of these files names the request {request_id!r}.", EXIT_FAILED)
+
+
 @table_app.command("list")
 def table_list(platform: PlatformOption, as_json: JsonOption = False) -> None:
     """Print all rows.  Example: yewloom table list"""
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -185,14 +185,14 @@
                 ]
                 for task in tasks:
                     nursery.start_soon(_keep_running, task)
-                logger.info("started", host=host.id, data_centre=host.data_centre)
+                logger.info("started", data_centre=host.data_centre)
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
                     reload()
                 await self._stop()
                 nursery.cancel_scope.cancel()
-        logger.info("stopped", host=host.id)
+        logger.info("stopped")
 
     def _endpoint_pause_s(self) -> float:
         """Return how long changes of endpoints are gathered; a coordinator waits for them."""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -105,28 +105,28 @@
 
     async def handle(self, source: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
-        request = None
+        request = marks = None
         try:
-            request = self._admit(source, reply)
+            marks = self._marks(source)
+            request = self._admit(source, reply, marks)
             self._retries.on_request(request.wanted.service, source.arrived_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
             outcome = refusal.reason
             await self._send_refusal(reply, refusal)
-        except CallerGoneError:
-            self._log(source, request, reply, "caller gone")
+        except (CallerGoneError, trio.Cancelled):
+            self._log(source, marks, request, reply, "caller gone")
             raise
-        except trio.Cancelled:
-            self._log(source, request, reply, "caller gone")
-            raise
-        self._log(source, request, reply, outcome)
+        self._log(source, marks, request, reply, outcome)
 
-    def _admit(self, source: CallerRequest, reply: Reply) -> ForwardRequest:
-        """Return a request with its route and customer, or raise Refusal."""
+    def _marks(self, source: CallerRequest) -> RequestMarks:
         try:
-            marks = self._codec.decode_request(source.headers)
+            return self._codec.decode_request(source.headers)
         except HeaderError as error:
             raise Refusal(400, str(error)) from error
+
+    def _admit(self, source: CallerRequest, reply: Reply, marks: RequestMarks) -> ForwardRequest:
+        """Return a request with its route and customer, or raise Refusal."""
         configuration = self._book.current
         if configuration is None or not self._is_ready():
             raise Refusal(503, "no configuration yet", NOT_READY_RETRY_AFTER_S)
@@ -229,7 +229,12 @@
         await reply.send_whole(refusal.status, headers, b"")
 
     def _log(
-        self, source: CallerRequest, request: ForwardRequest | None, reply: Reply, outcome: str
+        self,
+        source: CallerRequest,
+        marks: RequestMarks | None,
+        request: ForwardRequest | None,
+        reply: Reply,
+        outcome: str,
     ) -> None:
         """Write the one line that tells what became of a request, and count it."""
         now_s = trio.current_time()
@@ -238,7 +243,7 @@
         self._metrics.on_request(kind, reply.status, outcome, took_ms / 1000)
         logger.info(
             "request",
-            request_id=request.marks.request_id if request is not None else "",
+            request_id=marks.request_id if marks is not None else "",
             route=request.route.name if request is not None else source.path,
             outcome=outcome,
             status=reply.status,
--- a/yewloom/log_sink.py
+++ b/yewloom/log_sink.py
@@ -55,11 +55,19 @@
                 self._held.appendleft(rest)
 
 
-def set_up_logs(level: str, sink: LogSink) -> None:
-    """Send all log events at or above a level to a sink as JSON lines."""
+def set_up_logs(level: str, sink: LogSink, host: str = "") -> None:
+    """Send all log events at or above a level to a sink as JSON lines that name the host."""
+
+    def add_host(
+        logger: structlog.typing.WrappedLogger, method: str, fields: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        fields["host"] = host
+        return fields
+
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
+            add_host,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.ExceptionRenderer(),
             structlog.processors.JSONRenderer(),
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -61,7 +61,7 @@
             return 2
         case Ok(settings):
             pass
-    set_up_logs(settings.host.log_level, sink)
+    set_up_logs(settings.host.log_level, sink, settings.host.id)
     rng = random.Random()
     host = EntryHost(settings, build_parts(settings, rng), metrics, rng)
     trio.run(host.run, lambda: _reload(path))
