--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -175,6 +175,7 @@
             except RecordError as error:
                 logger.error("record unreadable", reason=str(error))
                 continue
+            self._board.know(peer)
             if peer != self._host_id:
                 self._peers[peer] = address
         return bool(self._peers)
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -32,10 +32,6 @@
 
 logger = structlog.get_logger(__name__)
 
-EXPECTED_ENTRY_HOSTS = 12
-"""Entry hosts among which the extra retries are divided: nine and three spare ones on the larger
-trial deployment. Each keeps to its part, so the sum holds when they can't reach each other."""
-
 BALANCER_NOTICE_S = 2.6
 """Time for which connections are still accepted after the host stops being ready: the balancer
 asks once a second and takes a host out after two answers."""
@@ -115,7 +111,7 @@
             RetryWindow(
                 bounds.retry_ratio,
                 bounds.retry_window_s,
-                bounds.retry_extra / EXPECTED_ENTRY_HOSTS,
+                lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
             ),
             EndpointAttempts(parts.codec, self._selector, self._stalls, metrics),
             metrics,
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -30,13 +30,30 @@
     heard_s: float
 
 
+LEAST_HOSTS = 12
+"""Entry hosts among which a bound for all is divided at least: nine and three spare ones on the
+larger trial deployment, of which some may not be known yet."""
+
+
 class PeerBoard:
-    """Keeps the latest message of each peer."""
+    """Keeps the latest message of each peer, and the peers that were ever known."""
 
     def __init__(self, me: EntryHostId) -> None:
         self._me = me
         self._heard: dict[EntryHostId, _Heard] = {}
         self._running: Counter[HostId] = Counter()
+        self._known = {me}
+
+    def know(self, host: EntryHostId) -> None:
+        """Take in that an entry host exists, whether it can be reached or not."""
+        self._known.add(host)
+
+    def hosts_to_share_with(self) -> int:
+        """Return among how many entry hosts a bound for all is divided, this one included.
+
+        Hosts that fell silent still count: they may serve on the other side of a cut.
+        """
+        return max(LEAST_HOSTS, len(self._known))
 
     def take(self, state: EntryState, now_s: float) -> ConfigurationWord | None:
         """Take in a message; return what it proves of the configuration, if anything."""
--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from yewloom.ids import ServiceName
@@ -22,9 +23,12 @@
 
 
 class RetryWindow:
-    """Allows repeats up to ``ratio`` of the requests of the last ``window_s`` plus ``extra``."""
+    """Allows repeats up to ``ratio`` of the requests of the last ``window_s`` plus an extra.
 
-    def __init__(self, ratio: float, window_s: float, extra: float) -> None:
+    ``extra`` returns this host's part of the extra of all hosts.
+    """
+
+    def __init__(self, ratio: float, window_s: float, extra: Callable[[], float]) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._extra = extra
@@ -40,7 +44,7 @@
         """Count one sending beyond the first, if it is allowed; tell whether it is."""
         window = self._services[service]
         window.forget_before(now_s - self._window_s)
-        allowed = self._ratio * len(window.requests_s) + self._extra
+        allowed = self._ratio * len(window.requests_s) + self._extra()
         if len(window.repeats_s) + 1 > allowed:
             return False
         window.repeats_s.append(now_s)
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -135,7 +135,7 @@
             self.book,
             codec,
             self.selector,
-            RetryWindow(0.2, 10.0, 10.0),
+            RetryWindow(0.2, 10.0, lambda: 10.0),
             EndpointAttempts(codec, self.selector, StallDetector(), metrics),
             metrics,
             5.0,
--- a/yewloom/tests/test_retry_window.py
+++ b/yewloom/tests/test_retry_window.py
@@ -5,6 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from yewloom.entry_states import PeerBoard
+from yewloom.ids import EntryHostId
 from yewloom.retry_window import RetryWindow
 from yewloom.tests.entry_support import PLAIN
 
@@ -16,7 +18,7 @@
 
     @given(STEPS)
     def test_repeats_of_any_window_are_bounded(self, steps: list[tuple[bool, float]]) -> None:
-        window, now_s = RetryWindow(0.2, 10.0, 3.0), 0.0
+        window, now_s = RetryWindow(0.2, 10.0, lambda: 3.0), 0.0
         requests: list[float] = []
         repeats: list[float] = []
         for is_request, pause_s in steps:
@@ -30,8 +32,18 @@
                 used = sum(time_s >= now_s - 10.0 for time_s in repeats)
                 self.assertLessEqual(used, 0.2 * recent + 3.0)
 
+    @given(st.integers(1, 80), st.floats(1, 300))
+    def test_parts_of_any_number_of_hosts_sum_up_to_the_extra_at_most(
+        self, hosts: int, extra: float
+    ) -> None:
+        board = PeerBoard(EntryHostId("h0"))
+        for number in range(hosts):
+            board.know(EntryHostId(f"h{number}"))
+        part = extra / board.hosts_to_share_with()
+        self.assertLessEqual(part * hosts, extra * 1.000001)
+
     def test_services_have_windows_of_their_own(self) -> None:
-        window = RetryWindow(0.0, 10.0, 1.0)
+        window = RetryWindow(0.0, 10.0, lambda: 1.0)
         self.assertTrue(window.try_repeat(PLAIN, 0.0))
         self.assertFalse(window.try_repeat(PLAIN, 0.0))
         self.assertTrue(window.try_repeat(type(PLAIN)("other"), 0.0))
