--- /dev/null
+++ b/yewloom/order_delivery.py
@@ -0,0 +1,82 @@
+"""Giving the coordinator's orders to engines, and noting what their answers tell."""
+
+from collections.abc import Iterable
+
+import structlog
+import trio
+
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.ids import HostId
+from yewloom.plan_state import PlannedOrder, PlanState, order_name
+from yewloom.replica_orders import EngineOrders, JoinGroup, LeaveGroup, OrderAnswer, StageModel
+
+logger = structlog.get_logger(__name__)
+
+_NO_ANSWER = (OrderAnswer.UNREACHABLE, OrderAnswer.UNKNOWN)
+_HAS_LEFT = (OrderAnswer.BEGUN, OrderAnswer.HOLDS, OrderAnswer.OTHER_ENGINE)
+"""Answers after which an engine told to leave a group belongs to it no more."""
+
+
+class OrderDelivery:
+    """Gives orders, each with the count of orders that its engine must have taken before."""
+
+    def __init__(
+        self, engine_orders: EngineOrders, state: PlanState, metrics: ForwardMetrics
+    ) -> None:
+        self._engine_orders = engine_orders
+        self._state = state
+        self._metrics = metrics
+        self._sequences: dict[HostId, int] = {}
+
+    def forget_sequences(self) -> None:
+        """Drop what is known of the engines' counts, as others may have given orders since."""
+        self._sequences.clear()
+
+    async def give(self, orders: Iterable[PlannedOrder]) -> None:
+        """Give all orders at once and wait for their answers."""
+        async with trio.open_nursery() as nursery:
+            for order in orders:
+                nursery.start_soon(self._give_one, order)
+
+    async def _give_one(self, planned: PlannedOrder) -> None:
+        sequence = await self._sequence_for(planned)
+        answer = await self._engine_orders.send(
+            planned.engine, planned.address, planned.order, sequence
+        )
+        self._note_sequence(planned, sequence, answer)
+        self._metrics.on_order(type(planned.order).__name__, answer.value)
+        logger.info("order", engine=planned.engine, order=str(planned.order), answer=answer.value)
+        self._note_reach(planned.engine, answer)
+        if isinstance(planned.order, LeaveGroup) and answer in _HAS_LEFT:
+            self._state.left.add(planned.order.key)
+
+    async def _sequence_for(self, planned: PlannedOrder) -> int | None:
+        """Return the count of orders that the engine must have taken for an order to hold.
+
+        Orders that name a group are safe without: they affect no other group.
+        """
+        if not isinstance(planned.order, JoinGroup | StageModel):
+            return None
+        known = self._sequences.get(planned.engine)
+        if known is not None:
+            return known
+        return await self._engine_orders.read_sequence(planned.address)
+
+    def _note_sequence(
+        self, planned: PlannedOrder, sequence: int | None, answer: OrderAnswer
+    ) -> None:
+        known = self._sequences.pop(planned.engine, sequence)
+        if answer is OrderAnswer.BEGUN and known is not None:
+            self._sequences[planned.engine] = known + 1
+        elif answer is OrderAnswer.HOLDS and known is not None:
+            self._sequences[planned.engine] = known
+        elif answer is OrderAnswer.OUT_OF_DATE:
+            # The next plan gives the order again, with the sequence as it is then.
+            self._state.ordered_s.pop(order_name(planned), None)
+            self._state.staging.pop(planned.engine, None)
+
+    def _note_reach(self, engine: HostId, answer: OrderAnswer) -> None:
+        if answer in _NO_ANSWER:
+            self._state.unreachable_since_s.setdefault(engine, trio.current_time())
+        else:
+            self._state.unreachable_since_s.pop(engine, None)
