--- /dev/null
+++ b/yewloom/caller_messages.py
@@ -0,0 +1,92 @@
+"""A caller's request as it was read whole, and the reply to it."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from yewloom.endpoint_calls import Header
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request of a caller; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Sequence[Header]
+    body: bytes
+    arrived_s: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header; None if there is none."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Reply:
+    """The answer to one request; nothing is sent before ``start`` or ``send_whole``."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        connection: h11.Connection,
+        should_close: Callable[[], bool],
+    ) -> None:
+        self._stream = stream
+        self._connection = connection
+        self._should_close = should_close
+        self.status = 0
+
+    @property
+    def is_started(self) -> bool:
+        """Tell whether a part of the answer was sent."""
+        return self.status != 0
+
+    async def send_whole(self, status: int, headers: Sequence[Header], body: bytes) -> None:
+        """Send an answer with its length."""
+        length = (b"content-length", str(len(body)).encode())
+        data = self._head(status, [*headers, length])
+        if body:
+            data += self._connection.send(h11.Data(data=body)) or b""
+        await self._write(data + (self._connection.send(h11.EndOfMessage()) or b""))
+
+    async def start(self, status: int, headers: Sequence[Header], first: bytes) -> None:
+        """Send status, headers and a first part of the body."""
+        data = self._head(status, headers)
+        await self._write(data + (self._connection.send(h11.Data(data=first)) or b""))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
+        await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+
+    def _head(self, status: int, headers: Sequence[Header]) -> bytes:
+        self.status = status
+        close = [(b"connection", b"close")] if self._should_close() else []
+        response = h11.Response(status_code=status, headers=[*headers, *close])
+        return self._connection.send(response) or b""
+
+    async def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGoneError from error
+
+
+Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
+"""Answers one request; an answer that it leaves unfinished is cut off."""
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -11,7 +11,8 @@
 from prometheus_client import generate_latest
 
 from yewloom.caller_headers import HeaderCodec
-from yewloom.caller_server import CallerRequest, CallerServer, Reply
+from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
 from yewloom.directory import Endpoint, EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
@@ -286,12 +287,12 @@
         """Stop without cutting requests off, within the time that the platform allows."""
         began_s = trio.current_time()
         ends_s = began_s + self._settings.host.stop_grace_s - STOP_MARGIN_S
-        logger.info("stopping", open_requests=self._callers.open_requests)
-        self._is_leaving = self._coordinator.is_leaving = self._callers.is_leaving = True
+        logger.info("stopping", open_requests=self._callers.activity.open_requests)
+        self._is_leaving = self._coordinator.is_leaving = self._callers.activity.is_leaving = True
         await trio.sleep(BALANCER_NOTICE_S)
-        self._callers.close_idle()
+        self._callers.activity.close_idle()
         with trio.move_on_at(ends_s):
-            await self._callers.wait_until_idle()
+            await self._callers.activity.wait_until_idle()
 
 
 async def _keep_running(task: Callable[[], Awaitable[None]]) -> None:
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -9,7 +9,7 @@
 
 from yewloom.attempts import AttemptRecord, FinalAnswer
 from yewloom.caller_headers import HeaderCodec, HeaderError, RequestMarks
-from yewloom.caller_server import CallerGoneError, CallerRequest, Reply
+from yewloom.caller_messages import CallerGoneError, CallerRequest, Reply
 from yewloom.configuration import Configuration, ConfigurationBook
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -560,10 +560,10 @@
             idle = await trio.open_tcp_stream(*fixture.address)
             first = await fixture.send(idle, "/u/1")
             await fixture.read(idle, first)
-            fixture.server.is_leaving = True
+            fixture.server.activity.is_leaving = True
             answer = await fixture.ask("/u/1")
             self.assertEqual((answer.status, answer.headers[b"connection"]), (200, b"close"))
-            fixture.server.close_idle()
+            fixture.server.activity.close_idle()
             self.assertEqual(await idle.receive_some(1), b"")
 
         run(test)
