--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -19,10 +19,6 @@
     body: bytes
     arrived_s: float
 
-    def get(self, name: bytes) -> bytes | None:
-        """Return the value of a header; None if there is none."""
-        return next((value for key, value in self.headers if key == name), None)
-
     @property
     def path(self) -> str:
         """Return the path without the query."""
--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -81,7 +81,7 @@
         self._confirmed_s = float("-inf")
 
     def apply(self, configuration: Configuration, proved_s: float) -> bool:
-        """Take in a configuration read after ``proved_s``; tell whether it replaced another."""
+        """Take in a configuration read after ``proved_s``; tell whether it is a newer one."""
         is_newer = self.current is None or configuration.version > self.current.version
         if is_newer:
             self.current = configuration
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from yewloom.ids import EntryHostId, HostId
@@ -68,10 +68,6 @@
         """Return how many requests the peers run at each endpoint."""
         return self._running
 
-    def stalled(self) -> Iterable[HostId]:
-        """Return the leaders of groups that peers say stand still."""
-        return {HostId(head) for heard in self._heard.values() for head in heard.state.stalled}
-
     def live_peers(self) -> int:
         """Return how many peers were heard a short while ago."""
         return len(self._heard)
