--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -20,7 +20,7 @@
 )
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forwarding import Attempts, ForwardRequest, is_stream
+from yewloom.forwarding import ForwardRequest
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
 
@@ -52,7 +52,7 @@
     """The endpoint's group stands still."""
 
 
-class EndpointAttempts(Attempts):
+class EndpointAttempts:
     """Sends requests to endpoints over connections of their own."""
 
     def __init__(
@@ -106,7 +106,7 @@
         async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
             request.record.note(endpoint.id, AttemptState.SENT)
             await exchange.send(self._outgoing(request, endpoint))
-            if not is_stream(request.route):
+            if not request.route.is_stream:
                 head = await exchange.head()
                 return await self._pass_whole(request, endpoint, exchange, head)
             self._stalls.on_begin(endpoint.id, trio.current_time())
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import structlog
 import trio
@@ -17,7 +18,7 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import CustomerId
 from yewloom.retry_window import RetryWindow
-from yewloom.routes import Route, RouteKind
+from yewloom.routes import Route
 from yewloom.selection import Selector, Wanted
 
 logger = structlog.get_logger(__name__)
@@ -72,12 +73,12 @@
         self.retry_after_s = retry_after_s
 
 
-class Attempts:
-    """Sends a request to one endpoint; implemented in ``endpoint_attempts``."""
+class Attempts(Protocol):
+    """Sends a request to one endpoint."""
 
     async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         """Send a request to an endpoint; tell whether its answer is with the caller."""
-        raise NotImplementedError
+        ...
 
 
 class Forwarder:
@@ -265,8 +266,3 @@
     if request is None:
         return []
     return [f"{endpoint} {state.value}" for endpoint, state in request.record.states.items()]
-
-
-def is_stream(route: Route) -> bool:
-    """Tell whether a route's answers come as events."""
-    return route.kind is RouteKind.STREAM
--- a/yewloom/routes.py
+++ b/yewloom/routes.py
@@ -46,6 +46,11 @@
     is_open: bool = False
     is_resumable: bool = False
 
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether answers come as events."""
+        return self.kind is RouteKind.STREAM
+
     @property
     def may_repeat(self) -> bool:
         """Tell whether a request that may have run can be sent to another endpoint."""
