--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -27,6 +27,11 @@
     moved_s: float = 0.0
     has_events: bool = False
 
+    @property
+    def quiet_limit_s(self) -> float:
+        """Return the silence after which the group counts as standing still."""
+        return QUIET_S if self.has_events else FIRST_EVENT_S
+
 
 class StallDetector:
     """Follows the events of every group head that this host has streams at."""
@@ -84,12 +89,12 @@
         pace = self._paces.get(head)
         if pace is None:
             return False
-        return now_s - pace.moved_s >= (QUIET_S if pace.has_events else FIRST_EVENT_S)
+        return now_s - pace.moved_s >= pace.quiet_limit_s
 
     def due_s(self, head: HostId) -> float:
         """Return when a group will count as standing still if nothing moves."""
         pace = self._paces[head]
-        return pace.moved_s + (QUIET_S if pace.has_events else FIRST_EVENT_S)
+        return pace.moved_s + pace.quiet_limit_s
 
 
 def _recent(times_s: dict[HostId, float], now_s: float) -> dict[HostId, float]:
