--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -10,6 +10,9 @@
 from yewloom.ids import CustomerId, ModelName, ServiceName
 from yewloom.routes import RouteTable
 
+MAX_STATED_AGE_S = 1e6
+"""Greatest age of a configuration that is told to peers and logs, in place of an infinite one."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -96,3 +99,7 @@
     def age_s(self, now_s: float) -> float:
         """Return the time for which a newer version may have gone unseen; infinite at first."""
         return now_s - self._confirmed_s
+
+    def stated_age_ms(self, now_s: float) -> int:
+        """Return the age in whole milliseconds as it is told to peers and logs."""
+        return round(min(self.age_s(now_s), MAX_STATED_AGE_S) * 1000)
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -97,14 +97,13 @@
     def _state(self, now_s: float) -> EntryState:
         self._sequence += 1
         configuration = self._book.current
-        age_ms = min(self._book.age_s(now_s), 1e6) * 1000
         return EntryState(
             host_id=self._host_id,
             started_unix_ms=self._started_unix_ms,
             sequence=self._sequence,
             sent_ms=round(now_s * 1000),
             configuration_version=configuration.version if configuration is not None else 0,
-            configuration_age_ms=round(age_ms),
+            configuration_age_ms=self._book.stated_age_ms(now_s),
             loads=[
                 EndpointLoad(endpoint=endpoint, running=running)
                 for endpoint, running in self._selector.running().items()
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -252,7 +252,7 @@
             first_ms=_since_ms(source, request),
             attempts=_attempts_text(request),
             configuration=request.configuration.version if request is not None else None,
-            configuration_age_ms=round(min(self._book.age_s(now_s), 1e6) * 1000),
+            configuration_age_ms=self._book.stated_age_ms(now_s),
         )
 
 
