--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -3,13 +3,14 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import structlog
 import trio
 
 from yewloom.attempts import AttemptRecord, FinalAnswer
 from yewloom.caller_headers import HeaderCodec, HeaderError, RequestMarks
-from yewloom.caller_server import CallerGoneError, CallerRequest, Reply
+from yewloom.caller_messages import CallerGoneError, CallerRequest, Reply
 from yewloom.configuration import Configuration, ConfigurationBook
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
@@ -17,7 +18,7 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import CustomerId
 from yewloom.retry_window import RetryWindow
-from yewloom.routes import Route, RouteKind
+from yewloom.routes import Route
 from yewloom.selection import Selector, Wanted
 
 logger = structlog.get_logger(__name__)
@@ -72,12 +73,12 @@
         self.retry_after_s = retry_after_s
 
 
-class Attempts:
-    """Sends a request to one endpoint; implemented in ``endpoint_attempts``."""
+class Attempts(Protocol):
+    """Sends a request to one endpoint."""
 
     async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         """Send a request to an endpoint; tell whether its answer is with the caller."""
-        raise NotImplementedError
+        ...
 
 
 class Forwarder:
@@ -251,7 +252,7 @@
             first_ms=_since_ms(source, request),
             attempts=_attempts_text(request),
             configuration=request.configuration.version if request is not None else None,
-            configuration_age_ms=round(min(self._book.age_s(now_s), 1e6) * 1000),
+            configuration_age_ms=self._book.stated_age_ms(now_s),
         )
 
 
@@ -265,8 +266,3 @@
     if request is None:
         return []
     return [f"{endpoint} {state.value}" for endpoint, state in request.record.states.items()]
-
-
-def is_stream(route: Route) -> bool:
-    """Tell whether a route's answers come as events."""
-    return route.kind is RouteKind.STREAM
