--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -51,7 +51,9 @@
     """What is remembered between two plans; all of it may be lost at any time.
 
     ``left`` are groups whose leader confirmed that it left; ``suspects`` are hosts that did not
-    answer although they are listed; ``gathered`` are hosts that were free before.
+    answer although they are listed; ``answered_s`` tells when hosts that are not listed answered;
+    ``stood_still_s`` tells when groups were reported to; ``gathered`` are hosts that were free
+    before.
     """
 
     first_seen_s: dict[GroupKey, float] = field(default_factory=dict)
@@ -60,6 +62,9 @@
     left: set[GroupKey] = field(default_factory=set)
     unreachable_since_s: dict[HostId, float] = field(default_factory=dict)
     staging: dict[HostId, Staging] = field(default_factory=dict)
+    unlisted_since_s: dict[HostId, float] = field(default_factory=dict)
+    answered_s: dict[HostId, float] = field(default_factory=dict)
+    stood_still_s: dict[GroupKey, float] = field(default_factory=dict)
     suspects: set[HostId] = field(default_factory=set)
     load_times_s: list[float] = field(default_factory=list)
     gathered: set[HostId] = field(default_factory=set)
--- a/yewloom/replica_lifecycle.py
+++ b/yewloom/replica_lifecycle.py
@@ -18,6 +18,13 @@
 CLOSE_LIMIT_S = 10.0
 """Longest time that a closing group is left to finish; engines hold a leaving member no longer."""
 
+UNLISTED_GRACE_S = 1.6
+"""Silence after which a member that the store lists no more counts as lost: two questions."""
+
+STOOD_STILL_S = 3.0
+"""Time for which a report that a group stands still outweighs an answer from the address of a
+member that the store lists no more: another endpoint may have the address."""
+
 LEAVING_SERVICE_S = 4.0
 """Time for which a group serves on with a leaving member that does not lead: leaving members serve
 for 2 s and longer, and stay for up to 10 s while their group has work."""
@@ -90,9 +97,13 @@
         key = key_of(group)
         members = [self._directory.by_id.get(HostId(m.host_id)) for m in group.members]
         began_s = self._state.first_seen_s.setdefault(key, now_s)
-        if any(member is None or self._has_failed(member, key) for member in members):
-            return self.retire(group, key, GroupIntent.REPLACING)
         present = [member for member in members if member is not None]
+        if any(self._has_failed(member, key) for member in present):
+            return self.retire(group, key, GroupIntent.REPLACING)
+        if len(present) < len(members):
+            if self._serves_unlisted(group, members[0], now_s):
+                return False
+            return self.retire(group, key, GroupIntent.REPLACING)
         in_group = [m for m in present if m.membership is not None and m.membership.key == key]
         if len(in_group) < len(members):
             for order in self.join_orders(group):
@@ -109,6 +120,28 @@
             return False
         return self._tend_forming(group, key, now_s - began_s)
 
+    def _serves_unlisted(self, group: Group, head: Endpoint | None, now_s: float) -> bool:
+        """Tell whether a group serves on although the store lists not all of its members.
+
+        A member that is cut off from the store alone works on and answers questions. Its leader
+        must be listed, since requests go to it.
+        """
+        key = key_of(group)
+        if head is None or head.is_leaving or head.membership is None:
+            return False
+        if head.membership.key != key or head.membership.state is not MemberState.OPEN:
+            return False
+        if now_s - self._state.stood_still_s.get(key, float("-inf")) < STOOD_STILL_S:
+            return False
+        hosts = [HostId(member.host_id) for member in group.members[1:]]
+        unlisted = [host for host in hosts if host not in self._directory.by_id]
+        return all(self._answers(host, now_s) for host in unlisted)
+
+    def _answers(self, host: HostId, now_s: float) -> bool:
+        since_s = self._state.unlisted_since_s.setdefault(host, now_s)
+        last_s = max(since_s, self._state.answered_s.get(host, float("-inf")))
+        return now_s - last_s <= UNLISTED_GRACE_S
+
     def _must_close(self, members: list[Endpoint], key: GroupKey, now_s: float) -> bool:
         """Tell whether a leaving member ends a group that serves.
 
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -15,8 +15,9 @@
 """Load that another data centre's endpoint must be below a near one to be preferred, as a part of
 its slots: bytes between data centres are priced and add some milliseconds."""
 
-INCOMPLETE_PENALTY = 10.0
-"""Added for a group of which a member is not listed: chosen only if all are so."""
+INCOMPLETE_PENALTY = 0.5
+"""Added for a group of which a member is not listed: that one may be lost, or be cut off from the
+store alone while the group serves on. A loss shows by the streams' silence."""
 
 LEAVING_PENALTY = 0.3
 """Added for a group with a leaving member: it may stop taking requests at any moment."""
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -1,4 +1,4 @@
-"""The look at groups that stand still: which of their members answer no more."""
+"""The look at groups that may have lost a member: which of their members answer no more."""
 
 from collections.abc import Iterable
 
@@ -19,8 +19,12 @@
 """Least pause between two looks at the members of a group that stands still."""
 
 
+PROBE_UNLISTED_S = 0.8
+"""Pause between two questions to a member that the store no longer lists."""
+
+
 class StalledGroups:
-    """Asks the members of groups that stand still, and suspects those that do not answer."""
+    """Asks the members of groups that stand still, and those that are no longer listed."""
 
     def __init__(
         self,
@@ -44,8 +48,10 @@
             if group.intent != GroupIntent.ACTIVE.value or not group.members:
                 continue
             head = HostId(group.members[0].host_id)
-            if head in stalled and self._may_look(head, now_s):
+            if head in stalled and self._may_look(head, now_s, PROBE_AFTER_STALL_S):
+                self._state.stood_still_s[key_of(group)] = now_s
                 await self._look_at_members(group)
+            await self._look_at_unlisted(group, now_s)
 
     async def _look_at_suspects(self, now_s: float) -> None:
         """Clear suspects that answer again or are no longer listed."""
@@ -53,12 +59,25 @@
             endpoint = self._directory.by_id.get(suspect)
             if endpoint is None:
                 self._state.suspects.discard(suspect)
-            elif self._may_look(suspect, now_s):
+            elif self._may_look(suspect, now_s, PROBE_AFTER_STALL_S):
                 await self._probe(suspect, endpoint.address)
 
-    def _may_look(self, host: HostId, now_s: float) -> bool:
+    async def _look_at_unlisted(self, group: Group, now_s: float) -> None:
+        """Ask members that the store lists no more; one cut off from the store may still work."""
+        for member in group.members[1:]:
+            host = HostId(member.host_id)
+            if host in self._directory.by_id:
+                self._state.unlisted_since_s.pop(host, None)
+            elif self._may_look(host, now_s, PROBE_UNLISTED_S):
+                await self._ask_unlisted(host, member.address)
+
+    async def _ask_unlisted(self, host: HostId, address: str) -> None:
+        if await self._engine_orders.read_sequence(address) is not None:
+            self._state.answered_s[host] = trio.current_time()
+
+    def _may_look(self, host: HostId, now_s: float, pause_s: float) -> bool:
         """Tell whether a look is due, and remember it as taken if it is."""
-        if now_s - self._looked_s.get(host, float("-inf")) < PROBE_AFTER_STALL_S:
+        if now_s - self._looked_s.get(host, float("-inf")) < pause_s:
             return False
         self._looked_s[host] = now_s
         return True
