--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -3,33 +3,29 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 import structlog
 import trio
 from prometheus_client import generate_latest
 
-from yewloom.caller_headers import HeaderCodec
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.caller_server import CallerServer
-from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
-from yewloom.directory import Endpoint, EndpointDirectory
+from yewloom.configuration import CallerLimits, ConfigurationBook
+from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
-from yewloom.followers import Follower, Update
+from yewloom.followers import Follower
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
-from yewloom.platforms import Platform, StoredObject
+from yewloom.intake import ConfigurationIntake, EndpointIntake
+from yewloom.platform_parts import PlatformParts
 from yewloom.replica_coordinator import ReplicaCoordinator
-from yewloom.replica_orders import EngineOrders
 from yewloom.retry_window import RetryWindow
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
-from yewloom.writes import RecordError
 
 logger = structlog.get_logger(__name__)
 
@@ -47,45 +43,6 @@
 TASK_PAUSE_S = 0.5
 """Pause before a task that failed is begun anew."""
 
-LAPSE_CHECK_S = 0.5
-"""Pause between two looks for endpoints that did not come back after an outage."""
-
-
-class PlatformRecords(Protocol):
-    """Decodes what the platform's own kinds of objects hold."""
-
-    configuration_kind: str
-    endpoint_kind: str
-
-    def decode_configuration(self, stored: StoredObject) -> Configuration | None:
-        """Return a configuration, or None if the object is not one; raises RecordError."""
-        ...
-
-    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
-        """Return an endpoint; raises RecordError."""
-        ...
-
-    def endpoint_id(self, key: str) -> HostId:
-        """Return the endpoint that an object's key names."""
-        ...
-
-
-@dataclass(frozen=True)
-class PlatformParts:
-    """What an entry host needs of the platform that it runs on.
-
-    ``configuration``, ``endpoints``, ``records_store`` and ``stale_store`` are one store with
-    different bounds; answers of the last may be seconds old and cost less.
-    """
-
-    configuration: Platform
-    endpoints: Platform
-    records_store: Platform
-    stale_store: Platform
-    records: PlatformRecords
-    codec: HeaderCodec
-    orders: EngineOrders
-
 
 class EntryHost:
     """Wires the parts of an entry host."""
@@ -105,60 +62,76 @@
         self._stalls = StallDetector()
         self._has_had_requests = False
         self._is_leaving = False
-        data_centre = DataCentreId(settings.host.data_centre)
         self._board = PeerBoard(EntryHostId(settings.host.id))
+        data_centre = DataCentreId(settings.host.data_centre)
         self._selector = Selector(self._directory, data_centre, self._board, rng)
-        bounds = settings.bounds
-        self._forwarder = Forwarder(
+        self._forwarder = self._build_forwarder()
+        self._callers = CallerServer(self._handle, self._caller_limits)
+        self._probes = CallerServer(self._answer_readiness, CallerLimits)
+        self._figures = CallerServer(self._answer_metrics, CallerLimits)
+        self._coordinator = self._build_coordinator()
+        self._endpoint_intake = EndpointIntake(parts.records, self._directory, self._selector)
+        self._configuration_follower = self._build_configuration_follower()
+        self._endpoint_follower = self._build_endpoint_follower()
+        self._exchange = self._build_exchange()
+
+    def _build_forwarder(self) -> Forwarder:
+        parts, bounds = self._parts, self._settings.bounds
+        retries = RetryWindow(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_extra / EXPECTED_ENTRY_HOSTS
+        )
+        return Forwarder(
             self._book,
             parts.codec,
             self._selector,
-            RetryWindow(
-                bounds.retry_ratio,
-                bounds.retry_window_s,
-                bounds.retry_extra / EXPECTED_ENTRY_HOSTS,
-            ),
-            EndpointAttempts(parts.codec, self._selector, self._stalls, metrics),
-            metrics,
+            retries,
+            EndpointAttempts(parts.codec, self._selector, self._stalls, self._metrics),
+            self._metrics,
             bounds.key_revocation_ms / 1000,
             lambda: self._directory.is_known,
         )
-        self._callers = CallerServer(self._handle, self._caller_limits)
-        self._probes = CallerServer(self._answer_readiness, CallerLimits)
-        self._figures = CallerServer(self._answer_metrics, CallerLimits)
-        self._coordinator = ReplicaCoordinator(
-            settings,
+
+    def _build_coordinator(self) -> ReplicaCoordinator:
+        return ReplicaCoordinator(
+            self._settings,
             self._book,
             self._directory,
             self._stalls,
             self._selector,
-            parts.records_store,
-            parts.stale_store,
-            parts.orders,
-            metrics,
+            self._parts.records_store,
+            self._parts.stale_store,
+            self._parts.orders,
+            self._metrics,
             self._is_before_traffic,
         )
 
-        retry_s = settings.store.retry_pause_ms / 1000
-        self._configuration_follower = Follower(
+    def _build_configuration_follower(self) -> Follower:
+        parts = self._parts
+        return Follower(
             parts.configuration,
             parts.records.configuration_kind,
-            self._take_configuration,
+            ConfigurationIntake(parts.records, self._book).take,
             lambda: 0.0,
-            retry_s,
+            self._settings.store.retry_pause_ms / 1000,
         )
-        self._endpoint_follower = Follower(
+
+    def _build_endpoint_follower(self) -> Follower:
+        parts = self._parts
+        return Follower(
             parts.endpoints,
             parts.records.endpoint_kind,
-            self._take_endpoints,
+            self._endpoint_intake.take,
             self._endpoint_pause_s,
-            retry_s,
+            self._settings.store.retry_pause_ms / 1000,
         )
-        self._exchange = EntryExchange(
-            EntryHostId(settings.host.id),
-            settings.host.peer_address,
-            parts.records_store,
-            parts.stale_store,
+
+    def _build_exchange(self) -> EntryExchange:
+        host = self._settings.host
+        return EntryExchange(
+            EntryHostId(host.id),
+            host.peer_address,
+            self._parts.records_store,
+            self._parts.stale_store,
             self._board,
             self._book,
             self._selector,
@@ -169,24 +142,10 @@
 
     async def run(self, reload: Callable[[], None]) -> None:
         """Serve until a signal asks for a planned stop; ``reload`` reads the settings anew."""
-        host = self._settings.host
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self._callers.serve, host.caller_address)
-                await nursery.start(self._probes.serve, host.readiness_address)
-                if host.metrics_port:
-                    ip = host.caller_address.rpartition(":")[0]
-                    await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
-                tasks = [
-                    self._configuration_follower.run,
-                    self._endpoint_follower.run,
-                    self._drop_lapsed,
-                    self._exchange.run,
-                    self._coordinator.run,
-                ]
-                for task in tasks:
-                    nursery.start_soon(_keep_running, task)
-                logger.info("started", data_centre=host.data_centre)
+                await self._start(nursery)
+                logger.info("started", data_centre=self._settings.host.data_centre)
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
@@ -195,6 +154,24 @@
                 nursery.cancel_scope.cancel()
         logger.info("stopped")
 
+    async def _start(self, nursery: trio.Nursery) -> None:
+        """Open the servers, then begin the tasks that go on beside them."""
+        host = self._settings.host
+        await nursery.start(self._callers.serve, host.caller_address)
+        await nursery.start(self._probes.serve, host.readiness_address)
+        if host.metrics_port:
+            ip = host.caller_address.rpartition(":")[0]
+            await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
+        tasks = [
+            self._configuration_follower.run,
+            self._endpoint_follower.run,
+            self._endpoint_intake.drop_lapsed,
+            self._exchange.run,
+            self._coordinator.run,
+        ]
+        for task in tasks:
+            nursery.start_soon(_keep_running, task)
+
     def _endpoint_pause_s(self) -> float:
         """Return how long changes of endpoints are gathered; a coordinator waits for them."""
         store = self._settings.store
@@ -202,58 +179,6 @@
         pause_ms = store.coordinator_pause_ms if is_hurried else store.endpoint_pause_ms
         return pause_ms / 1000
 
-    def _take_configuration(self, update: Update) -> None:
-        """Take in configurations that were read, and that an unchanged one is still current."""
-        for stored in update.listing.objects:
-            try:
-                configuration = self._parts.records.decode_configuration(stored)
-            except RecordError as error:
-                logger.error("object unreadable", reason=str(error), revision=stored.version)
-                continue
-            if configuration is not None and self._book.apply(configuration, update.proved_s):
-                logger.info("configuration applied", version=configuration.version)
-        if self._book.current is not None:
-            self._book.confirm(update.proved_s)
-
-    def _take_endpoints(self, update: Update) -> None:
-        now_s = trio.current_time()
-        endpoints = []
-        for stored in update.listing.objects:
-            try:
-                endpoints.append(self._parts.records.decode_endpoint(stored))
-            except RecordError as error:
-                logger.error("object unreadable", reason=str(error), revision=stored.version)
-        if update.is_whole:
-            self._directory.replace_all(endpoints, now_s, update.after_outage)
-            logger.info("endpoints listed", count=len(endpoints))
-            return
-        for endpoint in endpoints:
-            self._log_change(endpoint)
-            known = self._directory.by_id.get(endpoint.id)
-            if known is not None and known.membership != endpoint.membership:
-                self._selector.forget(endpoint.id)
-            self._directory.put(endpoint)
-        for key in update.listing.removed:
-            endpoint_id = self._parts.records.endpoint_id(key)
-            logger.info("endpoint gone", endpoint=endpoint_id)
-            self._directory.remove(endpoint_id)
-            self._selector.forget(endpoint_id)
-
-    def _log_change(self, endpoint: Endpoint) -> None:
-        known = self._directory.by_id.get(endpoint.id)
-        if known is not None and known.is_leaving == endpoint.is_leaving:
-            return
-        if known is None and not endpoint.is_leaving:
-            return  # Several hundred come at a start; the coordinator's lines tell of new ones.
-        word = "endpoint leaving" if endpoint.is_leaving else "endpoint stays"
-        logger.info(word, endpoint=endpoint.id, service=endpoint.service)
-
-    async def _drop_lapsed(self) -> None:
-        while True:
-            await trio.sleep(LAPSE_CHECK_S)
-            for endpoint_id in self._directory.drop_lapsed(trio.current_time()):
-                logger.info("endpoint gone", endpoint=endpoint_id, reason="not back after outage")
-
     def _avoid_stalled(self, head: HostId) -> None:
         """Take in that a peer saw a group stand still."""
         now_s = trio.current_time()
--- /dev/null
+++ b/yewloom/intake.py
@@ -0,0 +1,95 @@
+"""What the followers bring, decoded and taken in: configurations and endpoints."""
+
+import structlog
+import trio
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.directory import Endpoint, EndpointDirectory
+from yewloom.followers import Update
+from yewloom.platform_parts import PlatformRecords
+from yewloom.selection import Selector
+from yewloom.writes import RecordError
+
+logger = structlog.get_logger(__name__)
+
+LAPSE_CHECK_S = 0.5
+"""Pause between two looks for endpoints that did not come back after an outage."""
+
+
+class ConfigurationIntake:
+    """Brings what the store holds of the configuration into the book."""
+
+    def __init__(self, records: PlatformRecords, book: ConfigurationBook) -> None:
+        self._records = records
+        self._book = book
+
+    def take(self, update: Update) -> None:
+        """Take in configurations that were read, and that an unchanged one is still current."""
+        for stored in update.listing.objects:
+            try:
+                configuration = self._records.decode_configuration(stored)
+            except RecordError as error:
+                logger.error("object unreadable", reason=str(error), revision=stored.version)
+                continue
+            if configuration is not None and self._book.apply(configuration, update.proved_s):
+                logger.info("configuration applied", version=configuration.version)
+        if self._book.current is not None:
+            self._book.confirm(update.proved_s)
+
+
+class EndpointIntake:
+    """Brings the endpoints that the store lists into the directory."""
+
+    def __init__(
+        self, records: PlatformRecords, directory: EndpointDirectory, selector: Selector
+    ) -> None:
+        self._records = records
+        self._directory = directory
+        self._selector = selector
+
+    def take(self, update: Update) -> None:
+        """Take in a whole listing, or the endpoints that changed or went."""
+        endpoints = self._decode(update)
+        if update.is_whole:
+            self._directory.replace_all(endpoints, trio.current_time(), update.after_outage)
+            logger.info("endpoints listed", count=len(endpoints))
+            return
+        for endpoint in endpoints:
+            self._put(endpoint)
+        for key in update.listing.removed:
+            endpoint_id = self._records.endpoint_id(key)
+            logger.info("endpoint gone", endpoint=endpoint_id)
+            self._directory.remove(endpoint_id)
+            self._selector.forget(endpoint_id)
+
+    async def drop_lapsed(self) -> None:
+        """Drop endpoints that do not come back after an outage, until cancelled."""
+        while True:
+            await trio.sleep(LAPSE_CHECK_S)
+            for endpoint_id in self._directory.drop_lapsed(trio.current_time()):
+                logger.info("endpoint gone", endpoint=endpoint_id, reason="not back after outage")
+
+    def _decode(self, update: Update) -> list[Endpoint]:
+        endpoints = []
+        for stored in update.listing.objects:
+            try:
+                endpoints.append(self._records.decode_endpoint(stored))
+            except RecordError as error:
+                logger.error("object unreadable", reason=str(error), revision=stored.version)
+        return endpoints
+
+    def _put(self, endpoint: Endpoint) -> None:
+        self._log_change(endpoint)
+        known = self._directory.by_id.get(endpoint.id)
+        if known is not None and known.membership != endpoint.membership:
+            self._selector.forget(endpoint.id)
+        self._directory.put(endpoint)
+
+    def _log_change(self, endpoint: Endpoint) -> None:
+        known = self._directory.by_id.get(endpoint.id)
+        if known is not None and known.is_leaving == endpoint.is_leaving:
+            return
+        if known is None and not endpoint.is_leaving:
+            return  # Several hundred come at a start; the coordinator's lines tell of new ones.
+        word = "endpoint leaving" if endpoint.is_leaving else "endpoint stays"
+        logger.info(word, endpoint=endpoint.id, service=endpoint.service)
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err, Ok
 
-from yewloom.entry_host import EntryHost, PlatformParts
+from yewloom.entry_host import EntryHost
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
 from yewloom.log_sink import LogSink, set_up_logs
@@ -17,6 +17,7 @@
 from yewloom.platform.headers import WireHeaders
 from yewloom.platform.records import StoreRecords
 from yewloom.platform.store import ObjectStore
+from yewloom.platform_parts import PlatformParts
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import read_entry_settings
 
--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -11,7 +11,7 @@
 from starlette.applications import Starlette
 
 from yewloom.endpoint_calls import ExchangeError, OutgoingRequest, open_exchange
-from yewloom.entry_host import EntryHost, PlatformParts
+from yewloom.entry_host import EntryHost
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
 from yewloom.platform.engines import HttpEngineOrders
@@ -20,6 +20,7 @@
 from yewloom.platform.standin_engine import EVENTS, StandinEngine
 from yewloom.platform.standin_store import StandinStore
 from yewloom.platform.store import ObjectStore
+from yewloom.platform_parts import PlatformParts
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import parse_entry_settings
 
