--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -22,12 +22,12 @@
 from yewloom.platforms import Platform
 from yewloom.replica_orders import EngineOrders
 from yewloom.replica_plan import ReplicaPlanner
-from yewloom.replica_supply import LOADS_WINDOW_S, SupplyBounds
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Placement
 from yewloom.selection import Selector
 from yewloom.stalled_groups import StalledGroups
 from yewloom.stalls import StallDetector
+from yewloom.weight_loads import LOADS_WINDOW_S, SupplyBounds
 
 logger = structlog.get_logger(__name__)
 
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -14,9 +14,10 @@
 from yewloom.model_need import ModelNeed
 from yewloom.plan_state import PlannedOrder, PlanState, ReplicaPlan, key_of
 from yewloom.replica_lifecycle import GroupLifecycle
-from yewloom.replica_supply import ReplicaSupply, SupplyBounds
+from yewloom.replica_supply import ReplicaSupply
 from yewloom.schema.records_pb2 import Group, Placement
 from yewloom.states import GroupIntent
+from yewloom.weight_loads import SupplyBounds
 
 
 class ReplicaPlanner:
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -21,6 +21,8 @@
     "experiments",
     "fleet",
     "formation",
+    "free_hosts",
+    "group_exchanges",
     "groups",
     "leases",
     "membership",
@@ -40,6 +42,7 @@
     "stalls",
     "streams",
     "tables",
+    "weight_loads",
 )
 IO_MODULES = {"asyncio", "grpc", "httpcore", "hypercorn", "socket", "starlette", "time", "trio"}
 MAX_LINES = 380
--- a/yewloom/tests/test_replica_plan.py
+++ b/yewloom/tests/test_replica_plan.py
@@ -25,7 +25,7 @@
     StageModel,
 )
 from yewloom.replica_plan import ReplicaPlanner
-from yewloom.replica_supply import GATHER_S, SupplyBounds
+from yewloom.replica_supply import GATHER_S
 from yewloom.schema.records_pb2 import Placement
 from yewloom.states import GroupIntent
 from yewloom.tests.entry_support import (
@@ -37,6 +37,7 @@
     make_profile,
     put_group,
 )
+from yewloom.weight_loads import SupplyBounds
 
 FREE_LOADS = SupplyBounds(loads_are_free=True, max_loads=6)
 RATIONED = SupplyBounds(loads_are_free=False, max_loads=6)
