--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -20,7 +20,7 @@
 )
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forwarding import ForwardRequest
+from yewloom.forward_request import ForwardRequest
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
 
--- /dev/null
+++ b/yewloom/forward_request.py
@@ -0,0 +1,46 @@
+"""One caller's request on its way to an endpoint, or the refusal that ends it before."""
+
+import math
+from dataclasses import dataclass, field
+
+from yewloom.attempts import AttemptRecord
+from yewloom.caller_headers import RequestMarks
+from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.configuration import Configuration
+from yewloom.directory import Endpoint
+from yewloom.event_stream import StreamCursor
+from yewloom.ids import CustomerId
+from yewloom.routes import Route
+from yewloom.selection import Wanted
+
+
+@dataclass
+class ForwardRequest:
+    """One request on its way; times are seconds of the runtime's clock."""
+
+    source: CallerRequest
+    reply: Reply
+    marks: RequestMarks
+    configuration: Configuration
+    route: Route
+    wanted: Wanted
+    customer: CustomerId | None
+    ends_s: float
+    record: AttemptRecord
+    cursor: StreamCursor
+    first_event_s: float | None = None
+    endpoints: list[Endpoint] = field(default_factory=list)
+
+    def left_ms(self, now_s: float) -> int:
+        """Return the time left in whole milliseconds."""
+        return max(0, math.floor((self.ends_s - now_s) * 1000))
+
+
+class Refusal(Exception):  # noqa: N818 - an answer, not a fault
+    """A request that ends before it goes to an endpoint, with its status."""
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
