--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -1,8 +1,7 @@
-"""Datagrams among the entry hosts, and the addresses that they find each other by.
+"""Datagrams among the entry hosts, in which each tells its peers what it knows.
 
 Datagrams rather than calls: a message tells the whole of what its sender knows, the next one comes
-a fifth of a second later, and nobody waits for a peer that is cut off. The addresses lie in the
-platform's store, one object for each host.
+a fifth of a second later, and nobody waits for a peer that is cut off.
 """
 
 import time
@@ -12,30 +11,20 @@
 import structlog
 import trio
 from google.protobuf.message import DecodeError
-from result import Err, Ok
 
 from yewloom.configuration import ConfigurationBook
+from yewloom.entry_addresses import EntryAddresses
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import EntryHostId, HostId
-from yewloom.platforms import Platform, PlatformFailure
-from yewloom.schema.entry_pb2 import EndpointLoad, EntryAddress, EntryState
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
-from yewloom.writes import RecordError, parse_record, to_json
 
 logger = structlog.get_logger(__name__)
 
 SEND_INTERVAL_S = 0.2
 """Pause between two messages to each peer; some 300 bytes each on the trial deployments."""
 
-ADDRESS_KIND = "yewloom-entry-hosts"
-
-ADDRESS_INTERVAL_S = 4.0
-"""Pause between two reads of the peers' addresses. They change only with the machines."""
-
-ADDRESS_RETRY_S = 0.5
-"""Pause before the addresses are read again while none is known, or after a failure."""
-
 MAX_DATAGRAM_BYTES = 65507
 """Longest datagram of UDP over IPv4."""
 
@@ -47,8 +36,7 @@
         self,
         host_id: EntryHostId,
         address: str,
-        platform: Platform,
-        stale_platform: Platform,
+        addresses: EntryAddresses,
         board: PeerBoard,
         book: ConfigurationBook,
         selector: Selector,
@@ -58,8 +46,7 @@
     ) -> None:
         self._host_id = host_id
         self._address = address
-        self._platform = platform
-        self._stale_platform = stale_platform
+        self._addresses = addresses
         self._board = board
         self._book = book
         self._selector = selector
@@ -67,7 +54,6 @@
         self._avoid_stalled = avoid_stalled
         self._read_configuration = read_configuration
         self._asked_for_version = 0
-        self._peers: dict[EntryHostId, str] = {}
         self._started_unix_ms = time.time_ns() // 1_000_000
         self._sequence = 0
 
@@ -77,7 +63,7 @@
         with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as socket:
             await socket.bind((ip, int(port)))
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._follow_addresses)
+                nursery.start_soon(self._addresses.run)
                 nursery.start_soon(self._receive, socket)
                 nursery.start_soon(self._send, socket)
 
@@ -87,7 +73,7 @@
             now_s = trio.current_time()
             self._board.drop_silent(now_s)
             state = self._state(now_s)
-            for peer, address in self._peers.items():
+            for peer, address in self._addresses.by_peer.items():
                 state.echoed_ms = self._board.echo_for(peer)
                 ip, _, port = address.rpartition(":")
                 # A peer that can't be reached gets the next message; nothing waits for this one.
@@ -131,49 +117,3 @@
                 self._read_configuration()
         for head in state.stalled:
             self._avoid_stalled(HostId(head))
-
-    async def _follow_addresses(self) -> None:
-        is_published = False
-        while True:
-            is_published = is_published or await self._publish_address()
-            is_read = await self._read_addresses() and is_published
-            await trio.sleep(ADDRESS_INTERVAL_S if is_read else ADDRESS_RETRY_S)
-
-    async def _publish_address(self) -> bool:
-        """Write this host's address, unless the store holds it already."""
-        key = f"{ADDRESS_KIND}/{self._host_id}"
-        value = to_json(EntryAddress(address=self._address))
-        match await self._platform.update(key, value, 0):
-            case Ok(_):
-                return True
-            case Err(error):
-                if error.failure is not PlatformFailure.CONFLICT:
-                    logger.info("address not written", reason=str(error))
-                    return False
-        match await self._platform.get(key):
-            case Ok(stored):
-                if stored is None:
-                    return False
-                return (await self._platform.update(key, value, stored.version)).is_ok()
-            case Err(error):
-                logger.info("address not read", reason=str(error))
-        return False
-
-    async def _read_addresses(self) -> bool:
-        """Read the peers' addresses; tell whether there are any."""
-        match await self._stale_platform.list(ADDRESS_KIND):
-            case Ok(listing):
-                pass
-            case Err(error):
-                logger.info("addresses not read", reason=str(error))
-                return False
-        for stored in listing.objects:
-            peer = EntryHostId(stored.key.partition("/")[2])
-            try:
-                address = parse_record(stored, EntryAddress()).address
-            except RecordError as error:
-                logger.error("record unreadable", reason=str(error))
-                continue
-            if peer != self._host_id:
-                self._peers[peer] = address
-        return bool(self._peers)
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -13,6 +13,7 @@
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
+from yewloom.entry_addresses import EntryAddresses
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
 from yewloom.followers import Follower
@@ -126,12 +127,12 @@
         )
 
     def _build_exchange(self) -> EntryExchange:
-        host = self._settings.host
+        host, parts = self._settings.host, self._parts
+        host_id = EntryHostId(host.id)
         return EntryExchange(
-            EntryHostId(host.id),
+            host_id,
             host.peer_address,
-            self._parts.records_store,
-            self._parts.stale_store,
+            EntryAddresses(host_id, host.peer_address, parts.records_store, parts.stale_store),
             self._board,
             self._book,
             self._selector,
