--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -44,6 +44,7 @@
 """Pause between two looks for another group while a stream stands still."""
 
 SERVER_ERROR = 500
+"""Lowest status that says a request failed at the endpoint."""
 
 T = TypeVar("T")
 
@@ -69,17 +70,7 @@
 
     async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         """Send a request to an endpoint; tell whether its answer is with the caller."""
-        try:
-            is_answered, outcome = await self._exchange(request, endpoint)
-        except ExchangeError as error:
-            is_answered, outcome = False, self._note_failure(request, endpoint, error)
-        except _Stalled:
-            is_answered, outcome = False, "stalled"
-            now_s = trio.current_time()
-            self._selector.avoid(endpoint.id, now_s + AVOID_STALLED_S)
-            self._stalls.report(endpoint.id, now_s)
-        except StreamOrderError as error:
-            is_answered, outcome = False, f"unreadable: {error}"
+        is_answered, outcome = await self._try(request, endpoint)
         self._metrics.on_attempt(outcome.split(":")[0])
         if not is_answered:
             logger.info(
@@ -91,17 +82,33 @@
             )
         return is_answered
 
+    async def _try(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
+        """Tell whether the answer is with the caller, and how the attempt ended."""
+        try:
+            return await self._exchange(request, endpoint)
+        except ExchangeError as error:
+            return False, self._note_failure(request, endpoint, error)
+        except _Stalled:
+            self._avoid_and_report(endpoint, AVOID_STALLED_S)
+            return False, "stalled"
+        except StreamOrderError as error:
+            return False, f"unreadable: {error}"
+
     def _note_failure(
         self, request: ForwardRequest, endpoint: Endpoint, error: ExchangeError
     ) -> str:
         if not error.is_sent:
             request.record.note(endpoint.id, AttemptState.NOTHING_SENT)
         if error.failure is not ExchangeFailure.UNREADABLE:
-            now_s = trio.current_time()
-            self._selector.avoid(endpoint.id, now_s + AVOID_UNREACHABLE_S)
-            self._stalls.report(endpoint.id, now_s)
+            self._avoid_and_report(endpoint, AVOID_UNREACHABLE_S)
         return str(error)
 
+    def _avoid_and_report(self, endpoint: Endpoint, avoid_s: float) -> None:
+        """Send an endpoint nothing new for a time, and report it to the coordinator."""
+        now_s = trio.current_time()
+        self._selector.avoid(endpoint.id, now_s + avoid_s)
+        self._stalls.report(endpoint.id, now_s)
+
     async def _exchange(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
         async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
             request.record.note(endpoint.id, AttemptState.SENT)
