--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -10,6 +10,7 @@
 import structlog
 import trio
 
+from yewloom.addresses import split_address
 from yewloom.caller_activity import CallerActivity
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import CallerGoneError, Handler
@@ -33,8 +34,8 @@
         self, address: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept connections until cancelled; those that are open then are cancelled too."""
-        host, _, port = address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
         task_status.started()
         await trio.serve_listeners(self._serve_connection, listeners)
 
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -13,6 +13,8 @@
 import h11
 import trio
 
+from yewloom.addresses import split_address
+
 Header = tuple[bytes, bytes]
 
 READ_BYTES = 65536
@@ -153,11 +155,11 @@
 
     The connection is dropped at the end, whatever state it is in.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     stream = None
     with trio.move_on_after(connect_timeout_s):
         try:
-            stream = await trio.open_tcp_stream(host, int(port), happy_eyeballs_delay=None)
+            stream = await trio.open_tcp_stream(host, port, happy_eyeballs_delay=None)
         except OSError as error:
             raise ExchangeError(ExchangeFailure.NOT_CONNECTED, False, str(error)) from error
     if stream is None:
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -12,6 +12,7 @@
 import trio
 from google.protobuf.message import DecodeError
 
+from yewloom.addresses import split_address
 from yewloom.configuration import ConfigurationBook
 from yewloom.entry_addresses import EntryAddresses
 from yewloom.entry_states import PeerBoard
@@ -59,9 +60,8 @@
 
     async def run(self) -> None:
         """Exchange until cancelled."""
-        ip, _, port = self._address.rpartition(":")
         with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as socket:
-            await socket.bind((ip, int(port)))
+            await socket.bind(split_address(self._address))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._addresses.run)
                 nursery.start_soon(self._receive, socket)
@@ -75,10 +75,9 @@
             state = self._state(now_s)
             for peer, address in self._addresses.by_peer.items():
                 state.echoed_ms = self._board.echo_for(peer)
-                ip, _, port = address.rpartition(":")
                 # A peer that can't be reached gets the next message; nothing waits for this one.
                 with suppress(OSError):
-                    await socket.sendto(state.SerializeToString(), (ip, int(port)))
+                    await socket.sendto(state.SerializeToString(), split_address(address))
 
     def _state(self, now_s: float) -> EntryState:
         self._sequence += 1
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -8,6 +8,7 @@
 import trio
 from prometheus_client import generate_latest
 
+from yewloom.addresses import split_address
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
@@ -161,7 +162,7 @@
         await nursery.start(self._callers.serve, host.caller_address)
         await nursery.start(self._probes.serve, host.readiness_address)
         if host.metrics_port:
-            ip = host.caller_address.rpartition(":")[0]
+            ip, _ = split_address(host.caller_address)
             await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
         tasks = [
             self._configuration_follower.run,
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -10,6 +10,7 @@
 import yewloom
 
 DECISIONS = (
+    "addresses",
     "admission",
     "attempts",
     "claims",
