--- a/yewloom/replica_lifecycle.py
+++ b/yewloom/replica_lifecycle.py
@@ -4,6 +4,8 @@
 leader is known to have left or ended.
 """
 
+from collections.abc import Container
+
 from yewloom.configuration import EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, MemberState
 from yewloom.ids import HostId, ModelName
@@ -13,7 +15,7 @@
 from yewloom.states import GroupIntent
 
 FORM_SLACK_S = 3.0
-"""Time beyond its warm-up after which a group that is not ready is formed anew."""
+"""Time beyond its warm-up, or its loads, after which a group that is not ready is formed anew."""
 
 CLOSE_LIMIT_S = 10.0
 """Longest time that a closing group is left to finish; engines hold a leaving member no longer."""
@@ -95,9 +97,7 @@
         present = [member for member in members if member is not None]
         in_group = [m for m in present if m.membership is not None and m.membership.key == key]
         if len(in_group) < len(members):
-            for order in self.join_orders(group):
-                if order.engine not in {member.id for member in in_group}:
-                    self._order_once(order.engine, order.address, order.order, now_s)
+            self._order_to_join(group, {member.id for member in in_group}, now_s)
             return self._tend_forming(group, key, now_s - began_s)
         states = {m.membership.state for m in in_group if m.membership is not None}
         if MemberState.OPEN in states:
@@ -109,6 +109,12 @@
             return False
         return self._tend_forming(group, key, now_s - began_s)
 
+    def _order_to_join(self, group: Group, joined: Container[HostId], now_s: float) -> None:
+        """Order those members to join that have not joined."""
+        for planned in self.join_orders(group):
+            if planned.engine not in joined:
+                self._order_once(planned.engine, planned.address, planned.order, now_s)
+
     def _must_close(self, members: list[Endpoint], key: GroupKey, now_s: float) -> bool:
         """Tell whether a leaving member ends a group that serves.
 
