--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
-_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
+_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
 class ForwardMetrics:
@@ -10,35 +10,31 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self._requests = Counter(
+        self._requests = self._counter(
             "yewloom_forwarded_requests",
             "Requests of callers by route kind, status and outcome.",
-            ["kind", "status", "outcome"],
-            registry=self.registry,
+            "kind",
+            "status",
+            "outcome",
         )
         self._duration_s = Histogram(
             "yewloom_forwarded_request_seconds",
             "Time from the whole request to the end of its answer.",
             ["kind"],
-            buckets=_SECONDS,
+            buckets=_BUCKETS_S,
             registry=self.registry,
         )
-        self._attempts = Counter(
-            "yewloom_endpoint_attempts",
-            "Sendings to endpoints by how they ended.",
-            ["outcome"],
-            registry=self.registry,
+        self._attempts = self._counter(
+            "yewloom_endpoint_attempts", "Sendings to endpoints by how they ended.", "outcome"
         )
-        self._orders = Counter(
+        self._orders = self._counter(
             "yewloom_replica_orders",
             "Orders to model engines by kind and answer.",
-            ["order", "answer"],
-            registry=self.registry,
+            "order",
+            "answer",
         )
-        self._log_lines_lost = Counter(
-            "yewloom_log_lines_lost",
-            "Log lines left out because nobody read the log.",
-            registry=self.registry,
+        self._log_lines_lost = self._counter(
+            "yewloom_log_lines_lost", "Log lines left out because nobody read the log."
         )
 
     def on_request(self, kind: str, status: int, outcome: str, took_s: float) -> None:
@@ -58,3 +54,6 @@
     def on_log_line_lost(self) -> None:
         """Count a log line that was left out."""
         self._log_lines_lost.inc()
+
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(name, help_text, labels, registry=self.registry)
