--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -69,8 +69,8 @@
         self._selector = Selector(self._directory, data_centre, self._board, rng)
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(self._handle, self._caller_limits)
-        self._probes = CallerServer(self._answer_readiness, CallerLimits)
-        self._figures = CallerServer(self._answer_metrics, CallerLimits)
+        self._readiness = CallerServer(self._answer_readiness, CallerLimits)
+        self._metrics_server = CallerServer(self._answer_metrics, CallerLimits)
         self._coordinator = self._build_coordinator()
         self._endpoint_intake = EndpointIntake(parts.records, self._directory, self._selector)
         self._configuration_follower = self._build_configuration_follower()
@@ -160,10 +160,10 @@
         """Open the servers, then begin the tasks that go on beside them."""
         host = self._settings.host
         await nursery.start(self._callers.serve, host.caller_address)
-        await nursery.start(self._probes.serve, host.readiness_address)
+        await nursery.start(self._readiness.serve, host.readiness_address)
         if host.metrics_port:
             ip, _ = split_address(host.caller_address)
-            await nursery.start(self._figures.serve, f"{ip}:{host.metrics_port}")
+            await nursery.start(self._metrics_server.serve, f"{ip}:{host.metrics_port}")
         tasks = [
             self._configuration_follower.run,
             self._endpoint_follower.run,
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -65,13 +65,13 @@
         self._placement = PlacementRecord(self._data_centre, platform)
         self._delivery = OrderDelivery(orders, self._state, metrics)
         self._stalled_groups = StalledGroups(directory, stalls, orders, self._state)
-        self._was_holding = False
+        self._is_holding = False
         self.is_leaving = False
 
     @property
     def is_holding(self) -> bool:
         """Tell whether this host coordinates now."""
-        return self._was_holding
+        return self._is_holding
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
@@ -79,7 +79,7 @@
             if not self.is_leaving:
                 await self._lease.keep()
                 holds = self._lease.holds()
-                if holds != self._was_holding:
+                if holds != self._is_holding:
                     self._on_lease_change(holds)
                 if holds:
                     await self._step()
@@ -88,7 +88,7 @@
     def _on_lease_change(self, holds: bool) -> None:
         """Begin or end coordinating; what another coordinator may have changed is read anew."""
         logger.info("coordinator changed", holds=holds, term=self._lease.term)
-        self._was_holding = holds
+        self._is_holding = holds
         self._placement.forget()
         self._delivery.forget_sequences()
 
