--- a/yewloom/platform/engines.py
+++ b/yewloom/platform/engines.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 from typing import Any
 
+from yewloom.directory import GroupKey
 from yewloom.http_calls import HttpCaller, HttpCallError, HttpFailure
 from yewloom.ids import HostId
 from yewloom.replica_orders import (
@@ -75,36 +76,30 @@
 
 @order_fields.register
 def _(order: JoinGroup) -> dict[str, Any]:
-    return {
-        "op": "join",
-        "group": order.key.group_id,
-        "epoch": order.key.generation,
-        "model": order.model,
-        "members": list(order.members),
-    }
+    fields = _group_fields("join", order.key)
+    return {**fields, "model": order.model, "members": list(order.members)}
 
 
 @order_fields.register
 def _(order: OpenGroup) -> dict[str, Any]:
-    return {"op": "open", "group": order.key.group_id, "epoch": order.key.generation}
+    return _group_fields("open", order.key)
 
 
 @order_fields.register
 def _(order: CloseGroup) -> dict[str, Any]:
-    return {
-        "op": "close",
-        "group": order.key.group_id,
-        "epoch": order.key.generation,
-        "mode": "wait",
-    }
+    return {**_group_fields("close", order.key), "mode": "wait"}
 
 
 @order_fields.register
 def _(order: LeaveGroup) -> dict[str, Any]:
-    return {"op": "leave", "group": order.key.group_id, "epoch": order.key.generation}
+    return _group_fields("leave", order.key)
 
 
 @order_fields.register
 def _(order: StageModel) -> dict[str, Any]:
     # The wire's "phase" with a model loads that model onto the host.
     return {"op": "phase", "model": order.model}
+
+
+def _group_fields(op: str, key: GroupKey) -> dict[str, Any]:
+    return {"op": op, "group": key.group_id, "epoch": key.generation}
