--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -10,6 +10,7 @@
 import yewloom
 
 DECISIONS = (
+    "addresses",
     "admission",
     "attempts",
     "claims",
@@ -21,6 +22,8 @@
     "experiments",
     "fleet",
     "formation",
+    "free_hosts",
+    "group_exchanges",
     "groups",
     "leases",
     "membership",
@@ -40,6 +43,7 @@
     "stalls",
     "streams",
     "tables",
+    "weight_loads",
 )
 IO_MODULES = {"asyncio", "grpc", "httpcore", "hypercorn", "socket", "starlette", "time", "trio"}
 MAX_LINES = 380
