--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -34,7 +34,10 @@
 
 @dataclass
 class StandinEngine:
-    """One engine; while ``moves`` is not set, its group stands still, as after a lost member."""
+    """One engine; while ``moves`` is not set, its group stands still, as after a lost member.
+
+    One that ``is_lost`` tells nothing of itself any more.
+    """
 
     name: str
     address: str
@@ -47,6 +50,7 @@
     group: dict[str, Any] | None = None
     members: list[str] = field(default_factory=list)
     sequence: int = 0
+    is_lost: bool = False
     moves: trio.Event = field(default_factory=_set_event)
     orders: list[dict[str, Any]] = field(default_factory=list)
 
@@ -121,6 +125,8 @@
         return Response(status_code=202)
 
     async def _report(self, request: Request) -> Response:
+        if self.is_lost:
+            return Response(status_code=503)
         return JSONResponse({"phase": "both", "sequence": self.sequence, "queued": 0, "active": 0})
 
     async def _answer(self, request: Request) -> Response:
--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -21,6 +21,7 @@
 from yewloom.platform.standin_store import StandinStore
 from yewloom.platform.store import ObjectStore
 from yewloom.platform_parts import PlatformParts
+from yewloom.replica_lifecycle import UNLISTED_GRACE_S
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import parse_entry_settings
 
@@ -275,6 +276,7 @@
             head = world.heads()[0]
             lost = next(e for e in world.engines if e.name == head.members[1])
             old = head.group
+            lost.is_lost = True
             world.store.remove("servers", lost.name)
             world.engines.remove(lost)
 
@@ -287,6 +289,18 @@
 
         run(test)
 
+    def test_a_group_serves_on_when_a_member_is_cut_off_from_the_store_alone(self) -> None:
+        async def test(world: World) -> None:
+            await world.wait_for(self._has_two_groups(world))
+            head = world.heads()[0]
+            hidden = next(e for e in world.engines if e.name == head.members[1])
+            world.store.remove("servers", hidden.name)
+            await trio.sleep(UNLISTED_GRACE_S + 1.0)
+            self.assertEqual(len(world.heads()), 2)
+            self.assertEqual((await world.ask())[0], 200)
+
+        run(test)
+
     @staticmethod
     def _has_two_groups(world: World) -> Callable[[], Awaitable[bool]]:
         async def check() -> bool:
