--- a/yewloom/coordinator_records.py
+++ b/yewloom/coordinator_records.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from yewloom.ids import AttemptId, DataCentreId, EntryHostId
-from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
+from yewloom.leases import LeaseKeeper, ReadLease, WriteLease, lease_timing
 from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Lease, Placement
@@ -25,11 +25,7 @@
     def __init__(
         self, settings: EntrySettings, platform: Platform, stale_platform: Platform
     ) -> None:
-        lease = settings.lease
-        timing = LeaseTiming(
-            lease.duration_ms / 1000, lease.renew_interval_ms / 1000, lease.margin_ms / 1000
-        )
-        self._keeper = LeaseKeeper(EntryHostId(settings.host.id), timing)
+        self._keeper = LeaseKeeper(EntryHostId(settings.host.id), lease_timing(settings.lease))
         self._key = f"yewloom-leases/{settings.host.data_centre}"
         self._platform = platform
         self._stale_platform = stale_platform
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -15,7 +15,7 @@
 from yewloom.drafts import Plan
 from yewloom.endpoints import Endpoints
 from yewloom.ids import AttemptId, EntryHostId, HostId
-from yewloom.leases import LeaseKeeper, LeaseTiming, ReadLease, WriteLease
+from yewloom.leases import LeaseKeeper, ReadLease, WriteLease, lease_timing
 from yewloom.node import COORDINATE_COUNT, COORDINATE_DUTY, Node
 from yewloom.observers import Observer
 from yewloom.orders import DueOrder, due_orders
@@ -48,7 +48,7 @@
         self._observer = observer
         self._new_attempt = new_attempt
         self._writer = EntryHostId(f"{node.id}/{node.membership.me.incarnation}")
-        self._lease = LeaseKeeper(self._writer, _lease_timing(node))
+        self._lease = LeaseKeeper(self._writer, lease_timing(node.settings.lease))
         self._planner = Planner(self._writer, _placement_timing(node))
         self._listed: dict[HostId, Host] | None = None
         self._version = 0
@@ -268,13 +268,6 @@
     return parse_record(stored, Lease())
 
 
-def _lease_timing(node: Node) -> LeaseTiming:
-    lease = node.settings.lease
-    return LeaseTiming(
-        lease.duration_ms / 1000, lease.renew_interval_ms / 1000, lease.margin_ms / 1000
-    )
-
-
 def _placement_timing(node: Node) -> PlacementTiming:
     groups = node.settings.groups
     return PlacementTiming(
--- a/yewloom/leases.py
+++ b/yewloom/leases.py
@@ -12,6 +12,7 @@
 
 from yewloom.ids import AttemptId, EntryHostId
 from yewloom.schema.records_pb2 import Lease
+from yewloom.schema.settings_pb2 import LeaseSettings
 
 
 @dataclass(frozen=True)
@@ -23,6 +24,13 @@
     margin_s: float
 
 
+def lease_timing(settings: LeaseSettings) -> LeaseTiming:
+    """Return the durations that the settings state in milliseconds."""
+    return LeaseTiming(
+        settings.duration_ms / 1000, settings.renew_interval_ms / 1000, settings.margin_ms / 1000
+    )
+
+
 @dataclass(frozen=True)
 class ReadLease:
     """Action: read the record."""
