--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -15,6 +15,10 @@
 FRESH_S = 1.0
 """Age up to which a peer's load counts: five of its messages."""
 
+LEAST_HOSTS = 12
+"""Entry hosts among which a bound for all is divided at least: nine and three spare ones on the
+larger trial deployment, of which some may not be known yet."""
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationWord:
@@ -30,11 +34,6 @@
     heard_s: float
 
 
-LEAST_HOSTS = 12
-"""Entry hosts among which a bound for all is divided at least: nine and three spare ones on the
-larger trial deployment, of which some may not be known yet."""
-
-
 class PeerBoard:
     """Keeps the latest message of each peer, and the peers that were ever known."""
 
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -40,7 +40,7 @@
         self._looked_s: dict[HostId, float] = {}
 
     async def look(self, groups: Iterable[Group]) -> None:
-        """Look at the suspects again, then at the recorded groups that stand still."""
+        """Look at the suspects again, then at groups that stand still or lack listed members."""
         now_s = trio.current_time()
         await self._look_at_suspects(now_s)
         stalled = self._stalls.suspected(now_s)
