--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -73,7 +73,8 @@
             now_s = trio.current_time()
             self._board.drop_silent(now_s)
             state = self._state(now_s)
-            for peer, address in self._addresses.by_peer.items():
+            # A copy: addresses may be read anew while a message is on its way.
+            for peer, address in list(self._addresses.by_peer.items()):
                 state.echoed_ms = self._board.echo_for(peer)
                 # A peer that can't be reached gets the next message; nothing waits for this one.
                 with suppress(OSError):
