--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 
 demo: .venv/installed
 	PATH="$(CURDIR)/$(BIN):$$PATH" bash tools/demo.sh
+	PATH="$(CURDIR)/$(BIN):$$PATH" bash tools/demo_platform.sh
 
 check: lint types generated docs-check test
 
