--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -1,13 +1,12 @@
 """One caller's request on its way to an endpoint, or the refusal that ends it before."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from yewloom.attempts import AttemptRecord
 from yewloom.caller_headers import RequestMarks
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.configuration import Configuration
-from yewloom.directory import Endpoint
 from yewloom.event_stream import StreamCursor
 from yewloom.ids import CustomerId
 from yewloom.routes import Route
@@ -29,7 +28,6 @@
     record: AttemptRecord
     cursor: StreamCursor
     first_event_s: float | None = None
-    endpoints: list[Endpoint] = field(default_factory=list)
 
     def left_ms(self, now_s: float) -> int:
         """Return the time left in whole milliseconds."""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -97,7 +97,6 @@
 
     async def _attempt(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         request.record.begin(endpoint.id)
-        request.endpoints.append(endpoint)
         self._selector.begin(endpoint.id)
         try:
             return await self._attempts.run(request, endpoint)
