Accept no more connections once the balancer has stopped sending them

On the users' platform new connections still come where under half of a data centre's hosts are ready, since the balancer then uses all of them. Ruled out: kept connections (answers carry 'Connection: close' while the host leaves). Change: the listening socket closes with the idle connections. Test: test_caller_server.py, failed first.

--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -29,6 +29,7 @@
         self._handler = handler
         self._limits = limits
         self.activity = CallerActivity()
+        self._accepting = trio.CancelScope()
 
     async def serve(
         self, address: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -37,7 +38,15 @@
         host, port = split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
         task_status.started()
-        await trio.serve_listeners(self._serve_connection, listeners)
+        async with trio.open_nursery() as connections:
+            with self._accepting:
+                await trio.serve_listeners(
+                    self._serve_connection, listeners, handler_nursery=connections
+                )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; connections that are open go on."""
+        self._accepting.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(self.activity, stream, self._handler, self._limits())
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -221,6 +221,7 @@
         logger.info("stopping", open_requests=self._callers.activity.open_requests)
         self._is_leaving = self._coordinator.is_leaving = self._callers.activity.is_leaving = True
         await trio.sleep(BALANCER_NOTICE_S)
+        self._callers.stop_accepting()
         self._callers.activity.close_idle()
         with trio.move_on_at(ends_s):
             await self._callers.activity.wait_until_idle()
--- /dev/null
+++ b/yewloom/tests/test_caller_server.py
@@ -0,0 +1,53 @@
+"""Tests of accepting callers' connections."""
+
+import socket
+import unittest
+
+import trio
+import trio.testing
+
+from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.caller_server import CallerServer
+from yewloom.configuration import CallerLimits
+from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, OutgoingRequest, open_exchange
+
+HEADERS = [(b"host", b"x.example"), (b"content-length", b"0")]
+REQUEST = OutgoingRequest(b"POST", b"/", HEADERS, b"")
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class TestPlannedStop(unittest.TestCase):
+    """What a server that stops still takes."""
+
+    def test_no_connection_is_accepted_any_more_and_open_requests_are_answered(self) -> None:
+        trio.run(self._stop_with_an_open_request)
+
+    async def _stop_with_an_open_request(self) -> None:
+        asked, may_answer = trio.Event(), trio.Event()
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            asked.set()
+            await may_answer.wait()
+            await reply.send_whole(200, [], b"done")
+
+        server, address = CallerServer(handle, CallerLimits), _free_address()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve, address)
+            async with open_exchange(address, 1.0) as exchange:
+                await exchange.send(REQUEST)
+                await asked.wait()
+                server.stop_accepting()
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                with self.assertRaises(ExchangeError) as refused:
+                    async with open_exchange(address, 1.0):
+                        pass
+                self.assertIs(refused.exception.failure, ExchangeFailure.NOT_CONNECTED)
+                may_answer.set()
+                head = await exchange.head()
+                self.assertEqual((head.status, await exchange.whole_body()), (200, b"done"))
+            nursery.cancel_scope.cancel()
