Add a randomized soak: entry hosts as processes, faults from outside, promises checked

Entry hosts run as processes against stand-ins of store and endpoints; their links to store and endpoints go through proxies that delay, reset, silence or cut one way; processes are killed, stopped, paused and told to reload; the store refuses, loses answers and forgets; engines are lost; the configuration changes. Callers keep their connections. What callers got and endpoints ran is checked for answers that are mixed up, requests run twice, changed, or run after a refusal, keys that work too long, steps back in the configuration, groups that are not whole, hosts in two groups, requests cut off by planned stops, and service after the last fault.

--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -4,7 +4,7 @@
 """
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,7 +36,9 @@
 class StandinEngine:
     """One engine; while ``moves`` is not set, its group stands still, as after a lost member.
 
-    One that ``is_lost`` tells nothing of itself any more.
+    One that ``is_lost`` tells nothing of itself any more. ``was_ready`` holds the groups, with
+    their members, in which it was ready. ``on_run`` and ``on_join`` are told of each request that
+    it begins to run, with its body, and of each join before it is carried out.
     """
 
     name: str
@@ -53,6 +55,9 @@
     is_lost: bool = False
     moves: trio.Event = field(default_factory=_set_event)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    was_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
+    on_run: Callable[["StandinEngine", Request, bytes], None] | None = None
+    on_join: Callable[["StandinEngine", dict[str, Any]], None] | None = None
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -97,6 +102,9 @@
         return self._change_group(order["op"])
 
     async def _join(self, order: dict[str, Any]) -> Response:
+        if self.on_join is not None:
+            self.on_join(self, order)
+        self.moves = _set_event()
         self.members = order["members"]
         rank = self.members.index(self.name)
         self.group = {"name": order["group"], "epoch": order["epoch"], "rank": rank}
@@ -105,6 +113,7 @@
         await trio.sleep(JOIN_S)
         self.models = self.staged = [order["model"]]
         self.group = {**self.group, "state": "ready"}
+        self.was_ready.add((order["group"], order["epoch"], tuple(order["members"])))
         return self._begun()
 
     def _change_group(self, op: str) -> Response:
@@ -134,6 +143,8 @@
         is_serving = self.group is not None and self.group["state"] == "open"
         if request.headers.get("yewloom-expect-instance") != self.name or not is_serving:
             return Response(status_code=421, headers=headers)
+        if self.on_run is not None:
+            self.on_run(self, request, await request.body())
         headers["yewloom-server-stamp"] = self.name
         last = int(request.headers.get("last-event-id", "0"))
         return StreamingResponse(
--- /dev/null
+++ b/yewloom/tests/soak/__main__.py
@@ -0,0 +1,33 @@
+"""Runs soaks by hand: ``python -m yewloom.tests.soak --first-seed 1 --seeds 50``."""
+
+from typing import Annotated
+
+import typer
+
+from yewloom.tests.soak.run import soak
+
+
+def main(
+    first_seed: Annotated[int, typer.Option(help="Seed of the first soak.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Soaks to run, one after the other.")] = 1,
+    duration_s: Annotated[float, typer.Option(help="Time with faults of each soak.")] = 20.0,
+    entries: Annotated[int, typer.Option(help="Entry hosts.")] = 4,
+    engines: Annotated[int, typer.Option(help="Engines.")] = 6,
+) -> None:
+    """Run soaks; exit code 1 if a promise was broken."""
+    failed: list[int] = []
+    for seed in range(first_seed, first_seed + seeds):
+        result = soak(seed, duration_s, entries, engines)
+        outcomes = ", ".join(f"{name} {n}" for name, n in sorted(result.outcomes.items()))
+        print(f"seed {seed}: {len(result.broken)} broken; {outcomes}", flush=True)
+        for broken in result.broken:
+            print(f"  {broken}", flush=True)
+        if result.broken:
+            print(f"  logs: {result.folder}", flush=True)
+            failed.append(seed)
+    print(f"{seeds - len(failed)} passed, {len(failed)} failed")
+    raise typer.Exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/yewloom/tests/soak/endpoints.py
@@ -0,0 +1,117 @@
+"""Stand-in endpoints that keep a ledger of what they run, and check their groups."""
+
+import random
+from collections.abc import Sequence
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from yewloom.platform.standin_engine import StandinEngine
+from yewloom.platform.standin_store import StandinStore
+from yewloom.tests.soak.ledger import Broken, Ledger, Ran
+
+PLAIN_WORK_S = 0.03
+"""Time that a plain endpoint works on a request."""
+
+REJECTED_SHARE = 0.05
+"""Part of the requests that a plain endpoint says it did not run."""
+
+FAILED_SHARE = 0.03
+"""Part of the requests that a plain endpoint runs and answers with 500."""
+
+_SERVING = ("open", "closing")
+
+
+def ran(request: Request, endpoint: str, body: bytes) -> Ran:
+    """Return what an endpoint notes of a request."""
+    return Ran(
+        request_id=request.headers["yewloom-request-id"],
+        endpoint=endpoint,
+        path=request.url.path,
+        body=body,
+        customer=request.headers.get("yewloom-tenant", ""),
+        at_s=trio.current_time(),
+    )
+
+
+class EngineWatch:
+    """Checks, at each run and each join, that groups are whole and that no host is in two."""
+
+    def __init__(self, ledger: Ledger, engines: Sequence[StandinEngine]) -> None:
+        self._ledger = ledger
+        self._engines = engines
+
+    def on_run(self, engine: StandinEngine, request: Request, body: bytes) -> None:
+        """Note a run; every member must have been ready in this very group."""
+        noted = ran(request, engine.name, body)
+        self._ledger.note_run(noted)
+        assert engine.group is not None
+        key = (engine.group["name"], engine.group["epoch"], tuple(engine.members))
+        by_name = {other.name: other for other in self._engines}
+        for name in engine.members:
+            member = by_name.get(name)
+            if member is not None and not member.is_lost and key not in member.was_ready:
+                detail = f"{name} was never ready in {key}"
+                self._ledger.broken.append(Broken("partial", noted.request_id, detail))
+
+    def on_join(self, engine: StandinEngine, order: dict[str, object]) -> None:
+        """Check that the head of the group which an engine leaves by a join serves no more."""
+        old = engine.group
+        if old is None or (old["name"], old["epoch"]) == (order["group"], order["epoch"]):
+            return
+        head = next((e for e in self._engines if engine.members[:1] == [e.name]), None)
+        if head is None or head.is_lost or head.group is None:
+            return
+        is_same = (head.group["name"], head.group["epoch"]) == (old["name"], old["epoch"])
+        if is_same and head.group["state"] in _SERVING:
+            detail = f"{engine.name} joins {order['group']} while {old['name']} serves"
+            self._ledger.broken.append(Broken("two groups", "", detail))
+
+
+class PlainEndpoint:
+    """An endpoint of a plain service: works, rejects or fails, and notes what it ran."""
+
+    def __init__(
+        self, name: str, service: str, store: StandinStore, ledger: Ledger, rng: random.Random
+    ) -> None:
+        self.name = name
+        self._service = service
+        self._store = store
+        self._ledger = ledger
+        self._rng = rng
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(routes=[Route("/{path:path}", self._answer, methods=["GET", "POST"])])
+
+    def publish(self, address: str) -> None:
+        """Write the endpoint's entry into the store."""
+        spec = {
+            "service": self._service,
+            "address": address,
+            "zone": "hall-a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+        }
+        self._store.put("servers", self.name, spec)
+
+    async def _answer(self, request: Request) -> Response:
+        body = await request.body()
+        headers = {"yewloom-request-id": request.headers.get("yewloom-request-id", "")}
+        if request.headers.get("yewloom-expect-instance") != self.name:
+            return Response(status_code=421, headers=headers)
+        if self._rng.random() < REJECTED_SHARE:
+            return Response(status_code=503, headers={**headers, "yewloom-not-executed": "1"})
+        noted = ran(request, self.name, body)
+        self._ledger.note_run(noted)
+        await trio.sleep(PLAIN_WORK_S)
+        headers["yewloom-server-stamp"] = self.name
+        if self._rng.random() < FAILED_SHARE:
+            return Response(b"failed", status_code=500, headers=headers)
+        return Response(
+            b"%s for %s" % (self.name.encode(), noted.request_id.encode()), 200, headers
+        )
--- /dev/null
+++ b/yewloom/tests/soak/fleet.py
@@ -0,0 +1,218 @@
+"""The fleet under soak: store, endpoints and links in this process, entry hosts beside it."""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+from starlette.applications import Starlette
+
+from yewloom.platform.standin_engine import StandinEngine
+from yewloom.platform.standin_store import StandinStore
+from yewloom.tests.processes import free_port
+from yewloom.tests.soak.endpoints import EngineWatch, PlainEndpoint
+from yewloom.tests.soak.ledger import Ledger
+from yewloom.tests.soak.proxy import Link
+
+ENGINES, PLAIN, MODEL = "engines", "plain", "plates"
+HOST = "soak.example"
+
+ENTRY_SETTINGS = """
+[host]
+id = {name}
+data_centre = hall-a
+caller_address = 127.0.0.1:{caller_port}
+readiness_address = 127.0.0.1:{readiness_port}
+peer_address = 127.0.0.1:{peer_port}
+metrics_port = 0
+is_first_start = true
+[store]
+address = {store}
+[bounds]
+retry_extra = 100
+"""
+
+
+def key_of(version: int) -> str:
+    """Return the API key that a version of the configuration brings."""
+    return f"key-{version}"
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Return a version; it keeps the key of the one before, and drops older ones."""
+    kinds = {"stream": ENGINES, "idempotent": PLAIN, "non_idempotent": PLAIN}
+    routes = [
+        {
+            "name": kind,
+            "host": HOST,
+            "pathPrefix": f"/{kind}/",
+            "type": kind,
+            "timeoutMs": 6000,
+            "sloMs": 500,
+            "service": service,
+            "attempts": 2,
+            "resumable": kind == "stream",
+        }
+        for kind, service in kinds.items()
+    ]
+    model = {"name": MODEL, "size": 2, "share": 1, "loadS": 1, "warmupS": 0.1}
+    engine = {"slots": 13, "models": [model], "loadsPerS": 4.0}
+    keys = [key_of(version), key_of(version - 1)]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": ENGINES, "engine": engine}, {"name": PLAIN}],
+        "tenants": [{"name": "customer", "apiKeys": keys}],
+    }
+
+
+@dataclass
+class EntryProcess:
+    """One entry host and its link to the store; ``lives`` counts its starts."""
+
+    name: str
+    caller_address: str
+    settings: Path
+    store_link: Link
+    log: Path
+    lives: int = 0
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def life(self) -> str:
+        """Name of the process that runs now."""
+        return f"{self.name}/{self.lives}"
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process anew."""
+        self.lives += 1
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "yewloom.platform"],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "YEWLOOM_BOOT": str(self.settings)},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone, if it runs."""
+        if self.process is not None and self.is_running:
+            self.process.send_signal(number)
+
+
+@dataclass
+class SoakEngine:
+    """An engine with its link."""
+
+    engine: StandinEngine
+    link: Link
+
+
+@dataclass
+class Fleet:
+    """Everything under soak."""
+
+    folder: Path
+    ledger: Ledger
+    rng: random.Random
+    nursery: trio.Nursery
+    store: StandinStore = field(default_factory=StandinStore)
+    entries: list[EntryProcess] = field(default_factory=list)
+    engines: list[SoakEngine] = field(default_factory=list)
+    plain_links: list[Link] = field(default_factory=list)
+    version: int = 1
+    _known_engines: list[StandinEngine] = field(default_factory=list)
+
+    async def start(self, entries: int, engines: int, plain: int) -> None:
+        """Start everything; entry hosts need some seconds until they serve."""
+        self.store.put("config", "main", configuration(self.version))
+        store_address = await self._serve(self.store.application())
+        for _ in range(engines):
+            await self.add_engine()
+        for number in range(plain):
+            await self._add_plain(f"plain-{number}")
+        for number in range(entries):
+            link = await self._open_link(store_address)
+            self.entries.append(self._entry(f"entry-{number}", link))
+        for entry in self.entries:
+            entry.start()
+
+    async def add_engine(self) -> None:
+        """Start a new engine without weights."""
+        name = f"engine-{len(self._known_engines)}"
+        domain = f"rack-{len(self._known_engines) % 2}"
+        engine = StandinEngine(name, "", ENGINES, domain, "hall-a", self.store)
+        watch = EngineWatch(self.ledger, self._known_engines)
+        engine.on_run, engine.on_join = watch.on_run, watch.on_join
+        self._known_engines.append(engine)
+        link = await self._open_link(await self._serve(engine.application()))
+        engine.address = link.address
+        self.engines.append(SoakEngine(engine, link))
+        engine.publish()
+
+    def change_configuration(self) -> None:
+        """Write the next version, which takes the key of the last but one away."""
+        self.version += 1
+        self.store.put("config", "main", configuration(self.version))
+        self.ledger.removed_s[self.version - 2] = trio.current_time()
+
+    def stop(self) -> None:
+        """End the processes that this soak started, and no others."""
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            entry.signal(signal.SIGKILL)
+        for entry in self.entries:
+            if entry.process is not None:
+                entry.process.wait()
+
+    async def _add_plain(self, name: str) -> None:
+        endpoint = PlainEndpoint(name, PLAIN, self.store, self.ledger, self.rng)
+        link = await self._open_link(await self._serve(endpoint.application()))
+        self.plain_links.append(link)
+        endpoint.publish(link.address)
+
+    async def _open_link(self, target: str) -> Link:
+        link = Link(target)
+        await link.open(self.nursery)
+        return link
+
+    async def _serve(self, application: Starlette) -> str:
+        """Serve an application on a free port; return its address once it answers."""
+        address = f"127.0.0.1:{free_port()}"
+        config = Config()
+        config.bind = [address]
+        config.errorlog = None
+        self.nursery.start_soon(hypercorn.trio.serve, application, config)
+        host, port = address.split(":")
+        while True:
+            try:
+                async with await trio.open_tcp_stream(host, int(port)):
+                    return address
+            except OSError:
+                await trio.sleep(0.02)
+
+    def _entry(self, name: str, store_link: Link) -> EntryProcess:
+        caller_port = free_port()
+        text = ENTRY_SETTINGS.format(
+            name=name,
+            caller_port=caller_port,
+            readiness_port=free_port(),
+            peer_port=free_port(),
+            store=store_link.address,
+        )
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(text, encoding="utf-8")
+        address = f"127.0.0.1:{caller_port}"
+        return EntryProcess(name, address, settings, store_link, self.folder / f"{name}.log")
--- /dev/null
+++ b/yewloom/tests/soak/ledger.py
@@ -0,0 +1,170 @@
+"""What callers sent and got and what endpoints ran, and the promises that both must bear out.
+
+A request is one attempt of a caller, under its own id. Times are seconds of the soak's clock.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+REVOCATION_S = 5.0
+"""Time after which a key that was taken away must not be accepted."""
+
+REGRESSION_S = 0.25
+"""Time after which a host that showed a version must not act on an older one."""
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Answers that promise that the request has not run and never will."""
+
+
+class Kind(Enum):
+    """Kind of a request."""
+
+    STREAM = "stream"
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+
+
+@dataclass(frozen=True)
+class Broken:
+    """A promise that was broken."""
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+@dataclass
+class Sent:
+    """A request as its caller sent it; ``key_version`` is the configuration that brought its key.
+
+    ``host_life`` names the process that was asked.
+    """
+
+    request_id: str
+    kind: Kind
+    path: str
+    body: bytes
+    key_version: int
+    host_life: str
+    sent_s: float
+    ended_s: float | None = None
+    status: int | None = None
+    stamp: str = ""
+    answer: bytes = b""
+    is_whole: bool = False
+
+
+@dataclass(frozen=True)
+class Ran:
+    """A request as an endpoint began to run it."""
+
+    request_id: str
+    endpoint: str
+    path: str
+    body: bytes
+    customer: str
+    at_s: float
+
+
+@dataclass
+class Ledger:
+    """Everything that happened, in order."""
+
+    sent: dict[str, Sent] = field(default_factory=dict)
+    runs: dict[str, list[Ran]] = field(default_factory=lambda: defaultdict(list))
+    removed_s: dict[int, float] = field(default_factory=dict)
+    broken: list[Broken] = field(default_factory=list)
+    planned_stops: dict[str, float] = field(default_factory=dict)
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+
+    def note_run(self, ran: Ran) -> None:
+        """Take in that an endpoint runs a request, and check what must hold at once."""
+        self.runs[ran.request_id].append(ran)
+        sent = self.sent.get(ran.request_id)
+        if sent is None:
+            self.broken.append(Broken("unasked", ran.request_id, "no caller sent it"))
+            return
+        if (sent.path, sent.body) != (ran.path, ran.body):
+            self.broken.append(Broken("unasked", ran.request_id, "path or body was changed"))
+        if ran.customer != "customer":
+            self.broken.append(Broken("unasked", ran.request_id, f"customer {ran.customer!r}"))
+        removed_s = self.removed_s.get(sent.key_version)
+        if removed_s is not None and sent.sent_s > removed_s + REVOCATION_S:
+            age_s = sent.sent_s - removed_s
+            self.broken.append(Broken("revoked", ran.request_id, f"key gone for {age_s:.2f} s"))
+
+    def check(self) -> list[Broken]:
+        """Return all promises that were broken so far."""
+        found = list(self.broken)
+        for sent in self.sent.values():
+            found += self._check_request(sent)
+        return found + list(self._check_regressions()) + list(self._check_planned_stops())
+
+    def _check_request(self, sent: Sent) -> Iterable[Broken]:
+        runs = self.runs.get(sent.request_id, [])
+        if sent.kind is Kind.UNSAFE and len(runs) > 1:
+            yield Broken("twice", sent.request_id, f"ran at {[run.endpoint for run in runs]}")
+        if sent.status in NOT_RUN_STATUSES and runs:
+            yield Broken("refused", sent.request_id, f"{sent.status}, ran at {runs[0].endpoint}")
+        if sent.status == 200 and sent.is_whole:
+            yield from self._check_answer(sent, runs)
+
+    def _check_answer(self, sent: Sent, runs: list[Ran]) -> Iterable[Broken]:
+        if sent.stamp not in {run.endpoint for run in runs}:
+            yield Broken("mixed", sent.request_id, f"stamp {sent.stamp!r} of nobody who ran it")
+        if sent.answer != expected_answer(sent):
+            yield Broken("mixed", sent.request_id, f"answer {sent.answer[:80]!r}")
+
+    def _check_regressions(self) -> Iterable[Broken]:
+        """No process that took a version's key may later refuse it, or take an older one."""
+        by_life: defaultdict[str, list[Sent]] = defaultdict(list)
+        for sent in self.sent.values():
+            by_life[sent.host_life].append(sent)
+        for requests in by_life.values():
+            seen: list[tuple[float, int]] = []
+            for sent in sorted(requests, key=lambda request: request.sent_s):
+                newest = max(
+                    (v for ended_s, v in seen if sent.sent_s > ended_s + REGRESSION_S), default=0
+                )
+                # A version keeps the key of the one before it, so only two behind is older.
+                if sent.status == 200 and sent.key_version < newest - 1:
+                    detail = f"key of version {sent.key_version} after {newest}"
+                    yield Broken("regressed", sent.request_id, detail)
+                if sent.status == 200 and sent.ended_s is not None:
+                    seen.append((sent.ended_s, sent.key_version))
+
+    def _check_planned_stops(self) -> Iterable[Broken]:
+        """A planned stop in calm times cuts no request off."""
+        for life, stopped_s in self.planned_stops.items():
+            for sent in self.sent.values():
+                ended_s = sent.ended_s
+                if sent.host_life != life or ended_s is None or ended_s < stopped_s:
+                    continue
+                if self._is_disturbed(sent.sent_s, ended_s) or not self.runs.get(sent.request_id):
+                    continue
+                if sent.status is None or (sent.status == 200 and not sent.is_whole):
+                    yield Broken("lost", sent.request_id, f"cut off by the stop of {life}")
+
+    def _is_disturbed(self, from_s: float, to_s: float) -> bool:
+        return any(begin_s < to_s and end_s > from_s for begin_s, end_s in self.disturbed)
+
+    def outcomes(self) -> Counter[str]:
+        """Count the requests by kind and status."""
+        return Counter(
+            f"{sent.kind.value} {sent.status if sent.is_whole or sent.status != 200 else 'cut'}"
+            for sent in self.sent.values()
+        )
+
+
+STREAM_EVENTS = 5
+"""Events of a whole stream, as the stand-in engines send them."""
+
+
+def expected_answer(sent: Sent) -> bytes:
+    """Return the body that a whole answer to a request has."""
+    if sent.kind is Kind.STREAM:
+        numbers = range(1, STREAM_EVENTS + 1)
+        return b"".join(b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers)
+    return b"%s for %s" % (sent.stamp.encode(), sent.request_id.encode())
--- /dev/null
+++ b/yewloom/tests/soak/proxy.py
@@ -0,0 +1,70 @@
+"""A TCP proxy on the loopback that delays, resets, silences or cuts what goes through it."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from yewloom.addresses import split_address
+
+READ_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+
+
+class LinkFault(Enum):
+    """What befalls a link; ``CUT_BACK`` loses answers only, ``SILENT`` both ways."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_BACK = "cut_back"
+    SILENT = "silent"
+
+
+DELAY_S = 0.15
+"""Delay of each piece of data: about the objective of the shortest requests."""
+
+
+@dataclass
+class Link:
+    """One proxied address; ``fault`` may change at any time and holds for open connections too."""
+
+    target: str
+    address: str = ""
+    fault: LinkFault = LinkFault.NONE
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        """Listen on a free port, ``address``, and serve until the nursery is cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.start_soon(trio.serve_listeners, self._carry, listeners)
+
+    async def _carry(self, caller: trio.SocketStream) -> None:
+        """Carry one connection; a fault or an end of either side ends both."""
+        try:
+            if self.fault is LinkFault.RESET:
+                return
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                server = await trio.open_tcp_stream(*split_address(self.target))
+            async with server, trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_for_reset, nursery.cancel_scope)
+                nursery.start_soon(self._pump, caller, server, LinkFault.SILENT)
+                await self._pump(server, caller, LinkFault.CUT_BACK)
+                nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError, trio.TooSlowError):
+            pass  # A side that ends, ends the connection; callers and checks see it there.
+
+    async def _pump(
+        self, source: trio.SocketStream, sink: trio.SocketStream, cut: LinkFault
+    ) -> None:
+        while data := await source.receive_some(READ_BYTES):
+            if self.fault is LinkFault.DELAY:
+                await trio.sleep(DELAY_S)
+            if self.fault not in (cut, LinkFault.SILENT):
+                await sink.send_all(data)
+        await sink.send_eof()
+
+    async def _watch_for_reset(self, scope: trio.CancelScope) -> None:
+        while self.fault is not LinkFault.RESET:  # noqa: ASYNC110 - faults are plain fields
+            await trio.sleep(0.02)
+        scope.cancel()
