Let two hosts of each data centre follow the store, and tell the others

Cause: on the grown deployments every host watched the store for itself, so each change of an endpoint was 58 or 79 calls; and each host told each other host five times a second. Tests: test_follow_duty.py, test_followed_position.py (a machine that loses, delays and repeats what is told), test_intake.py, test_followers.py.

--- a/yewloom/entry_addresses.py
+++ b/yewloom/entry_addresses.py
@@ -1,11 +1,13 @@
 """The addresses by which the entry hosts find each other: one object for each in the store."""
 
+from dataclasses import dataclass
+
 import structlog
 import trio
 from result import Err, Ok
 
 from yewloom.entry_states import PeerBoard
-from yewloom.ids import EntryHostId
+from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.platforms import Platform, PlatformFailure, StoredObject
 from yewloom.schema.entry_pb2 import EntryAddress
 from yewloom.writes import RecordError, parse_record, to_json
@@ -21,23 +23,31 @@
 """Pause before the addresses are read again while none is known, or after a failure."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer reads datagrams, as ip:port, and its data centre."""
+
+    address: str
+    data_centre: DataCentreId
+
+
 class EntryAddresses:
     """Publishes this host's address and reads those of its peers."""
 
     def __init__(
         self,
         host_id: EntryHostId,
-        address: str,
+        own: PeerAddress,
         platform: Platform,
         stale_platform: Platform,
         board: PeerBoard,
     ) -> None:
         self._host_id = host_id
-        self._address = address
+        self._own = own
         self._platform = platform
         self._stale_platform = stale_platform
         self._board = board
-        self.by_peer: dict[EntryHostId, str] = {}
+        self.by_peer: dict[EntryHostId, PeerAddress] = {}
 
     async def run(self) -> None:
         """Publish and read until cancelled."""
@@ -50,7 +60,8 @@
     async def _publish(self) -> bool:
         """Write this host's address; tell whether the store holds it."""
         key = f"{ADDRESS_KIND}/{self._host_id}"
-        value = to_json(EntryAddress(address=self._address))
+        own = EntryAddress(address=self._own.address, data_centre=self._own.data_centre)
+        value = to_json(own)
         match await self._platform.update(key, value, 0):
             case Ok(_):
                 return True
@@ -86,10 +97,10 @@
     def _take(self, stored: StoredObject) -> None:
         peer = EntryHostId(stored.key.partition("/")[2])
         try:
-            address = parse_record(stored, EntryAddress()).address
+            record = parse_record(stored, EntryAddress())
         except RecordError as error:
             logger.error("record unreadable", reason=str(error))
             return
         self._board.know(peer)
         if peer != self._host_id:
-            self.by_peer[peer] = address
+            self.by_peer[peer] = PeerAddress(record.address, DataCentreId(record.data_centre))
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -14,10 +14,12 @@
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
-from yewloom.entry_addresses import EntryAddresses
-from yewloom.entry_exchange import EntryExchange
+from yewloom.entry_addresses import EntryAddresses, PeerAddress
+from yewloom.entry_exchange import EntryExchange, Standing
 from yewloom.entry_states import PeerBoard
-from yewloom.followers import Follower
+from yewloom.follow_duty import FollowDuty
+from yewloom.followed_position import FollowedPosition
+from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
@@ -60,15 +62,28 @@
         self._stalls = StallDetector()
         self._has_had_requests = False
         self._is_leaving = False
-        self._board = PeerBoard(EntryHostId(settings.host.id))
-        data_centre = DataCentreId(settings.host.data_centre)
+        host_id, data_centre = (
+            EntryHostId(settings.host.id),
+            DataCentreId(settings.host.data_centre),
+        )
+        self._board = PeerBoard(host_id, data_centre)
+        self._duty = FollowDuty(
+            host_id, data_centre, self._board, lambda: self._coordinator.is_holding, rng.random()
+        )
         self._selector = Selector(self._directory, data_centre, self._board, rng)
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(self._handle, self._caller_limits)
         self._readiness = CallerServer(self._answer_readiness, CallerLimits)
         self._metrics_server = CallerServer(self._answer_metrics, CallerLimits)
         self._coordinator = self._build_coordinator()
-        self._endpoint_intake = EndpointIntake(parts.records, self._directory, self._selector)
+        self._followed_endpoints = FollowedPosition()
+        self._endpoint_intake = EndpointIntake(
+            parts.records,
+            self._directory,
+            self._selector,
+            self._followed_endpoints,
+            lambda changes: self._exchange.tell_changes(changes),
+        )
         self._configuration_follower = self._build_configuration_follower()
         self._endpoint_follower = self._build_endpoint_follower()
         self._exchange = self._build_exchange()
@@ -103,6 +118,7 @@
             self._parts.orders,
             self._metrics,
             self._is_before_traffic,
+            self._duty.is_mine,
         )
 
     def _build_configuration_follower(self) -> Follower:
@@ -111,8 +127,8 @@
             parts.configuration,
             parts.records.configuration_kind,
             ConfigurationIntake(parts.records, self._book).take,
-            lambda: 0.0,
-            self._settings.store.retry_pause_ms / 1000,
+            FollowedPosition(),
+            self._follow_pace(lambda: 0.0, self._book.age_s),
         )
 
     def _build_endpoint_follower(self) -> Follower:
@@ -121,29 +137,44 @@
             parts.endpoints,
             parts.records.endpoint_kind,
             self._endpoint_intake.take,
-            self._endpoint_pause_s,
-            self._settings.store.retry_pause_ms / 1000,
+            self._followed_endpoints,
+            self._follow_pace(self._endpoint_pause_s, self._followed_endpoints.age_s),
+        )
+
+    def _follow_pace(
+        self, pause_s: Callable[[], float], age_s: Callable[[float], float]
+    ) -> FollowPace:
+        return FollowPace(
+            has_duty=self._duty.is_mine,
+            must_ask=lambda: self._duty.must_ask(age_s(trio.current_time())),
+            pause_s=pause_s,
+            retry_pause_s=self._settings.store.retry_pause_ms / 1000,
         )
 
     def _build_exchange(self) -> EntryExchange:
         host, parts = self._settings.host, self._parts
-        host_id = EntryHostId(host.id)
+        host_id, data_centre = EntryHostId(host.id), DataCentreId(host.data_centre)
         return EntryExchange(
             host_id,
+            data_centre,
             host.peer_address,
             EntryAddresses(
                 host_id,
-                host.peer_address,
+                PeerAddress(host.peer_address, data_centre),
                 parts.records_store,
                 parts.stale_store,
                 self._board,
             ),
             self._board,
             self._book,
+            self._duty,
+            self._standing,
+            self._followed_endpoints,
             self._selector,
             self._stalls,
             self._avoid_stalled,
             self._configuration_follower.list_anew,
+            self._endpoint_intake.take_told,
         )
 
     async def run(self, reload: Callable[[], None]) -> None:
@@ -185,6 +216,11 @@
         pause_ms = store.coordinator_pause_ms if is_hurried else store.endpoint_pause_ms
         return pause_ms / 1000
 
+    def _standing(self) -> Standing:
+        followers = (self._configuration_follower, self._endpoint_follower)
+        is_answered = all(follower.is_answered for follower in followers)
+        return Standing(is_answered and not self._is_leaving, self._coordinator.is_holding)
+
     def _avoid_stalled(self, head: HostId) -> None:
         """Take in that a peer saw a group stand still."""
         now_s = trio.current_time()
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -9,11 +9,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from yewloom.ids import EntryHostId, HostId
-from yewloom.schema.entry_pb2 import EntryState
+from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.schema.entry_pb2 import EntryState, ListingWord
 
 FRESH_S = 1.0
-"""Age up to which a peer's load counts: five of its messages."""
+"""Age up to which the word of a peer in the same data centre counts: five of its messages."""
+
+REMOTE_FRESH_S = 3.0
+"""The same for a peer in another data centre, which is told in turn with the others there: every
+second on the largest trial deployment."""
 
 LEAST_HOSTS = 12
 """Entry hosts among which a bound for all is divided at least: nine and three spare ones on the
@@ -28,6 +32,22 @@
     confirmed_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmedListing:
+    """A peer's word that it knew the endpoints so far at ``confirmed_s`` of this host's clock."""
+
+    word: ListingWord
+    confirmed_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerWords:
+    """What a message of a peer proves, if anything."""
+
+    configuration: ConfigurationWord | None = None
+    listing: ConfirmedListing | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class _Heard:
     state: EntryState
@@ -37,8 +57,9 @@
 class PeerBoard:
     """Keeps the latest message of each peer, and the peers that were ever known."""
 
-    def __init__(self, me: EntryHostId) -> None:
+    def __init__(self, me: EntryHostId, data_centre: DataCentreId) -> None:
         self._me = me
+        self._data_centre = data_centre
         self._heard: dict[EntryHostId, _Heard] = {}
         self._running: Counter[HostId] = Counter()
         self._known = {me}
@@ -54,25 +75,26 @@
         """
         return max(LEAST_HOSTS, len(self._known))
 
-    def take(self, state: EntryState, now_s: float) -> ConfigurationWord | None:
-        """Take in a message; return what it proves of the configuration, if anything."""
+    def take(self, state: EntryState, now_s: float) -> PeerWords:
+        """Take in a message; return what it proves."""
         peer = EntryHostId(state.host_id)
         known = self._heard.get(peer)
         if peer == self._me or (known is not None and _order(state) <= _order(known.state)):
-            return None
+            return PeerWords()
         if known is not None:
             self._count(known.state, -1)
         self._count(state, 1)
         self._heard[peer] = _Heard(state, now_s)
-        if not state.echoed_ms or not state.configuration_version:
-            return None
-        confirmed_s = (state.echoed_ms - state.configuration_age_ms) / 1000
-        return ConfigurationWord(state.configuration_version, confirmed_s)
+        return _words_of(state) if state.echoed_ms else PeerWords()
+
+    def states(self) -> list[EntryState]:
+        """Return the latest message of each peer that was heard a short while ago."""
+        return [heard.state for heard in self._heard.values()]
 
     def drop_silent(self, now_s: float) -> None:
         """Stop counting the load of peers that fell silent."""
         for peer, heard in list(self._heard.items()):
-            if now_s - heard.heard_s > FRESH_S:
+            if now_s - heard.heard_s > self._fresh_s(heard.state):
                 self._count(heard.state, -1)
                 del self._heard[peer]
 
@@ -93,6 +115,10 @@
         heard = self._heard.get(peer)
         return heard.state.sent_ms if heard is not None else 0
 
+    def _fresh_s(self, state: EntryState) -> float:
+        is_near = state.data_centre == self._data_centre
+        return FRESH_S if is_near else REMOTE_FRESH_S
+
     def _count(self, state: EntryState, sign: int) -> None:
         for load in state.loads:
             endpoint = HostId(load.endpoint)
@@ -101,5 +127,17 @@
                 del self._running[endpoint]
 
 
+def _words_of(state: EntryState) -> PeerWords:
+    """Return what a message proves, by the time of this host's message that its sender had read."""
+    read_s = state.echoed_ms / 1000
+    configuration = listing = None
+    if state.configuration_version:
+        confirmed_s = read_s - state.configuration_age_ms / 1000
+        configuration = ConfigurationWord(state.configuration_version, confirmed_s)
+    if state.HasField("listing"):
+        listing = ConfirmedListing(state.listing, read_s - state.listing.age_ms / 1000)
+    return PeerWords(configuration, listing)
+
+
 def _order(state: EntryState) -> tuple[int, int]:
     return state.started_unix_ms, state.sequence
--- /dev/null
+++ b/yewloom/follow_duty.py
@@ -0,0 +1,65 @@
+"""Who follows the store: a few entry hosts of each data centre, and whoever hears too little.
+
+The others take the configuration's age and the changes of endpoints from those few, so the calls to
+the store grow with the data centres and not with the entry hosts. A host that is told nothing
+recent asks the store itself, whatever the reason: peers that died, that are cut off, or that claim
+a duty which they do not carry out.
+"""
+
+from collections.abc import Callable
+
+from yewloom.entry_states import PeerBoard
+from yewloom.hashing import hash64
+from yewloom.ids import DataCentreId, EntryHostId
+
+FOLLOWERS = 2
+"""Entry hosts of a data centre that follow the store: one may die or be cut off from it."""
+
+PATIENCE_S = 1.2
+"""Age of what is known after which a host without the duty asks the store itself. The trial
+deployments want changes in force within 2 s; followers' watches last up to 1.5 s and end at
+different times."""
+
+PATIENCE_SPREAD_S = 0.3
+"""Greatest further patience of a host, so that not all of them ask the store at once."""
+
+
+class FollowDuty:
+    """Tells whether this host follows the store now."""
+
+    def __init__(
+        self,
+        me: EntryHostId,
+        data_centre: DataCentreId,
+        board: PeerBoard,
+        is_coordinator: Callable[[], bool],
+        patience_draw: float,
+    ) -> None:
+        """Take ``patience_draw`` from 0 to 1, drawn for this host."""
+        self._me = me
+        self._data_centre = data_centre
+        self._board = board
+        self._is_coordinator = is_coordinator
+        self._patience_s = PATIENCE_S + PATIENCE_SPREAD_S * patience_draw
+
+    def is_mine(self) -> bool:
+        """Tell whether this host is among the followers of its data centre.
+
+        A coordinator follows, since its plans need the latest; the rest goes by rendezvous hashing
+        over the hosts that can reach the store.
+        """
+        if self._is_coordinator():
+            return True
+        peers = [
+            state
+            for state in self._board.states()
+            if state.data_centre == self._data_centre and state.can_follow
+        ]
+        coordinators = sum(peer.is_coordinator for peer in peers)
+        ranked = sorted(hash64(peer.host_id) for peer in peers if not peer.is_coordinator)
+        places = FOLLOWERS - min(coordinators, FOLLOWERS - 1)
+        return len(ranked) < places or hash64(self._me) < ranked[places - 1]
+
+    def must_ask(self, age_s: float) -> bool:
+        """Tell whether this host asks the store, given the age of what it knows."""
+        return self.is_mine() or age_s > self._patience_s
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -1,4 +1,7 @@
-"""Following the platform's objects of one kind: a listing, then watches from there on."""
+"""Following the platform's objects of one kind: a listing, then watches from there on.
+
+A host that need not ask the platform itself rests, and learns of changes from its peers.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -7,24 +10,57 @@
 import trio
 from result import Err, Ok
 
+from yewloom.followed_position import FollowedPosition
 from yewloom.platforms import Listing, Platform, PlatformError, PlatformFailure
 
 logger = structlog.get_logger(__name__)
 
+REST_S = 0.1
+"""Pause between two looks whether this host must ask the platform: half of a peer's interval."""
+
+IDLE_RETRY_FACTOR = 5.0
+"""How much longer a host that rests otherwise waits after a failed call: all of them ask at once
+while the platform is away, and those with the duty tell when it is back."""
+
 
 @dataclass(frozen=True, slots=True)
 class Update:
     """What one call to the platform brought.
 
-    ``is_whole`` says that the listing holds all objects of the kind; at ``proved_s`` nothing had
-    changed that it does not tell; ``after_outage`` says that earlier calls failed.
+    ``base`` is the position that a watch went on from; None says that the listing holds all
+    objects of the kind. At ``proved_s`` nothing had changed that it does not tell;
+    ``after_outage`` says that earlier calls failed.
     """
 
     listing: Listing
-    is_whole: bool
+    base: int | None
     proved_s: float
     after_outage: bool
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the listing holds all objects of the kind."""
+        return self.base is None
+
+    @property
+    def has_changes(self) -> bool:
+        """Tell whether anything may have changed."""
+        return self.is_whole or bool(self.listing.objects or self.listing.removed)
+
+
+@dataclass(frozen=True, slots=True)
+class FollowPace:
+    """How a kind is followed.
+
+    ``has_duty`` tells whether this host follows for others too; ``must_ask`` tells whether it asks
+    the platform at all. ``pause_s`` is the time for which changes are gathered.
+    """
+
+    has_duty: Callable[[], bool]
+    must_ask: Callable[[], bool]
+    pause_s: Callable[[], float]
+    retry_pause_s: float
+
 
 class Follower:
     """Follows one kind and hands each update on."""
@@ -34,63 +70,85 @@
         platform: Platform,
         kind: str,
         take: Callable[[Update], None],
-        pause_s: Callable[[], float],
-        retry_pause_s: float,
+        followed: FollowedPosition,
+        pace: FollowPace,
     ) -> None:
         self._platform = platform
         self._kind = kind
         self._take = take
-        self._pause_s = pause_s
-        self._retry_pause_s = retry_pause_s
-        self._position: int | None = None
+        self._followed = followed
+        self._pace = pace
         self._failures = 0
         self._watch_scope: trio.CancelScope | None = None
 
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the platform answered the latest call."""
+        return not self._failures
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            await self._step()
+            if self._must_list() or self._pace.must_ask():
+                await self._step()
+            else:
+                await trio.sleep(REST_S)
 
     def list_anew(self) -> None:
         """End a watch that has missed a change, and list."""
+        self._followed.forget()
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
+    def _must_list(self) -> bool:
+        """Tell whether the next call lists: at first, and after a failed one.
+
+        Objects that lapsed while the platform was away come back, which only a listing shows.
+        """
+        return self._followed.position is None or self._failures > 0
+
     async def _step(self) -> None:
         asked_s = trio.current_time()
-        position = self._position
-        if position is None:
+        base = None if self._must_list() else self._followed.position
+        if base is None:
             found = await self._platform.list(self._kind)
         else:
             with trio.CancelScope() as self._watch_scope:
-                found = await self._platform.watch(self._kind, position)
+                found = await self._platform.watch(self._kind, base)
             if self._watch_scope.cancelled_caught:
-                self._position = None
                 return
         match found:
             case Ok(listing):
                 proved_s = asked_s + listing.proved_after_s
-                self._take_in(Update(listing, position is None, proved_s, self._failures > 0))
-                if position is not None and (listing.objects or listing.removed):
-                    await trio.sleep(self._pause_s())
+                update = Update(listing, base, proved_s, self._failures > 0)
+                self._take_in(update)
+                if base is not None and update.has_changes:
+                    await trio.sleep(self._pace.pause_s())
             case Err(error):
                 await self._on_error(error)
 
     def _take_in(self, update: Update) -> None:
         if self._failures and update.is_whole:
             logger.info("platform regained", kind=self._kind, failures=self._failures)
-        self._position = update.listing.position
-        self._take(update)
+        if not self._is_overtaken(update):
+            self._take(update)
+        self._followed.advance(update.listing.position, update.has_changes, update.proved_s)
         if update.is_whole:
             self._failures = 0
 
+    def _is_overtaken(self, update: Update) -> bool:
+        """Tell whether peers told later changes while a call was on its way."""
+        known = self._followed.position
+        return update.has_changes and known is not None and update.listing.position < known
+
     async def _on_error(self, error: PlatformError) -> None:
-        """List anew after an error: a gap in the watch may have hidden changes."""
-        self._position = None
+        """Wait after an error; until the platform answers again, peers may tell of changes."""
         if error.failure is PlatformFailure.EXPIRED:
             logger.info("history gone, listing anew", kind=self._kind)
+            self._followed.forget()
             return
         if not self._failures:
             logger.warning("platform lost", kind=self._kind, reason=str(error))
         self._failures += 1
-        await trio.sleep(self._retry_pause_s)
+        factor = 1.0 if self._pace.has_duty() else IDLE_RETRY_FACTOR
+        await trio.sleep(self._pace.retry_pause_s * factor)
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -1,11 +1,16 @@
 """What the followers bring, decoded and taken in: configurations and endpoints."""
 
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
 import structlog
 import trio
 
 from yewloom.configuration import ConfigurationBook
 from yewloom.directory import Endpoint, EndpointDirectory
+from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Update
+from yewloom.ids import HostId
 from yewloom.platform_parts import PlatformRecords
 from yewloom.selection import Selector
 from yewloom.writes import RecordError
@@ -37,27 +42,59 @@
             self._book.confirm(update.proved_s)
 
 
+@dataclass(frozen=True, slots=True)
+class ChangedEndpoints:
+    """All changes of endpoints between two positions of the store."""
+
+    base: int
+    position: int
+    endpoints: Sequence[Endpoint]
+    removed: Sequence[HostId]
+
+
 class EndpointIntake:
-    """Brings the endpoints that the store lists into the directory."""
+    """Brings the endpoints that the store lists into the directory.
+
+    ``tell`` gets the changes that this host's own watches bring.
+    """
 
     def __init__(
-        self, records: PlatformRecords, directory: EndpointDirectory, selector: Selector
+        self,
+        records: PlatformRecords,
+        directory: EndpointDirectory,
+        selector: Selector,
+        followed: FollowedPosition,
+        tell: Callable[[ChangedEndpoints], None],
     ) -> None:
         self._records = records
         self._directory = directory
         self._selector = selector
+        self._followed = followed
+        self._tell = tell
 
     def take(self, update: Update) -> None:
         """Take in a whole listing, or the endpoints that changed or went."""
         endpoints = self._decode(update)
-        if update.is_whole:
+        if update.base is None:
             self._directory.replace_all(endpoints, trio.current_time(), update.after_outage)
             logger.info("endpoints listed", count=len(endpoints))
             return
-        for endpoint in endpoints:
+        removed = [self._records.endpoint_id(key) for key in update.listing.removed]
+        changes = ChangedEndpoints(update.base, update.listing.position, endpoints, removed)
+        self._apply(changes)
+        if update.has_changes:
+            self._tell(changes)
+
+    def take_told(self, changes: ChangedEndpoints) -> None:
+        """Take in changes that a peer told, unless some before them are missing here."""
+        if self._followed.continues(changes.base, changes.position):
+            self._apply(changes)
+            self._followed.advance(changes.position, True, float("-inf"))
+
+    def _apply(self, changes: ChangedEndpoints) -> None:
+        for endpoint in changes.endpoints:
             self._put(endpoint)
-        for key in update.listing.removed:
-            endpoint_id = self._records.endpoint_id(key)
+        for endpoint_id in changes.removed:
             logger.info("endpoint gone", endpoint=endpoint_id)
             self._directory.remove(endpoint_id)
             self._selector.forget(endpoint_id)
--- /dev/null
+++ b/yewloom/listed_endpoints.py
@@ -0,0 +1,52 @@
+"""Endpoints as messages between entry hosts."""
+
+from yewloom.directory import Endpoint, GroupKey, Membership, MemberState
+from yewloom.ids import DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
+
+
+def encode_endpoint(endpoint: Endpoint) -> ListedEndpoint:
+    """Return an endpoint as a message."""
+    member = endpoint.membership
+    return ListedEndpoint(
+        id=endpoint.id,
+        service=endpoint.service,
+        address=endpoint.address,
+        data_centre=endpoint.data_centre,
+        is_leaving=endpoint.is_leaving,
+        fabric_domain=endpoint.fabric_domain,
+        models=sorted(endpoint.models),
+        staged=sorted(endpoint.staged),
+        membership=_encode_membership(member) if member is not None else None,
+    )
+
+
+def decode_endpoint(message: ListedEndpoint) -> Endpoint:
+    """Return the endpoint that a message holds; raises ValueError for an unknown state."""
+    return Endpoint(
+        id=HostId(message.id),
+        service=ServiceName(message.service),
+        address=message.address,
+        data_centre=DataCentreId(message.data_centre),
+        is_leaving=message.is_leaving,
+        fabric_domain=message.fabric_domain,
+        models=frozenset(ModelName(name) for name in message.models),
+        staged=frozenset(ModelName(name) for name in message.staged),
+        membership=(
+            _decode_membership(message.membership) if message.HasField("membership") else None
+        ),
+    )
+
+
+def _encode_membership(member: Membership) -> EndpointMembership:
+    return EndpointMembership(
+        group_id=member.key.group_id,
+        generation=member.key.generation,
+        rank=member.rank,
+        state=member.state.value,
+    )
+
+
+def _decode_membership(message: EndpointMembership) -> Membership:
+    key = GroupKey(GroupId(message.group_id), message.generation)
+    return Membership(key, message.rank, MemberState(message.state))
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -53,12 +53,14 @@
         orders: EngineOrders,
         metrics: ForwardMetrics,
         is_before_traffic: Callable[[], bool],
+        may_lead: Callable[[], bool],
     ) -> None:
         self._data_centre = DataCentreId(settings.host.data_centre)
         self._book = book
         self._directory = directory
         self._selector = selector
         self._is_before_traffic = is_before_traffic
+        self._may_lead = may_lead
         self._state = PlanState()
         self._demand = DemandMeter()
         self._lease = LeaseRecord(settings, platform, stale_platform)
@@ -76,7 +78,7 @@
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
-            if not self.is_leaving:
+            if not self.is_leaving and (self._is_holding or self._may_lead()):
                 await self._lease.keep()
                 holds = self._lease.holds()
                 if holds != self._is_holding:
--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -218,6 +218,19 @@
 
         run(test)
 
+    def test_hosts_that_do_not_follow_the_store_learn_of_changes_from_those_that_do(self) -> None:
+        async def test(world: World) -> None:
+            world.store.put("config", "main", _configuration(4, ["k2"]))
+            everyone = range(len(world.hosts))
+
+            async def all_changed() -> bool:
+                return all([(await world.ask(host, "k2"))[0] == 200 for host in everyone])
+
+            await world.wait_for(all_changed)
+            self.assertEqual([(await world.ask(host))[0] for host in everyone], [401] * 5)
+
+        run(test, hosts=5)
+
     def test_an_older_configuration_is_never_applied(self) -> None:
         async def test(world: World) -> None:
             world.store.put("config", "main", _configuration(2, ["k2"]))
--- a/yewloom/tests/test_entry_states.py
+++ b/yewloom/tests/test_entry_states.py
@@ -5,9 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from yewloom.entry_states import FRESH_S, PeerBoard
+from yewloom.entry_states import FRESH_S, REMOTE_FRESH_S, PeerBoard, PeerWords
 from yewloom.ids import EntryHostId, HostId
-from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryState, ListingWord
+from yewloom.tests.entry_support import HALL
 
 ME = EntryHostId("me")
 
@@ -17,6 +18,7 @@
 ) -> EntryState:
     return EntryState(
         host_id="peer",
+        data_centre=HALL,
         started_unix_ms=started,
         sequence=sequence,
         loads=[EndpointLoad(endpoint="a", running=running)] if running else [],
@@ -31,39 +33,56 @@
 
     @given(st.permutations(list(range(1, 7))))
     def test_datagrams_in_any_order_leave_the_latest(self, order: list[int]) -> None:
-        board = PeerBoard(ME)
+        board = PeerBoard(ME, HALL)
         for sequence in order:
             board.take(_state(sequence, running=sequence), 0.0)
         self.assertEqual(board.running(HostId("a")), 6)
 
     def test_a_peer_that_restarted_begins_anew(self) -> None:
-        board = PeerBoard(ME)
+        board = PeerBoard(ME, HALL)
         board.take(_state(90, running=5, started=1), 0.0)
         board.take(_state(1, running=2, started=2), 0.0)
         board.take(_state(91, running=5, started=1), 0.0)
         self.assertEqual(board.running(HostId("a")), 2)
 
     def test_a_silent_peer_stops_counting(self) -> None:
-        board = PeerBoard(ME)
+        board = PeerBoard(ME, HALL)
         board.take(_state(1, running=5), 0.0)
         board.drop_silent(FRESH_S + 0.1)
         self.assertEqual(board.running(HostId("a")), 0)
         self.assertEqual(board.live_peers(), 0)
 
     def test_a_word_counts_from_what_this_host_had_sent(self) -> None:
-        board = PeerBoard(ME)
+        board = PeerBoard(ME, HALL)
         state = _state(1, echoed_ms=50_000, version=7)
-        word = board.take(state, 99.0)
+        word = board.take(state, 99.0).configuration
         assert word is not None
         # However long the datagram was on its way, it proves nothing later than that.
         self.assertEqual((word.version, word.confirmed_s), (7, 48.5))
 
+    def test_a_word_on_the_endpoints_counts_from_there_too(self) -> None:
+        state = _state(1, echoed_ms=50_000)
+        state.listing.CopyFrom(ListingWord(changed_at=3, position=9, age_ms=700))
+        word = PeerBoard(ME, HALL).take(state, 99.0).listing
+        assert word is not None
+        self.assertEqual((word.word.position, word.confirmed_s), (9, 49.3))
+
+    def test_a_peer_elsewhere_is_heard_less_often_and_counts_longer(self) -> None:
+        board = PeerBoard(ME, HALL)
+        state = _state(1, running=5)
+        state.data_centre = "hall-b"
+        board.take(state, 0.0)
+        board.drop_silent(FRESH_S + 0.1)
+        self.assertEqual(board.running(HostId("a")), 5)
+        board.drop_silent(REMOTE_FRESH_S + 0.1)
+        self.assertEqual(board.running(HostId("a")), 0)
+
     def test_without_an_echo_or_a_version_nothing_is_proved(self) -> None:
-        board = PeerBoard(ME)
-        self.assertIsNone(board.take(_state(1, version=7), 0.0))
-        self.assertIsNone(board.take(_state(2, echoed_ms=1), 0.0))
+        board = PeerBoard(ME, HALL)
+        self.assertEqual(board.take(_state(1, version=7), 0.0), PeerWords())
+        self.assertEqual(board.take(_state(2, echoed_ms=1), 0.0), PeerWords())
 
     def test_own_datagrams_are_ignored(self) -> None:
-        board = PeerBoard(EntryHostId("peer"))
-        self.assertIsNone(board.take(_state(1, running=3), 0.0))
+        board = PeerBoard(EntryHostId("peer"), HALL)
+        self.assertEqual(board.take(_state(1, running=3), 0.0), PeerWords())
         self.assertEqual(board.running(HostId("a")), 0)
--- /dev/null
+++ b/yewloom/tests/test_follow_duty.py
@@ -0,0 +1,76 @@
+"""Tests of who follows the store."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.entry_states import FRESH_S, PeerBoard
+from yewloom.follow_duty import FOLLOWERS, PATIENCE_S, PATIENCE_SPREAD_S, FollowDuty
+from yewloom.ids import EntryHostId
+from yewloom.schema.entry_pb2 import EntryState
+from yewloom.tests.entry_support import HALL
+
+NAMES = [f"e{number}" for number in range(6)]
+
+
+def _state(name: str, can_follow: bool = True, is_coordinator: bool = False) -> EntryState:
+    return EntryState(
+        host_id=name,
+        data_centre=HALL,
+        started_unix_ms=1,
+        sequence=1,
+        can_follow=can_follow,
+        is_coordinator=is_coordinator,
+    )
+
+
+def _duty(me: str, states: list[EntryState], is_coordinator: bool = False) -> FollowDuty:
+    """Return the duty of a host that has heard all others."""
+    board = PeerBoard(EntryHostId(me), HALL)
+    for state in states:
+        board.take(state, 0.0)
+    return FollowDuty(EntryHostId(me), HALL, board, lambda: is_coordinator, 0.5)
+
+
+class TestFollowDuty(unittest.TestCase):
+    """A few of each data centre, and nobody left without."""
+
+    @given(st.sets(st.sampled_from(NAMES)), st.one_of(st.none(), st.sampled_from(NAMES)))
+    def test_enough_follow_whoever_is_cut_off_or_coordinates(
+        self, cut_off: set[str], coordinator: str | None
+    ) -> None:
+        states = [_state(name, name not in cut_off, name == coordinator) for name in NAMES]
+        followers = {name for name in NAMES if _duty(name, states, name == coordinator).is_mine()}
+        able = set(NAMES) - cut_off
+        self.assertGreaterEqual(len(followers & able), min(FOLLOWERS, len(able)))
+        if not cut_off:
+            self.assertEqual(len(followers), FOLLOWERS)
+        if coordinator is not None:
+            self.assertIn(coordinator, followers)
+
+    def test_a_host_that_hears_nobody_follows(self) -> None:
+        self.assertTrue(_duty("e1", []).is_mine())
+
+    def test_peers_elsewhere_do_not_follow_for_this_data_centre(self) -> None:
+        states = [_state(name) for name in NAMES]
+        for state in states:
+            state.data_centre = "elsewhere"
+        self.assertTrue(all(_duty(name, states).is_mine() for name in NAMES))
+
+    def test_a_follower_that_falls_silent_is_replaced(self) -> None:
+        states = [_state(name) for name in NAMES]
+        resting = next(name for name in NAMES if not _duty(name, states).is_mine())
+        board = PeerBoard(EntryHostId(resting), HALL)
+        for state in states:
+            board.take(state, 0.0)
+        duty = FollowDuty(EntryHostId(resting), HALL, board, lambda: False, 0.5)
+        board.drop_silent(FRESH_S + 0.1)
+        self.assertTrue(duty.is_mine())
+
+    def test_a_host_that_is_told_nothing_recent_asks_itself(self) -> None:
+        states = [_state(name) for name in NAMES]
+        resting = next(name for name in NAMES if not _duty(name, states).is_mine())
+        duty = _duty(resting, states)
+        self.assertFalse(duty.must_ask(PATIENCE_S))
+        self.assertTrue(duty.must_ask(PATIENCE_S + PATIENCE_SPREAD_S + 0.01))
--- /dev/null
+++ b/yewloom/tests/test_followed_position.py
@@ -0,0 +1,141 @@
+"""Tests of how far a host knows the store's objects."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from yewloom.followed_position import RELAY_GRACE_S, FollowedPosition
+from yewloom.schema.entry_pb2 import ListingWord
+
+INF = float("inf")
+
+
+class TestFollowedPosition(unittest.TestCase):
+    """Words of peers, and changes that are still missing."""
+
+    def setUp(self) -> None:
+        self.followed = FollowedPosition()
+        self.followed.advance(10, True, 1.0)
+
+    def test_a_peer_that_knows_no_more_proves_what_is_known(self) -> None:
+        self.followed.on_word(ListingWord(changed_at=10, position=30), 5.0, 6.0)
+        self.assertEqual((self.followed.position, self.followed.age_s(6.0)), (30, 1.0))
+
+    def test_a_peer_that_knows_more_proves_nothing(self) -> None:
+        self.followed.on_word(ListingWord(changed_at=12, position=30), 5.0, 6.0)
+        self.assertEqual((self.followed.position, self.followed.age_s(6.0)), (10, 5.0))
+
+    def test_a_change_that_does_not_come_in_time_makes_the_host_ask(self) -> None:
+        word = ListingWord(changed_at=12, position=30)
+        self.followed.on_word(word, 5.0, 6.0)
+        # Words of peers that know no more must not put the question off.
+        self.followed.on_word(ListingWord(changed_at=10, position=11), 5.9, 6.1)
+        self.followed.on_word(word, 5.9, 6.2)
+        self.assertLess(self.followed.age_s(6.0 + RELAY_GRACE_S - 0.01), INF)
+        self.assertEqual(self.followed.age_s(6.0 + RELAY_GRACE_S + 0.01), INF)
+        self.followed.advance(12, True, 6.3)
+        self.assertAlmostEqual(self.followed.age_s(6.5), 0.2)
+
+    def test_changes_are_taken_only_without_a_gap(self) -> None:
+        self.assertTrue(self.followed.continues(8, 12))
+        self.assertTrue(self.followed.continues(10, 12))
+        self.assertFalse(self.followed.continues(11, 12))
+        self.assertFalse(self.followed.continues(8, 10))
+        self.followed.forget()
+        self.assertFalse(self.followed.continues(8, 12))
+        self.assertEqual(self.followed.age_s(1.0), INF)
+
+
+class _Store:
+    """A store whose single object changes; each change raises the revision."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.changes = [1]
+
+    def value_at(self, position: int) -> int:
+        return max(change for change in self.changes if change <= position)
+
+
+class _Host:
+    """A host that holds the object as of some revision."""
+
+    def __init__(self) -> None:
+        self.followed = FollowedPosition()
+        self.value = 0
+
+
+class RelayMachine(RuleBasedStateMachine):
+    """Watches, told changes and words in any order, late and lost, never leave a gap unseen."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = _Store()
+        self.hosts = [_Host(), _Host(), _Host()]
+        self.told: list[tuple[int, int, int]] = []
+        self.words: list[tuple[ListingWord, int]] = []
+
+    @rule(of_other_kind=st.booleans())
+    def change(self, of_other_kind: bool) -> None:
+        self.store.revision += 1
+        if not of_other_kind:
+            self.store.changes.append(self.store.revision)
+
+    @rule(number=st.integers(0, 2))
+    def ask_the_store(self, number: int) -> None:
+        """List at first, then watch; tell the changes to peers, who may hear them later."""
+        host, now = self.hosts[number], self.store.revision
+        base = host.followed.position
+        value = self.store.value_at(now)
+        has_changed = base is None or value > base
+        host.value = value
+        host.followed.advance(now, has_changed, float(now))
+        if base is not None and has_changed:
+            self.told.append((base, now, value))
+
+    @rule(number=st.integers(0, 2))
+    def lose_track(self, number: int) -> None:
+        self.hosts[number].followed.forget()
+
+    @rule(number=st.integers(0, 2), pick=st.integers(0, 100))
+    def hear_changes(self, number: int, pick: int) -> None:
+        if not self.told:
+            return
+        base, position, value = self.told[pick % len(self.told)]
+        host = self.hosts[number]
+        if host.followed.continues(base, position):
+            host.value = value
+            host.followed.advance(position, True, float("-inf"))
+
+    @rule(number=st.integers(0, 2))
+    def speak(self, number: int) -> None:
+        followed = self.hosts[number].followed
+        if followed.position is not None:
+            word = ListingWord(changed_at=followed.changed_at, position=followed.position)
+            self.words.append((word, round(max(followed.proved_s, 0.0))))
+
+    @rule(number=st.integers(0, 2), pick=st.integers(0, 100))
+    def hear_a_word(self, number: int, pick: int) -> None:
+        if self.words:
+            word, confirmed = self.words[pick % len(self.words)]
+            self.hosts[number].followed.on_word(word, float(confirmed), 0.0)
+
+    @invariant()
+    def what_a_host_holds_is_what_its_position_says(self) -> None:
+        for host in self.hosts:
+            if host.followed.position is not None:
+                assert host.value == self.store.value_at(host.followed.position)
+
+    @invariant()
+    def what_is_proved_holds(self) -> None:
+        """A proof at some revision means that no change up to there is missing."""
+        for host in self.hosts:
+            followed = host.followed
+            if followed.position is not None and followed.proved_s > 0:
+                assert host.value >= self.store.value_at(round(followed.proved_s))
+
+
+TestRelay = RelayMachine.TestCase
+TestRelay.settings = settings(max_examples=200, stateful_step_count=40)
--- a/yewloom/tests/test_followers.py
+++ b/yewloom/tests/test_followers.py
@@ -2,11 +2,13 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 
 import trio
 from result import Err, Ok, Result
 
-from yewloom.followers import Follower, Update
+from yewloom.followed_position import FollowedPosition
+from yewloom.followers import IDLE_RETRY_FACTOR, Follower, FollowPace, Update
 from yewloom.ids import DataCentreId
 from yewloom.platforms import Listing, PlatformError, PlatformFailure, StoredObject
 from yewloom.schema.records_pb2 import Host
@@ -14,6 +16,7 @@
 
 LOST = PlatformError(PlatformFailure.NOT_APPLIED, "down")
 EXPIRED = PlatformError(PlatformFailure.EXPIRED, "history gone")
+PACE = FollowPace(lambda: True, lambda: True, lambda: 0.1, 0.2)
 STORED = StoredObject("k/a", 3, "{}")
 
 
@@ -53,12 +56,14 @@
         return Err(answer) if isinstance(answer, PlatformError) else Ok(answer)
 
 
-def _follow(platform: _ScriptedPlatform, for_s: float = 60.0) -> list[Update]:
+def _follow(
+    platform: _ScriptedPlatform, for_s: float = 60.0, pace: FollowPace = PACE
+) -> list[Update]:
     """Follow for a while and return the updates."""
     updates: list[Update] = []
 
     async def main() -> None:
-        follower = Follower(platform, "k", updates.append, lambda: 0.1, 0.2)
+        follower = Follower(platform, "k", updates.append, FollowedPosition(), pace)
         with trio.move_on_after(for_s):
             await follower.run()
 
@@ -94,11 +99,66 @@
         self.assertEqual(platform.calls[2:4], ["list", "list"])
         self.assertEqual([u.after_outage for u in updates], [False, True, False, False])
 
+    def test_a_host_without_the_duty_lists_once_and_then_rests(self) -> None:
+        platform = _ScriptedPlatform(Listing([STORED], 5), Listing([], 7))
+        resting = replace(PACE, has_duty=lambda: False, must_ask=lambda: False)
+        self.assertEqual(len(_follow(platform, pace=resting)), 1)
+        self.assertEqual(platform.calls, ["list"])
+
+    def test_a_host_without_the_duty_asks_less_often_while_the_platform_is_away(self) -> None:
+        platform = _ScriptedPlatform(LOST, LOST, Listing([], 9), pause_s=0.0)
+        resting = replace(PACE, has_duty=lambda: False, must_ask=lambda: False)
+        waited_s = 2 * PACE.retry_pause_s * IDLE_RETRY_FACTOR
+        self.assertEqual(len(_follow(platform, for_s=waited_s - 0.1, pace=resting)), 0)
+        platform = _ScriptedPlatform(LOST, LOST, Listing([], 9), pause_s=0.0)
+        self.assertEqual(len(_follow(platform, for_s=waited_s + 0.1, pace=resting)), 1)
+
+    def test_a_host_that_the_platform_turns_away_goes_on_with_what_peers_tell(self) -> None:
+        platform = _ScriptedPlatform(Listing([], 5), *[LOST] * 20, Listing([STORED], 8))
+        followed, updates = FollowedPosition(), list[Update]()
+
+        async def main() -> None:
+            follower = Follower(platform, "k", updates.append, followed, PACE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(5)
+                self.assertTrue(followed.continues(5, 9))
+                followed.advance(9, True, float("-inf"))
+                self.assertFalse(follower.is_answered)
+                await trio.sleep(20)
+                self.assertTrue(follower.is_answered)
+                nursery.cancel_scope.cancel()
+
+        run_on_mock_clock(main)
+        # The first listing after the outage is older than what the peers told.
+        self.assertEqual(len(updates), 1)
+        self.assertEqual(platform.calls[-1], "watch 9")
+
+    def test_a_watch_that_peers_overtook_changes_nothing(self) -> None:
+        platform = _ScriptedPlatform(Listing([], 5), Listing([STORED], 8))
+        followed, updates = FollowedPosition(), list[Update]()
+
+        def take(update: Update) -> None:
+            updates.append(update)
+
+        async def main() -> None:
+            follower = Follower(platform, "k", take, followed, PACE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(0.7)  # The watch from 5 is on its way.
+                followed.advance(9, True, 0.0)
+                await trio.sleep(5)
+                nursery.cancel_scope.cancel()
+
+        run_on_mock_clock(main)
+        self.assertEqual(len(updates), 1)
+        self.assertEqual(platform.calls[-1], "watch 9")
+
     def test_a_watch_that_missed_a_change_can_be_ended(self) -> None:
         platform = _ScriptedPlatform(Listing([], 5), pause_s=0.1)
 
         async def main() -> None:
-            follower = Follower(platform, "k", lambda update: None, lambda: 0.1, 0.2)
+            follower = Follower(platform, "k", lambda update: None, FollowedPosition(), PACE)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(follower.run)
                 await trio.sleep(1.0)
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -128,7 +128,7 @@
         self.book = ConfigurationBook()
         self.directory = EndpointDirectory()
         self.selector = Selector(
-            self.directory, HALL, PeerBoard(EntryHostId("me")), random.Random(1)
+            self.directory, HALL, PeerBoard(EntryHostId("me"), HALL), random.Random(1)
         )
         codec, metrics = WireHeaders(), ForwardMetrics()
         self.forwarder = Forwarder(
--- /dev/null
+++ b/yewloom/tests/test_intake.py
@@ -0,0 +1,90 @@
+"""Tests of taking in endpoints, from the store and from peers."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.directory import EndpointDirectory, GroupKey, Membership, MemberState
+from yewloom.entry_states import PeerBoard
+from yewloom.followed_position import FollowedPosition
+from yewloom.followers import Update
+from yewloom.ids import EntryHostId, GroupId, HostId
+from yewloom.intake import ChangedEndpoints, EndpointIntake
+from yewloom.listed_endpoints import decode_endpoint, encode_endpoint
+from yewloom.platform.records import StoreRecords
+from yewloom.platforms import Listing, StoredObject
+from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
+from yewloom.selection import Selector
+from yewloom.tests.entry_support import HALL, LARGE, SMALL, make_engine, make_plain
+
+
+def _stored(name: str, revision: int) -> StoredObject:
+    value = '{"service": "plain", "address": "1.2.3.4:5", "zone": "hall-a", "state": "ready"}'
+    return StoredObject(f"servers/{name}", revision, value)
+
+
+class TestEndpointIntake(unittest.TestCase):
+    """What comes from the store is told; what peers tell is taken without a gap."""
+
+    def setUp(self) -> None:
+        self.directory = EndpointDirectory()
+        self.followed = FollowedPosition()
+        self.told: list[ChangedEndpoints] = []
+        board = PeerBoard(EntryHostId("me"), HALL)
+        selector = Selector(self.directory, HALL, board, random.Random(1))
+        self.intake = EndpointIntake(
+            StoreRecords(), self.directory, selector, self.followed, self.told.append
+        )
+        self.directory.put(make_plain("a"))
+        self.followed.advance(5, True, 0.0)
+
+    def test_changes_of_a_watch_are_told_and_its_empty_end_is_not(self) -> None:
+        self.intake.take(Update(Listing([], 7), 5, 0.0, False))
+        self.assertEqual(self.told, [])
+        changes = Listing([_stored("b", 9)], 9, ["servers/a"])
+        self.intake.take(Update(changes, 7, 0.0, False))
+        self.assertEqual(len(self.told), 1)
+        self.assertEqual((self.told[0].base, self.told[0].position), (7, 9))
+        self.assertEqual([endpoint.id for endpoint in self.told[0].endpoints], ["b"])
+        self.assertEqual(list(self.told[0].removed), ["a"])
+
+    def test_told_changes_are_taken_in_once(self) -> None:
+        changes = ChangedEndpoints(4, 8, [make_plain("b")], [HostId("a")])
+        self.intake.take_told(changes)
+        self.assertEqual(set(self.directory.by_id), {"b"})
+        self.assertEqual(self.followed.position, 8)
+        self.directory.remove(HostId("b"))
+        self.intake.take_told(changes)
+        self.assertEqual(set(self.directory.by_id), set())
+
+    def test_told_changes_after_a_gap_are_left_to_the_store(self) -> None:
+        self.intake.take_told(ChangedEndpoints(6, 8, [make_plain("b")], [HostId("a")]))
+        self.assertEqual(set(self.directory.by_id), {"a"})
+        self.assertEqual(self.followed.position, 5)
+
+
+class TestListedEndpoints(unittest.TestCase):
+    """Endpoints as messages."""
+
+    @given(
+        st.sampled_from([None, *MemberState]),
+        st.booleans(),
+        st.sampled_from([None, LARGE, SMALL]),
+        st.integers(0, 31),
+    )
+    def test_an_endpoint_comes_back_as_it_was(
+        self, state: MemberState | None, is_leaving: bool, staged: object, rank: int
+    ) -> None:
+        key = GroupKey(GroupId("g"), 2**40)
+        member = Membership(key, rank, state) if state is not None else None
+        model = LARGE if staged == LARGE else None
+        endpoint = make_engine("i", "d7", model, member, model, is_leaving=is_leaving)
+        data = encode_endpoint(endpoint).SerializeToString()
+        self.assertEqual(decode_endpoint(ListedEndpoint.FromString(data)), endpoint)
+
+    def test_an_unknown_state_is_an_error(self) -> None:
+        message = ListedEndpoint(id="i", membership=EndpointMembership(state="new"))
+        with self.assertRaises(ValueError):
+            decode_endpoint(message)
--- a/yewloom/tests/test_retry_window.py
+++ b/yewloom/tests/test_retry_window.py
@@ -8,7 +8,7 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import EntryHostId
 from yewloom.retry_window import RetryWindow
-from yewloom.tests.entry_support import PLAIN
+from yewloom.tests.entry_support import HALL, PLAIN
 
 STEPS = st.lists(st.tuples(st.booleans(), st.floats(0, 3)), max_size=60)
 
@@ -36,7 +36,7 @@
     def test_parts_of_any_number_of_hosts_sum_up_to_the_extra_at_most(
         self, hosts: int, extra: float
     ) -> None:
-        board = PeerBoard(EntryHostId("h0"))
+        board = PeerBoard(EntryHostId("h0"), HALL)
         for number in range(hosts):
             board.know(EntryHostId(f"h{number}"))
         part = extra / board.hosts_to_share_with()
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -31,7 +31,7 @@
 
     def setUp(self) -> None:
         self.directory = EndpointDirectory()
-        self.board = PeerBoard(EntryHostId("me"))
+        self.board = PeerBoard(EntryHostId("me"), HALL)
         self.selector = Selector(self.directory, HALL, self.board, random.Random(1))
 
     def choose(self, *tried: str) -> str | None:
