Give a coordinator's lease up at a planned stop

Cause: found by reading: a coordinator that was asked to stop left its lease to lapse, so that its data centre had no coordinator for 3.4 s, in which lost groups are not formed anew. Change: the record is written with no duration left; another host takes it after its next read. Tests: the lease's state machine gives leases up at any moment and still never has two holders.

--- a/yewloom/coordinator_records.py
+++ b/yewloom/coordinator_records.py
@@ -50,6 +50,12 @@
             case None:
                 return
 
+    async def release(self) -> None:
+        """Give the lease up before a planned stop, if this host holds it."""
+        released = self._keeper.release(AttemptId(uuid.uuid4().hex), trio.current_time())
+        if released is not None:
+            await self._write(released.lease, released.expected_version)
+
     async def _read(self) -> None:
         match await self._stale_platform.get(self._key):
             case Ok(stored):
--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -69,8 +69,8 @@
             nursery.start_soon(self._coordinate)
 
     def release(self) -> None:
-        """Stop coordinating, before a planned stop."""
-        self._lease.release()
+        """Stop coordinating, before a planned stop; the record is left to lapse."""
+        self._lease.release(self._new_attempt(), trio.current_time())
 
     async def _keep_lease(self) -> None:
         step_s = self._node.settings.lease.renew_interval_ms / 4000
--- a/yewloom/leases.py
+++ b/yewloom/leases.py
@@ -93,7 +93,7 @@
         self._record = record
         self._version = version
         self._first_read_s = now_s
-        self._held_until_s = sent_s + self._timing.duration_s
+        self._held_until_s = sent_s + record.duration_ms / 1000
 
     def on_conflict(self) -> None:
         """Take in that someone else wrote: nothing is held until the record is read."""
@@ -101,9 +101,17 @@
         self._first_read_s = None
         self._next_step_s = float("-inf")
 
-    def release(self) -> None:
-        """Stop holding the lease, before a planned stop."""
+    def release(self, attempt: AttemptId, now_s: float) -> WriteLease | None:
+        """Stop holding the lease, before a planned stop.
+
+        Return the write after which others need not wait until it lapses; None if it is not held.
+        """
+        was_held = self.holds(now_s)
         self._held_until_s = float("-inf")
+        if not was_held:
+            return None
+        lease = Lease(holder=self._holder, term=self.term, duration_ms=0, attempt_id=attempt)
+        return WriteLease(lease, self._version)
 
     def _may_write(self, now_s: float) -> bool:
         if self._record is None or self._record.holder == self._holder:
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -78,7 +78,10 @@
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
-            if not self.is_leaving and (self._is_holding or self._may_lead()):
+            if self.is_leaving and self._is_holding:
+                self._on_lease_change(False)
+                await self._lease.release()
+            elif not self.is_leaving and (self._is_holding or self._may_lead()):
                 await self._lease.keep()
                 holds = self._lease.holds()
                 if holds != self._is_holding:
--- a/yewloom/tests/test_leases.py
+++ b/yewloom/tests/test_leases.py
@@ -51,6 +51,14 @@
         elif isinstance(action, WriteLease):
             self.flights.append(_InFlight(holder, action, self.now_s))
 
+    @rule(holder=st.integers(0, HOLDERS - 1))
+    def release(self, holder: int) -> None:
+        """Let one keeper give the lease up, before a planned stop."""
+        self.attempts += 1
+        action = self.keepers[holder].release(AttemptId(f"a{self.attempts}"), self.now_s)
+        if action is not None:
+            self.flights.append(_InFlight(holder, action, self.now_s))
+
     @rule(data=st.data(), is_answered=st.booleans())
     def deliver(self, data: st.DataObject, is_answered: bool) -> None:
         """Let a write reach the platform; its answer may be lost."""
@@ -128,5 +136,23 @@
         action = self.keeper.next_action(2.0, AttemptId("b"))
         assert isinstance(action, WriteLease)
         self.keeper.on_written(action.lease, 1, 2.0, 2.0)
-        self.keeper.release()
+        released = self.keeper.release(AttemptId("c"), 2.1)
         self.assertFalse(self.keeper.holds(2.1))
+        assert released is not None
+        self.assertEqual(released.expected_version, 1)
+        self.keeper.on_written(released.lease, 2, 2.1, 2.2)
+        self.assertFalse(self.keeper.holds(2.3))
+
+    def test_a_released_lease_is_taken_over_without_waiting_for_it_to_lapse(self) -> None:
+        self.keeper.next_action(0.0, AttemptId("a"))
+        self.keeper.on_read(Lease(holder="e2", term=4, duration_ms=6000), 9, 0.0)
+        self.keeper.next_action(2.0, AttemptId("b"))
+        self.keeper.on_read(Lease(holder="e2", term=4, duration_ms=0), 10, 2.0)
+        action = self.keeper.next_action(4.0, AttemptId("c"))
+        assert isinstance(action, WriteLease)
+        self.assertEqual(action.lease.term, 5)
+
+    def test_a_lease_that_is_not_held_is_not_given_up(self) -> None:
+        self.keeper.next_action(0.0, AttemptId("a"))
+        self.keeper.on_read(Lease(holder="e2", term=4, duration_ms=6000), 9, 0.0)
+        self.assertIsNone(self.keeper.release(AttemptId("b"), 1.0))
