Count a peer's word only by what it had read from this very process

A peer goes on echoing the last sending time that it had read from the process before; clocks of processes have other origins, so such an echo could lie far in the future, and the host then took its configuration to be current for ever: keys that are taken away while it is cut off would go on working, and since the last change it would not ask the store itself. Change: an echo names the start of the process that it is of, and counts for that process alone.

--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -7,7 +7,6 @@
 """
 
 import socket
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import islice
@@ -96,7 +95,6 @@
         self._read_configuration = read_configuration
         self._take_changes = take_changes
         self._asked_for_version = 0
-        self._started_unix_ms = time.time_ns() // 1_000_000
         self._sequence = 0
         self._next_remote = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -135,7 +133,7 @@
             common = EntryMessage(state=self._state(now_s)).SerializeToString()
             for peer in [*self._near_peers(), *self._remote_peers()]:
                 # Messages of protobuf that follow each other are read as one.
-                echo = EntryState(echoed_ms=self._board.echo_for(peer))
+                echo = self._board.echo_for(peer)
                 self._send_to(peer, common + EntryMessage(state=echo).SerializeToString())
 
     def _near_peers(self) -> list[EntryHostId]:
@@ -165,7 +163,7 @@
         return EntryState(
             host_id=self._host_id,
             data_centre=self._data_centre,
-            started_unix_ms=self._started_unix_ms,
+            started_unix_ms=self._board.started_unix_ms,
             sequence=self._sequence,
             sent_ms=round(now_s * 1000),
             configuration_version=configuration.version if configuration is not None else 0,
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 
 import structlog
@@ -66,7 +67,7 @@
             EntryHostId(settings.host.id),
             DataCentreId(settings.host.data_centre),
         )
-        self._board = PeerBoard(host_id, data_centre)
+        self._board = PeerBoard(host_id, data_centre, time.time_ns() // 1_000_000)
         self._duty = FollowDuty(
             host_id, data_centre, self._board, lambda: self._coordinator.is_holding, rng.random()
         )
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -2,7 +2,8 @@
 
 A peer's word on the configuration counts from the time of this host's own message that the peer
 had read before it spoke, less the age that the peer states: no delay on the way, and no pause of
-either side, can make it look fresher than it is.
+either side, can make it look fresher than it is. What the peer had read from an earlier process of
+this host counts for nothing: that process had another clock.
 """
 
 from collections import Counter
@@ -57,7 +58,10 @@
 class PeerBoard:
     """Keeps the latest message of each peer, and the peers that were ever known."""
 
-    def __init__(self, me: EntryHostId, data_centre: DataCentreId) -> None:
+    def __init__(
+        self, me: EntryHostId, data_centre: DataCentreId, started_unix_ms: int = 0
+    ) -> None:
+        self.started_unix_ms = started_unix_ms
         self._me = me
         self._data_centre = data_centre
         self._heard: dict[EntryHostId, _Heard] = {}
@@ -85,7 +89,8 @@
             self._count(known.state, -1)
         self._count(state, 1)
         self._heard[peer] = _Heard(state, now_s)
-        return _words_of(state) if state.echoed_ms else PeerWords()
+        is_echo = state.echoed_ms and state.echoed_started_unix_ms == self.started_unix_ms
+        return _words_of(state) if is_echo else PeerWords()
 
     def states(self) -> list[EntryState]:
         """Return the latest message of each peer that was heard a short while ago."""
@@ -110,10 +115,13 @@
         """Return how many peers were heard a short while ago."""
         return len(self._heard)
 
-    def echo_for(self, peer: EntryHostId) -> int:
-        """Return the sending time in a peer's latest message, on its own clock; 0 for none."""
+    def echo_for(self, peer: EntryHostId) -> EntryState:
+        """Return the part of a message that tells a peer what was last read from it."""
         heard = self._heard.get(peer)
-        return heard.state.sent_ms if heard is not None else 0
+        if heard is None:
+            return EntryState()
+        state = heard.state
+        return EntryState(echoed_ms=state.sent_ms, echoed_started_unix_ms=state.started_unix_ms)
 
     def _fresh_s(self, state: EntryState) -> float:
         is_near = state.data_centre == self._data_centre
