Tell a listing to peers only once it is known when the last change before it was

Cause: found by reading: a listing does not tell when its objects last changed, so a host that had listed told its own position as that of the last change, and every other host asked the store once: at each start of a host, and after lost history, one call of each of them. Tests: test_followed_position.py (also its machine, which now tells listings and watches apart).

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -299,8 +299,8 @@
     Mutation(
         "following: a peer's word proves nothing where a change is missing",
         "followed_position",
-        "if word.changed_at <= self.position:",
-        "if True:",
+        "if word.changed_at > self.position:",
+        "if False:",
         "test_followed_position",
     ),
     Mutation(
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -29,7 +29,6 @@
     EndpointLoad,
     EntryMessage,
     EntryState,
-    ListingWord,
 )
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
@@ -175,18 +174,7 @@
             stalled=self._stalls.reported(now_s),
             can_follow=standing.can_follow,
             is_coordinator=standing.is_coordinator,
-            listing=self._listing_word(now_s),
-        )
-
-    def _listing_word(self, now_s: float) -> ListingWord | None:
-        """Return up to where this host knows the endpoints; None if it does not."""
-        followed = self._followed_endpoints
-        if followed.position is None:
-            return None
-        return ListingWord(
-            changed_at=followed.changed_at,
-            position=followed.position,
-            age_ms=round((now_s - followed.proved_s) * 1000),
+            listing=self._followed_endpoints.word(now_s),
         )
 
     async def _receive(self) -> None:
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -132,7 +132,11 @@
             logger.info("platform regained", kind=self._kind, failures=self._failures)
         if not self._is_overtaken(update):
             self._take(update)
-        self._followed.advance(update.listing.position, update.has_changes, update.proved_s)
+        position = update.listing.position
+        if update.is_whole:
+            self._followed.take_listing(position, update.proved_s)
+        else:
+            self._followed.take_changes(position, update.has_changes, update.proved_s)
         if update.is_whole:
             self._failures = 0
 
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -89,7 +89,7 @@
         """Take in changes that a peer told, unless some before them are missing here."""
         if self._followed.continues(changes.base, changes.position):
             self._apply(changes)
-            self._followed.advance(changes.position, True, float("-inf"))
+            self._followed.take_changes(changes.position, True, float("-inf"))
 
     def _apply(self, changes: ChangedEndpoints) -> None:
         for endpoint in changes.endpoints:
--- a/yewloom/tests/test_followed_position.py
+++ b/yewloom/tests/test_followed_position.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from yewloom.followed_position import RELAY_GRACE_S, FollowedPosition
+from yewloom.followed_position import LISTED_SILENCE_S, RELAY_GRACE_S, FollowedPosition
 from yewloom.schema.entry_pb2 import ListingWord
 
 INF = float("inf")
@@ -17,7 +17,7 @@
 
     def setUp(self) -> None:
         self.followed = FollowedPosition()
-        self.followed.advance(10, True, 1.0)
+        self.followed.take_changes(10, True, 1.0)
 
     def test_a_peer_that_knows_no_more_proves_what_is_known(self) -> None:
         self.followed.on_word(ListingWord(changed_at=10, position=30), 5.0, 6.0)
@@ -35,9 +35,28 @@
         self.followed.on_word(word, 5.9, 6.2)
         self.assertLess(self.followed.age_s(6.0 + RELAY_GRACE_S - 0.01), INF)
         self.assertEqual(self.followed.age_s(6.0 + RELAY_GRACE_S + 0.01), INF)
-        self.followed.advance(12, True, 6.3)
+        self.followed.take_changes(12, True, 6.3)
         self.assertAlmostEqual(self.followed.age_s(6.5), 0.2)
 
+    def test_a_listing_is_told_once_the_last_change_before_it_is_known(self) -> None:
+        self.followed.forget()
+        self.followed.take_listing(20, 2.0)
+        self.assertIsNone(self.followed.word(2.1))
+        # A word from before the listing tells nothing of the time in between.
+        self.followed.on_word(ListingWord(changed_at=12, position=19), 2.0, 2.2)
+        self.assertIsNone(self.followed.word(2.2))
+        self.followed.on_word(ListingWord(changed_at=12, position=21), 2.2, 2.3)
+        word = self.followed.word(2.3)
+        assert word is not None
+        self.assertEqual((word.changed_at, word.position), (12, 21))
+
+    def test_a_listing_that_nobody_knows_more_of_is_told_after_a_while(self) -> None:
+        self.followed.forget()
+        self.followed.take_listing(20, 2.0)
+        word = self.followed.word(2.0 + LISTED_SILENCE_S)
+        assert word is not None
+        self.assertEqual((word.changed_at, word.position), (20, 20))
+
     def test_changes_are_taken_only_without_a_gap(self) -> None:
         self.assertTrue(self.followed.continues(8, 12))
         self.assertTrue(self.followed.continues(10, 12))
@@ -91,7 +110,10 @@
         value = self.store.value_at(now)
         has_changed = base is None or value > base
         host.value = value
-        host.followed.advance(now, has_changed, float(now))
+        if base is None:
+            host.followed.take_listing(now, float(now))
+        else:
+            host.followed.take_changes(now, has_changed, float(now))
         if base is not None and has_changed:
             self.told.append((base, now, value))
 
@@ -107,13 +129,13 @@
         host = self.hosts[number]
         if host.followed.continues(base, position):
             host.value = value
-            host.followed.advance(position, True, float("-inf"))
+            host.followed.take_changes(position, True, float("-inf"))
 
     @rule(number=st.integers(0, 2))
     def speak(self, number: int) -> None:
         followed = self.hosts[number].followed
-        if followed.position is not None:
-            word = ListingWord(changed_at=followed.changed_at, position=followed.position)
+        word = followed.word(1e6)
+        if word is not None:
             self.words.append((word, round(max(followed.proved_s, 0.0))))
 
     @rule(number=st.integers(0, 2), pick=st.integers(0, 100))
--- a/yewloom/tests/test_followers.py
+++ b/yewloom/tests/test_followers.py
@@ -123,7 +123,7 @@
                 nursery.start_soon(follower.run)
                 await trio.sleep(5)
                 self.assertTrue(followed.continues(5, 9))
-                followed.advance(9, True, float("-inf"))
+                followed.take_changes(9, True, float("-inf"))
                 self.assertFalse(follower.is_answered)
                 await trio.sleep(20)
                 self.assertTrue(follower.is_answered)
@@ -146,7 +146,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(follower.run)
                 await trio.sleep(0.7)  # The watch from 5 is on its way.
-                followed.advance(9, True, 0.0)
+                followed.take_changes(9, True, 0.0)
                 await trio.sleep(5)
                 nursery.cancel_scope.cancel()
 
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -38,7 +38,7 @@
             StoreRecords(), self.directory, selector, self.followed, self.told.append
         )
         self.directory.put(make_plain("a"))
-        self.followed.advance(5, True, 0.0)
+        self.followed.take_listing(5, 0.0)
 
     def test_changes_of_a_watch_are_told_and_its_empty_end_is_not(self) -> None:
         self.intake.take(Update(Listing([], 7), 5, 0.0, False))
