Leave asking the store to the same few hosts while it answers nobody

Change: a host that is not answered, and hears of no follower, ranks all hosts of its data centre. Test: test_a_few_go_on_asking_while_the_store_answers_nobody, failed first; tools/mutations.py.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -324,6 +324,13 @@
         "return self.is_mine()",
         "test_follow_duty",
     ),
+    Mutation(
+        "following: the same few go on asking while the store answers nobody",
+        "follow_duty",
+        "if not peers and not standing.can_follow:",
+        "if False:",
+        "test_follow_duty",
+    ),
     Mutation(
         "following: a call that peers overtook changes nothing",
         "followers",
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -8,7 +8,6 @@
 
 import socket
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from itertools import islice
 
 import structlog
@@ -51,14 +50,6 @@
 store: told to twenty peers they would hold up requests on the slowest trial links (20 Mbit/s)."""
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
-    """Whether the store answers a host that is not about to stop, and whether it coordinates."""
-
-    can_follow: bool
-    is_coordinator: bool
-
-
 class EntryExchange:
     """Tells the peers what this host knows, and takes in what they tell."""
 
@@ -71,7 +62,6 @@
         board: PeerBoard,
         book: ConfigurationBook,
         duty: FollowDuty,
-        standing: Callable[[], Standing],
         followed_endpoints: FollowedPosition,
         selector: Selector,
         stalls: StallDetector,
@@ -86,7 +76,6 @@
         self._board = board
         self._book = book
         self._duty = duty
-        self._standing = standing
         self._followed_endpoints = followed_endpoints
         self._selector = selector
         self._stalls = stalls
@@ -158,7 +147,7 @@
 
     def _state(self, now_s: float) -> EntryState:
         self._sequence += 1
-        configuration, standing = self._book.current, self._standing()
+        configuration, standing = self._book.current, self._duty.standing()
         return EntryState(
             host_id=self._host_id,
             data_centre=self._data_centre,
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -16,9 +16,9 @@
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
-from yewloom.entry_exchange import EntryExchange, Standing
+from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
-from yewloom.follow_duty import FollowDuty
+from yewloom.follow_duty import FollowDuty, Standing
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
@@ -68,9 +68,7 @@
             DataCentreId(settings.host.data_centre),
         )
         self._board = PeerBoard(host_id, data_centre, time.time_ns() // 1_000_000)
-        self._duty = FollowDuty(
-            host_id, data_centre, self._board, lambda: self._coordinator.is_holding, rng.random()
-        )
+        self._duty = FollowDuty(host_id, data_centre, self._board, self._standing, rng.random())
         self._selector = Selector(self._directory, data_centre, self._board, rng)
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(self._handle, self._caller_limits)
@@ -169,7 +167,6 @@
             self._board,
             self._book,
             self._duty,
-            self._standing,
             self._followed_endpoints,
             self._selector,
             self._stalls,
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from yewloom.entry_states import PeerBoard
 from yewloom.hashing import hash64
@@ -28,6 +29,14 @@
 """Greatest further patience of a host without the duty, so that not all of them ask at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Whether the store answers a host that is not about to stop, and whether it coordinates."""
+
+    can_follow: bool
+    is_coordinator: bool
+
+
 class FollowDuty:
     """Tells whether this host follows the store now."""
 
@@ -36,14 +45,14 @@
         me: EntryHostId,
         data_centre: DataCentreId,
         board: PeerBoard,
-        is_coordinator: Callable[[], bool],
+        standing: Callable[[], Standing],
         patience_draw: float,
     ) -> None:
         """Take ``patience_draw`` from 0 to 1, drawn for this host."""
         self._me = me
         self._data_centre = data_centre
         self._board = board
-        self._is_coordinator = is_coordinator
+        self.standing = standing
         self._patience_s = PATIENCE_S + PATIENCE_SPREAD_S * patience_draw
 
     def is_mine(self) -> bool:
@@ -52,13 +61,13 @@
         A coordinator follows, since its plans need the latest; the rest goes by rendezvous hashing
         over the hosts that can reach the store.
         """
-        if self._is_coordinator():
+        standing = self.standing()
+        if standing.is_coordinator:
             return True
-        peers = [
-            state
-            for state in self._board.states()
-            if state.data_centre == self._data_centre and state.can_follow
-        ]
+        near = [state for state in self._board.states() if state.data_centre == self._data_centre]
+        peers = [peer for peer in near if peer.can_follow]
+        if not peers and not standing.can_follow:
+            peers = near  # While the store answers nobody, the same few go on asking for all.
         coordinators = sum(peer.is_coordinator for peer in peers)
         ranked = sorted(hash64(peer.host_id) for peer in peers if not peer.is_coordinator)
         places = FOLLOWERS - min(coordinators, FOLLOWERS - 1)
@@ -66,6 +75,6 @@
 
     def must_ask(self, age_s: float) -> bool:
         """Tell whether this host asks the store, given the age of what it knows."""
-        if self._is_coordinator():
+        if self.standing().is_coordinator:
             return True
         return age_s > (STANDBY_PATIENCE_S if self.is_mine() else self._patience_s)
--- a/yewloom/tests/test_follow_duty.py
+++ b/yewloom/tests/test_follow_duty.py
@@ -12,6 +12,7 @@
     PATIENCE_SPREAD_S,
     STANDBY_PATIENCE_S,
     FollowDuty,
+    Standing,
 )
 from yewloom.ids import EntryHostId
 from yewloom.schema.entry_pb2 import EntryState
@@ -36,7 +37,9 @@
     board = PeerBoard(EntryHostId(me), HALL)
     for state in states:
         board.take(state, 0.0)
-    return FollowDuty(EntryHostId(me), HALL, board, lambda: is_coordinator, 0.5)
+    can_follow = all(state.can_follow for state in states if state.host_id == me)
+    standing = Standing(can_follow, is_coordinator)
+    return FollowDuty(EntryHostId(me), HALL, board, lambda: standing, 0.5)
 
 
 class TestFollowDuty(unittest.TestCase):
@@ -55,6 +58,11 @@
         if coordinator is not None:
             self.assertIn(coordinator, followers)
 
+    def test_a_few_go_on_asking_while_the_store_answers_nobody(self) -> None:
+        states = [_state(name, can_follow=False) for name in NAMES]
+        followers = [name for name in NAMES if _duty(name, states).is_mine()]
+        self.assertEqual(len(followers), FOLLOWERS)
+
     def test_a_host_that_hears_nobody_follows(self) -> None:
         self.assertTrue(_duty("e1", []).is_mine())
 
@@ -70,7 +78,7 @@
         board = PeerBoard(EntryHostId(resting), HALL)
         for state in states:
             board.take(state, 0.0)
-        duty = FollowDuty(EntryHostId(resting), HALL, board, lambda: False, 0.5)
+        duty = FollowDuty(EntryHostId(resting), HALL, board, lambda: Standing(True, False), 0.5)
         board.drop_silent(FRESH_S + 0.1)
         self.assertTrue(duty.is_mine())
 
