--- a/yewloom/tests/processes.py
+++ b/yewloom/tests/processes.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import signal
-import socket
 import ssl
 import subprocess
 import sys
@@ -16,6 +15,8 @@
 
 import httpcore
 
+from yewloom.tests.free_ports import free_port
+
 CUSTOMER_KEY = "test-key"
 MODEL = "m"
 WAIT_S = 30.0
@@ -86,13 +87,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on now."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 @dataclass
 class Answer:
     """A whole HTTP answer."""
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -16,7 +16,7 @@
 
 from yewloom.platform.standin_engine import StandinEngine
 from yewloom.platform.standin_store import StandinStore
-from yewloom.tests.processes import free_port
+from yewloom.tests.free_ports import free_address, free_port
 from yewloom.tests.soak.endpoints import EngineWatch, PlainEndpoint
 from yewloom.tests.soak.ledger import Ledger
 from yewloom.tests.soak.proxy import Link
@@ -190,7 +190,7 @@
 
     async def _serve(self, application: Starlette) -> str:
         """Serve an application on a free port; return its address once it answers."""
-        address = f"127.0.0.1:{free_port()}"
+        address = free_address()
         config = Config()
         config.bind = [address]
         config.errorlog = None
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -1,6 +1,5 @@
 """Tests of accepting callers' connections."""
 
-import socket
 import unittest
 
 import trio
@@ -10,17 +9,12 @@
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, OutgoingRequest, open_exchange
+from yewloom.tests.free_ports import free_address
 
 HEADERS = [(b"host", b"x.example"), (b"content-length", b"0")]
 REQUEST = OutgoingRequest(b"POST", b"/", HEADERS, b"")
 
 
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class TestPlannedStop(unittest.TestCase):
     """What a server that stops still takes."""
 
@@ -35,7 +29,7 @@
             await may_answer.wait()
             await reply.send_whole(200, [], b"done")
 
-        server, address = CallerServer(handle, CallerLimits), _free_address()
+        server, address = CallerServer(handle, CallerLimits), free_address()
         async with trio.open_nursery() as nursery:
             await nursery.start(server.serve, address)
             async with open_exchange(address, 1.0) as exchange:
--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -1,7 +1,6 @@
 """Tests of a whole entry host before stand-ins of the users' store and engines."""
 
 import random
-import socket
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -24,17 +23,12 @@
 from yewloom.replica_lifecycle import UNLISTED_GRACE_S
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import parse_entry_settings
+from yewloom.tests.free_ports import free_address
 
 SERVICE = "s1"
 MODEL = "m"
 
 
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def _configuration(version: int, keys: list[str]) -> dict[str, object]:
     return {
         "version": version,
@@ -71,7 +65,7 @@
 
     def __init__(self) -> None:
         self.store = StandinStore()
-        self.store_address = _free_address()
+        self.store_address = free_address()
         self.engines: list[StandinEngine] = []
         self.hosts: list[EntrySettings] = []
         self._nursery: trio.Nursery | None = None
@@ -101,7 +95,7 @@
 
     async def add_engine(self, name: str) -> StandinEngine:
         """Start an engine and list it."""
-        engine = StandinEngine(name, _free_address(), SERVICE, "d1", "hall-a", self.store)
+        engine = StandinEngine(name, free_address(), SERVICE, "d1", "hall-a", self.store)
         self.engines.append(engine)
         await self._serve(engine.application(), engine.address)
         engine.publish()
@@ -138,9 +132,9 @@
 [host]
 id = {name}
 data_centre = hall-a
-caller_address = {_free_address()}
-readiness_address = {_free_address()}
-peer_address = {_free_address()}
+caller_address = {free_address()}
+readiness_address = {free_address()}
+peer_address = {free_address()}
 metrics_port = 0
 is_first_start = true
 [store]
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -11,7 +11,8 @@
 import openai
 
 from yewloom.standins.engine import expected_tokens
-from yewloom.tests.processes import CUSTOMER_KEY, MODEL, Fleet, call, free_port, wait_for
+from yewloom.tests.free_ports import free_port
+from yewloom.tests.processes import CUSTOMER_KEY, MODEL, Fleet, call, wait_for
 
 
 def _expected(prompt: str, count: int) -> str:
