--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -22,8 +22,7 @@
 from yewloom.follow_duty import FollowDuty
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import DataCentreId, EntryHostId, HostId
-from yewloom.intake import ChangedEndpoints
-from yewloom.listed_endpoints import decode_endpoint, encode_endpoint
+from yewloom.listed_endpoints import ChangedEndpoints, decode_changes, encode_changes
 from yewloom.schema.entry_pb2 import (
     EndpointChanges,
     EndpointLoad,
@@ -111,13 +110,7 @@
         """Tell the peers in this data centre of changed endpoints, if that is this host's duty."""
         if not self._duty.is_mine():
             return
-        told = EndpointChanges(
-            base=changes.base,
-            position=changes.position,
-            endpoints=[encode_endpoint(endpoint) for endpoint in changes.endpoints],
-            removed=changes.removed,
-        )
-        data = EntryMessage(changes=told).SerializeToString()
+        data = EntryMessage(changes=encode_changes(changes)).SerializeToString()
         if len(data) > MAX_CHANGES_BYTES:
             logger.info("changes not told", size_bytes=len(data))
             return
@@ -205,12 +198,11 @@
 
     def _take_told(self, told: EndpointChanges) -> None:
         try:
-            endpoints = [decode_endpoint(item) for item in told.endpoints]
+            changes = decode_changes(told)
         except ValueError as error:
             logger.error("message unreadable", reason=str(error))
             return
-        removed = [HostId(name) for name in told.removed]
-        self._take_changes(ChangedEndpoints(told.base, told.position, endpoints, removed))
+        self._take_changes(changes)
 
     def _take_state(self, state: EntryState) -> None:
         now_s = trio.current_time()
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -1,7 +1,6 @@
 """What the followers bring, decoded and taken in: configurations and endpoints."""
 
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable
 
 import structlog
 import trio
@@ -10,7 +9,7 @@
 from yewloom.directory import Endpoint, EndpointDirectory
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Update
-from yewloom.ids import HostId
+from yewloom.listed_endpoints import ChangedEndpoints
 from yewloom.platform_parts import PlatformRecords
 from yewloom.selection import Selector
 from yewloom.writes import RecordError
@@ -42,16 +41,6 @@
             self._book.confirm(update.proved_s)
 
 
-@dataclass(frozen=True, slots=True)
-class ChangedEndpoints:
-    """All changes of endpoints between two positions of the store."""
-
-    base: int
-    position: int
-    endpoints: Sequence[Endpoint]
-    removed: Sequence[HostId]
-
-
 class EndpointIntake:
     """Brings the endpoints that the store lists into the directory.
 
--- a/yewloom/listed_endpoints.py
+++ b/yewloom/listed_endpoints.py
@@ -1,8 +1,38 @@
-"""Endpoints as messages between entry hosts."""
+"""Endpoints, and their changes, as messages between entry hosts."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from yewloom.directory import Endpoint, GroupKey, Membership, MemberState
 from yewloom.ids import DataCentreId, GroupId, HostId, ModelName, ServiceName
-from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
+from yewloom.schema.entry_pb2 import EndpointChanges, EndpointMembership, ListedEndpoint
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedEndpoints:
+    """All changes of endpoints between two positions of the store."""
+
+    base: int
+    position: int
+    endpoints: Sequence[Endpoint]
+    removed: Sequence[HostId]
+
+
+def encode_changes(changes: ChangedEndpoints) -> EndpointChanges:
+    """Return changes of endpoints as a message."""
+    return EndpointChanges(
+        base=changes.base,
+        position=changes.position,
+        endpoints=[encode_endpoint(endpoint) for endpoint in changes.endpoints],
+        removed=changes.removed,
+    )
+
+
+def decode_changes(message: EndpointChanges) -> ChangedEndpoints:
+    """Return the changes that a message holds; raises ValueError for an unknown state."""
+    endpoints = [decode_endpoint(item) for item in message.endpoints]
+    removed = [HostId(name) for name in message.removed]
+    return ChangedEndpoints(message.base, message.position, endpoints, removed)
 
 
 def encode_endpoint(endpoint: Endpoint) -> ListedEndpoint:
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -11,8 +11,8 @@
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Update
 from yewloom.ids import EntryHostId, GroupId, HostId
-from yewloom.intake import ChangedEndpoints, EndpointIntake
-from yewloom.listed_endpoints import decode_endpoint, encode_endpoint
+from yewloom.intake import EndpointIntake
+from yewloom.listed_endpoints import ChangedEndpoints, decode_endpoint, encode_endpoint
 from yewloom.platform.records import StoreRecords
 from yewloom.platforms import Listing, StoredObject
 from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
