--- a/yewloom/entry_addresses.py
+++ b/yewloom/entry_addresses.py
@@ -43,7 +43,7 @@
         board: PeerBoard,
     ) -> None:
         self._host_id = host_id
-        self._own = own
+        self.own = own
         self._platform = platform
         self._stale_platform = stale_platform
         self._board = board
@@ -60,7 +60,7 @@
     async def _publish(self) -> bool:
         """Write this host's address; tell whether the store holds it."""
         key = f"{ADDRESS_KIND}/{self._host_id}"
-        own = EntryAddress(address=self._own.address, data_centre=self._own.data_centre)
+        own = EntryAddress(address=self.own.address, data_centre=self.own.data_centre)
         value = to_json(own)
         match await self._platform.update(key, value, 0):
             case Ok(_):
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -7,8 +7,7 @@
 """
 
 import socket
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 from itertools import islice
 
 import structlog
@@ -16,21 +15,14 @@
 from google.protobuf.message import DecodeError
 
 from yewloom.addresses import split_address
-from yewloom.configuration import ConfigurationBook
 from yewloom.entry_addresses import EntryAddresses
-from yewloom.entry_states import PeerBoard, PeerWords
+from yewloom.entry_states import PeerBoard
 from yewloom.follow_duty import FollowDuty
-from yewloom.followed_position import FollowedPosition
-from yewloom.ids import DataCentreId, EntryHostId, HostId
-from yewloom.listed_endpoints import ChangedEndpoints, decode_changes, encode_changes
-from yewloom.schema.entry_pb2 import (
-    EndpointChanges,
-    EndpointLoad,
-    EntryMessage,
-    EntryState,
-)
-from yewloom.selection import Selector
-from yewloom.stalls import StallDetector
+from yewloom.ids import EntryHostId
+from yewloom.listed_endpoints import ChangedEndpoints, encode_changes
+from yewloom.own_state import OwnState
+from yewloom.peer_intake import PeerIntake
+from yewloom.schema.entry_pb2 import EntryMessage
 
 logger = structlog.get_logger(__name__)
 
@@ -50,57 +42,29 @@
 store: told to twenty peers they would hold up requests on the slowest trial links (20 Mbit/s)."""
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
-    """Whether the store answers a host that is not about to stop, and whether it coordinates."""
-
-    can_follow: bool
-    is_coordinator: bool
-
-
 class EntryExchange:
     """Tells the peers what this host knows, and takes in what they tell."""
 
     def __init__(
         self,
-        host_id: EntryHostId,
-        data_centre: DataCentreId,
-        address: str,
         addresses: EntryAddresses,
         board: PeerBoard,
-        book: ConfigurationBook,
         duty: FollowDuty,
-        standing: Callable[[], Standing],
-        followed_endpoints: FollowedPosition,
-        selector: Selector,
-        stalls: StallDetector,
-        avoid_stalled: Callable[[HostId], None],
-        read_configuration: Callable[[], None],
-        take_changes: Callable[[ChangedEndpoints], None],
+        own_state: OwnState,
+        intake: PeerIntake,
     ) -> None:
-        self._host_id = host_id
-        self._data_centre = data_centre
-        self._address = address
         self._addresses = addresses
         self._board = board
-        self._book = book
         self._duty = duty
-        self._standing = standing
-        self._followed_endpoints = followed_endpoints
-        self._selector = selector
-        self._stalls = stalls
-        self._avoid_stalled = avoid_stalled
-        self._read_configuration = read_configuration
-        self._take_changes = take_changes
-        self._asked_for_version = 0
-        self._sequence = 0
+        self._own_state = own_state
+        self._intake = intake
         self._next_remote = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
 
     async def run(self) -> None:
         """Exchange until cancelled."""
-        self._socket.bind(split_address(self._address))
+        self._socket.bind(split_address(self._addresses.own.address))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._addresses.run)
             nursery.start_soon(self._receive)
@@ -122,7 +86,7 @@
             await trio.sleep(SEND_INTERVAL_S)
             now_s = trio.current_time()
             self._board.drop_silent(now_s)
-            common = EntryMessage(state=self._state(now_s)).SerializeToString()
+            common = EntryMessage(state=self._own_state.next(now_s)).SerializeToString()
             for peer in [*self._near_peers(), *self._remote_peers()]:
                 # Messages of protobuf that follow each other are read as one.
                 echo = self._board.echo_for(peer)
@@ -130,13 +94,13 @@
 
     def _near_peers(self) -> list[EntryHostId]:
         """Return the peers in this data centre."""
+        here = self._addresses.own.data_centre
         known = self._addresses.by_peer.items()
-        return [peer for peer, known in known if known.data_centre == self._data_centre]
+        return [peer for peer, address in known if address.data_centre == here]
 
     def _remote_peers(self) -> list[EntryHostId]:
         """Return those peers in other data centres whose turn it is."""
-        known = self._addresses.by_peer.items()
-        remote = sorted(peer for peer, known in known if known.data_centre != self._data_centre)
+        remote = sorted(self._addresses.by_peer.keys() - set(self._near_peers()))
         count = min(REMOTE_PEERS_AT_ONCE, len(remote))
         first = self._next_remote % max(1, len(remote))
         self._next_remote = first + count
@@ -149,32 +113,11 @@
             # The peer gets the next message; nothing waits for this one.
             logger.debug("datagram not sent", peer=peer, reason=str(error))
 
-    def _state(self, now_s: float) -> EntryState:
-        self._sequence += 1
-        configuration, standing = self._book.current, self._standing()
-        return EntryState(
-            host_id=self._host_id,
-            data_centre=self._data_centre,
-            started_unix_ms=self._board.started_unix_ms,
-            sequence=self._sequence,
-            sent_ms=round(now_s * 1000),
-            configuration_version=configuration.version if configuration is not None else 0,
-            configuration_age_ms=self._book.stated_age_ms(now_s),
-            loads=[
-                EndpointLoad(endpoint=endpoint, running=running)
-                for endpoint, running in self._selector.running().items()
-            ],
-            stalled=self._stalls.reported(now_s),
-            can_follow=standing.can_follow,
-            is_coordinator=standing.is_coordinator,
-            listing=self._followed_endpoints.word(now_s),
-        )
-
     async def _receive(self) -> None:
         while True:
             await trio.lowlevel.wait_readable(self._socket)
             for message in self._read_waiting():
-                self._take(message)
+                self._intake.take(message, trio.current_time())
 
     def _read_waiting(self) -> Iterable[EntryMessage]:
         """Yield the messages that have come."""
@@ -188,38 +131,3 @@
             except OSError as error:
                 # Tells of an earlier message to a peer that does not listen.
                 logger.debug("datagram lost", reason=str(error))
-
-    def _take(self, message: EntryMessage) -> None:
-        match message.WhichOneof("content"):
-            case "state":
-                self._take_state(message.state)
-            case "changes":
-                self._take_told(message.changes)
-
-    def _take_told(self, told: EndpointChanges) -> None:
-        try:
-            changes = decode_changes(told)
-        except ValueError as error:
-            logger.error("message unreadable", reason=str(error))
-            return
-        self._take_changes(changes)
-
-    def _take_state(self, state: EntryState) -> None:
-        now_s = trio.current_time()
-        words = self._board.take(state, now_s)
-        self._take_configuration_word(words)
-        if words.listing is not None:
-            self._followed_endpoints.on_word(words.listing.word, words.listing.confirmed_s, now_s)
-        for head in state.stalled:
-            self._avoid_stalled(HostId(head))
-
-    def _take_configuration_word(self, words: PeerWords) -> None:
-        word, current = words.configuration, self._book.current
-        if word is None or current is None:
-            return
-        if word.version == current.version:
-            self._book.confirm(word.confirmed_s)
-        elif word.version > max(current.version, self._asked_for_version):
-            self._asked_for_version = word.version
-            logger.info("peer has a newer configuration", version=word.version)
-            self._read_configuration()
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -16,7 +16,7 @@
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
-from yewloom.entry_exchange import EntryExchange, Standing
+from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
 from yewloom.follow_duty import FollowDuty
 from yewloom.followed_position import FollowedPosition
@@ -25,6 +25,8 @@
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
+from yewloom.own_state import EntryIdentity, OwnState, Standing
+from yewloom.peer_intake import PeerIntake
 from yewloom.platform_parts import PlatformParts
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.retry_window import RetryWindow
@@ -63,11 +65,13 @@
         self._stalls = StallDetector()
         self._has_had_requests = False
         self._is_leaving = False
-        host_id, data_centre = (
+        self._me = EntryIdentity(
             EntryHostId(settings.host.id),
             DataCentreId(settings.host.data_centre),
+            time.time_ns() // 1_000_000,
         )
-        self._board = PeerBoard(host_id, data_centre, time.time_ns() // 1_000_000)
+        host_id, data_centre = self._me.host_id, self._me.data_centre
+        self._board = PeerBoard(host_id, data_centre, self._me.started_unix_ms)
         self._duty = FollowDuty(
             host_id, data_centre, self._board, lambda: self._coordinator.is_holding, rng.random()
         )
@@ -153,29 +157,29 @@
         )
 
     def _build_exchange(self) -> EntryExchange:
-        host, parts = self._settings.host, self._parts
-        host_id, data_centre = EntryHostId(host.id), DataCentreId(host.data_centre)
-        return EntryExchange(
-            host_id,
-            data_centre,
-            host.peer_address,
-            EntryAddresses(
-                host_id,
-                PeerAddress(host.peer_address, data_centre),
-                parts.records_store,
-                parts.stale_store,
-                self._board,
-            ),
-            self._board,
+        own_state = OwnState(
+            self._me,
             self._book,
-            self._duty,
-            self._standing,
-            self._followed_endpoints,
             self._selector,
             self._stalls,
+            self._followed_endpoints,
+            self._standing,
+        )
+        intake = PeerIntake(
+            self._board,
+            self._book,
+            self._followed_endpoints,
+            self._endpoint_intake.take_told,
             self._avoid_stalled,
             self._configuration_follower.list_anew,
-            self._endpoint_intake.take_told,
+        )
+        return EntryExchange(self._build_addresses(), self._board, self._duty, own_state, intake)
+
+    def _build_addresses(self) -> EntryAddresses:
+        own = PeerAddress(self._settings.host.peer_address, self._me.data_centre)
+        parts = self._parts
+        return EntryAddresses(
+            self._me.host_id, own, parts.records_store, parts.stale_store, self._board
         )
 
     async def run(self, reload: Callable[[], None]) -> None:
--- /dev/null
+++ b/yewloom/own_state.py
@@ -0,0 +1,71 @@
+"""What an entry host tells its peers of itself."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.followed_position import FollowedPosition
+from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
+from yewloom.selection import Selector
+from yewloom.stalls import StallDetector
+
+
+@dataclass(frozen=True, slots=True)
+class EntryIdentity:
+    """One process of an entry host: two of the same host differ in when they started."""
+
+    host_id: EntryHostId
+    data_centre: DataCentreId
+    started_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Whether the store answers a host that is not about to stop, and whether it coordinates."""
+
+    can_follow: bool
+    is_coordinator: bool
+
+
+class OwnState:
+    """Gathers the state of this host, numbered so that peers can tell which is the latest."""
+
+    def __init__(
+        self,
+        me: EntryIdentity,
+        book: ConfigurationBook,
+        selector: Selector,
+        stalls: StallDetector,
+        followed_endpoints: FollowedPosition,
+        standing: Callable[[], Standing],
+    ) -> None:
+        self._me = me
+        self._book = book
+        self._selector = selector
+        self._stalls = stalls
+        self._followed_endpoints = followed_endpoints
+        self._standing = standing
+        self._sequence = 0
+
+    def next(self, now_s: float) -> EntryState:
+        """Return the state at ``now_s``, under the next number."""
+        self._sequence += 1
+        configuration, standing = self._book.current, self._standing()
+        return EntryState(
+            host_id=self._me.host_id,
+            data_centre=self._me.data_centre,
+            started_unix_ms=self._me.started_unix_ms,
+            sequence=self._sequence,
+            sent_ms=round(now_s * 1000),
+            configuration_version=configuration.version if configuration is not None else 0,
+            configuration_age_ms=self._book.stated_age_ms(now_s),
+            loads=[
+                EndpointLoad(endpoint=endpoint, running=running)
+                for endpoint, running in self._selector.running().items()
+            ],
+            stalled=self._stalls.reported(now_s),
+            can_follow=standing.can_follow,
+            is_coordinator=standing.is_coordinator,
+            listing=self._followed_endpoints.word(now_s),
+        )
--- /dev/null
+++ b/yewloom/peer_intake.py
@@ -0,0 +1,75 @@
+"""What the peers of an entry host tell, taken in: their states, and changes of endpoints."""
+
+from collections.abc import Callable
+
+import structlog
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.entry_states import ConfigurationWord, PeerBoard
+from yewloom.followed_position import FollowedPosition
+from yewloom.ids import HostId
+from yewloom.listed_endpoints import ChangedEndpoints, decode_changes
+from yewloom.schema.entry_pb2 import EndpointChanges, EntryMessage, EntryState
+
+logger = structlog.get_logger(__name__)
+
+
+class PeerIntake:
+    """Hands on what a message tells, each part to where it is kept.
+
+    ``avoid_stalled`` gets the head of a group that a peer saw stand still; ``read_configuration``
+    is called once for each version that is newer than this host's.
+    """
+
+    def __init__(
+        self,
+        board: PeerBoard,
+        book: ConfigurationBook,
+        followed_endpoints: FollowedPosition,
+        take_changes: Callable[[ChangedEndpoints], None],
+        avoid_stalled: Callable[[HostId], None],
+        read_configuration: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._book = book
+        self._followed_endpoints = followed_endpoints
+        self._take_changes = take_changes
+        self._avoid_stalled = avoid_stalled
+        self._read_configuration = read_configuration
+        self._asked_for_version = 0
+
+    def take(self, message: EntryMessage, now_s: float) -> None:
+        """Take in a message that came at ``now_s``."""
+        match message.WhichOneof("content"):
+            case "state":
+                self._take_state(message.state, now_s)
+            case "changes":
+                self._take_told(message.changes)
+
+    def _take_state(self, state: EntryState, now_s: float) -> None:
+        words = self._board.take(state, now_s)
+        if words.configuration is not None:
+            self._take_configuration_word(words.configuration)
+        if words.listing is not None:
+            self._followed_endpoints.on_word(words.listing.word, words.listing.confirmed_s, now_s)
+        for head in state.stalled:
+            self._avoid_stalled(HostId(head))
+
+    def _take_configuration_word(self, word: ConfigurationWord) -> None:
+        current = self._book.current
+        if current is None:
+            return
+        if word.version == current.version:
+            self._book.confirm(word.confirmed_s)
+        elif word.version > max(current.version, self._asked_for_version):
+            self._asked_for_version = word.version
+            logger.info("peer has a newer configuration", version=word.version)
+            self._read_configuration()
+
+    def _take_told(self, told: EndpointChanges) -> None:
+        try:
+            changes = decode_changes(told)
+        except ValueError as error:
+            logger.error("message unreadable", reason=str(error))
+            return
+        self._take_changes(changes)
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -32,6 +32,8 @@
     "membership",
     "model_need",
     "orders",
+    "own_state",
+    "peer_intake",
     "placement",
     "plan_state",
     "prefixes",
