--- a/yewloom/tests/soak/__main__.py
+++ b/yewloom/tests/soak/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from yewloom.tests.soak.run import soak
+from yewloom.tests.soak.run import SoakPlan, soak
 
 
 def main(
@@ -17,7 +17,7 @@
     """Run soaks; exit code 1 if a promise was broken."""
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seeds):
-        result = soak(seed, duration_s, entries, engines)
+        result = soak(SoakPlan(seed, duration_s, entries, engines))
         outcomes = ", ".join(f"{name} {n}" for name, n in sorted(result.outcomes.items()))
         print(f"seed {seed}: {len(result.broken)} broken; {outcomes}", flush=True)
         for broken in result.broken:
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -11,7 +11,7 @@
 
 from yewloom.platform.standin_engine import StandinEngine
 from yewloom.platform.standin_store import StandinStore
-from yewloom.tests.soak.ledger import Broken, Ledger, Ran
+from yewloom.tests.soak.ledger import Ledger, Ran
 
 PLAIN_WORK_S = 0.03
 """Time that a plain endpoint works on a request."""
@@ -55,7 +55,7 @@
             member = by_name.get(name)
             if member is not None and not member.is_lost and key not in member.was_ready:
                 detail = f"{name} was never ready in {key}"
-                self._ledger.broken.append(Broken("partial", noted.request_id, detail))
+                self._ledger.note_broken("partial", noted.request_id, detail)
 
     def on_join(self, engine: StandinEngine, order: dict[str, object]) -> None:
         """Check that the head of the group which an engine leaves by a join serves no more."""
@@ -68,7 +68,7 @@
         is_same = (head.group["name"], head.group["epoch"]) == (old["name"], old["epoch"])
         if is_same and head.group["state"] in _SERVING:
             detail = f"{engine.name} joins {order['group']} while {old['name']} serves"
-            self._ledger.broken.append(Broken("two groups", "", detail))
+            self._ledger.note_broken("two groups", "", detail)
 
 
 class PlainEndpoint:
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -9,7 +9,7 @@
 import trio
 
 from yewloom.tests.soak.fleet import EntryProcess, Fleet
-from yewloom.tests.soak.ledger import Ledger
+from yewloom.tests.soak.ledger import Disturbance, Ledger
 from yewloom.tests.soak.proxy import LinkFault
 
 QUIET_AFTER_S = 4.0
@@ -136,7 +136,8 @@
     await trio.sleep_until(began_s + fault.at_s)
     if not isinstance(fault, StopEntry | ReloadEntry | ChangeConfiguration):
         now_s = trio.current_time()
-        ledger.disturbed.append((now_s, now_s + fault.for_s + QUIET_AFTER_S))
+        ends_s = now_s + fault.for_s + QUIET_AFTER_S
+        ledger.disturbances.append(Disturbance(now_s, ends_s))
     await happen(fault, fleet, ledger)
 
 
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -14,6 +14,9 @@
 REGRESSION_S = 0.25
 """Time after which a host that showed a version must not act on an older one."""
 
+STREAM_EVENTS = 5
+"""Events of a whole stream, as the stand-in engines send them."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Answers that promise that the request has not run and never will."""
 
@@ -68,6 +71,14 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class Disturbance:
+    """A time in which effects of a fault may show."""
+
+    begin_s: float
+    end_s: float
+
+
 @dataclass
 class Ledger:
     """Everything that happened, in order."""
@@ -77,23 +88,27 @@
     removed_s: dict[int, float] = field(default_factory=dict)
     broken: list[Broken] = field(default_factory=list)
     planned_stops: dict[str, float] = field(default_factory=dict)
-    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+
+    def note_broken(self, promise: str, request_id: str, detail: str) -> None:
+        """Take in that a promise was broken; ``request_id`` is empty if by no one request."""
+        self.broken.append(Broken(promise, request_id, detail))
 
     def note_run(self, ran: Ran) -> None:
         """Take in that an endpoint runs a request, and check what must hold at once."""
         self.runs[ran.request_id].append(ran)
         sent = self.sent.get(ran.request_id)
         if sent is None:
-            self.broken.append(Broken("unasked", ran.request_id, "no caller sent it"))
+            self.note_broken("unasked", ran.request_id, "no caller sent it")
             return
         if (sent.path, sent.body) != (ran.path, ran.body):
-            self.broken.append(Broken("unasked", ran.request_id, "path or body was changed"))
+            self.note_broken("unasked", ran.request_id, "path or body was changed")
         if ran.customer != "customer":
-            self.broken.append(Broken("unasked", ran.request_id, f"customer {ran.customer!r}"))
+            self.note_broken("unasked", ran.request_id, f"customer {ran.customer!r}")
         removed_s = self.removed_s.get(sent.key_version)
         if removed_s is not None and sent.sent_s > removed_s + REVOCATION_S:
             age_s = sent.sent_s - removed_s
-            self.broken.append(Broken("revoked", ran.request_id, f"key gone for {age_s:.2f} s"))
+            self.note_broken("revoked", ran.request_id, f"key gone for {age_s:.2f} s")
 
     def check(self) -> list[Broken]:
         """Return all promises that were broken so far."""
@@ -123,32 +138,31 @@
         for sent in self.sent.values():
             by_life[sent.host_life].append(sent)
         for requests in by_life.values():
-            seen: list[tuple[float, int]] = []
-            for sent in sorted(requests, key=lambda request: request.sent_s):
-                newest = max(
-                    (v for ended_s, v in seen if sent.sent_s > ended_s + REGRESSION_S), default=0
-                )
+            accepted = [sent for sent in requests if sent.status == 200]
+            for sent in accepted:
+                newest = _newest_version_before(sent, accepted)
                 # A version keeps the key of the one before it, so only two behind is older.
-                if sent.status == 200 and sent.key_version < newest - 1:
+                if sent.key_version < newest - 1:
                     detail = f"key of version {sent.key_version} after {newest}"
                     yield Broken("regressed", sent.request_id, detail)
-                if sent.status == 200 and sent.ended_s is not None:
-                    seen.append((sent.ended_s, sent.key_version))
 
     def _check_planned_stops(self) -> Iterable[Broken]:
         """A planned stop in calm times cuts no request off."""
         for life, stopped_s in self.planned_stops.items():
             for sent in self.sent.values():
-                ended_s = sent.ended_s
-                if sent.host_life != life or ended_s is None or ended_s < stopped_s:
-                    continue
-                if self._is_disturbed(sent.sent_s, ended_s) or not self.runs.get(sent.request_id):
-                    continue
-                if sent.status is None or (sent.status == 200 and not sent.is_whole):
+                if sent.host_life == life and self._is_lost(sent, stopped_s):
                     yield Broken("lost", sent.request_id, f"cut off by the stop of {life}")
 
+    def _is_lost(self, sent: Sent, stopped_s: float) -> bool:
+        """Tell whether a request that ran in calm times has no whole answer after a stop."""
+        if sent.ended_s is None or sent.ended_s < stopped_s:
+            return False
+        if self._is_disturbed(sent.sent_s, sent.ended_s) or not self.runs.get(sent.request_id):
+            return False
+        return sent.status is None or (sent.status == 200 and not sent.is_whole)
+
     def _is_disturbed(self, from_s: float, to_s: float) -> bool:
-        return any(begin_s < to_s and end_s > from_s for begin_s, end_s in self.disturbed)
+        return any(span.begin_s < to_s and span.end_s > from_s for span in self.disturbances)
 
     def outcomes(self) -> Counter[str]:
         """Count the requests by kind and status."""
@@ -158,8 +172,16 @@
         )
 
 
-STREAM_EVENTS = 5
-"""Events of a whole stream, as the stand-in engines send them."""
+def _newest_version_before(sent: Sent, accepted: Iterable[Sent]) -> int:
+    """Return the newest version whose key was accepted some time before a request; 0 if none."""
+    return max(
+        (
+            other.key_version
+            for other in accepted
+            if other.ended_s is not None and sent.sent_s > other.ended_s + REGRESSION_S
+        ),
+        default=0,
+    )
 
 
 def expected_answer(sent: Sent) -> bytes:
--- a/yewloom/tests/soak/proxy.py
+++ b/yewloom/tests/soak/proxy.py
@@ -8,7 +8,16 @@
 from yewloom.addresses import split_address
 
 READ_BYTES = 65536
+"""Longest piece of data that is carried at once."""
+
 CONNECT_TIMEOUT_S = 2.0
+"""Time until a link gives up to reach its target, which serves on the same machine."""
+
+DELAY_S = 0.15
+"""Delay of each piece of data: about the objective of the shortest requests."""
+
+RESET_CHECK_S = 0.02
+"""Pause between two looks whether open connections are reset."""
 
 
 class LinkFault(Enum):
@@ -21,10 +30,6 @@
     SILENT = "silent"
 
 
-DELAY_S = 0.15
-"""Delay of each piece of data: about the objective of the shortest requests."""
-
-
 @dataclass
 class Link:
     """One proxied address; ``fault`` may change at any time and holds for open connections too."""
@@ -66,5 +71,5 @@
 
     async def _watch_for_reset(self, scope: trio.CancelScope) -> None:
         while self.fault is not LinkFault.RESET:  # noqa: ASYNC110 - faults are plain fields
-            await trio.sleep(0.02)
+            await trio.sleep(RESET_CHECK_S)
         scope.cancel()
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -21,6 +21,12 @@
 RECOVERY_S = 30.0
 """Longest time until all serve again once every fault is undone."""
 
+ASK_AGAIN_S = 0.2
+"""Pause before an entry host that does not serve yet is asked again."""
+
+START_CALLER, RECOVERY_CALLER = -1, -2
+"""Seeds of the callers that ask whether all serve; they keep the names of requests apart."""
+
 CALLERS_PER_ENTRY = 3
 """Callers of each entry host, each with up to two connections."""
 
@@ -28,6 +34,16 @@
 """Endpoints of the plain service: a second one for what the first rejects."""
 
 
+@dataclass(frozen=True)
+class SoakPlan:
+    """What a soak is to do; ``duration_s`` is its time with faults."""
+
+    seed: int
+    duration_s: float
+    entries: int
+    engines: int
+
+
 @dataclass(frozen=True)
 class SoakResult:
     """What a soak found; ``folder`` holds the logs if a promise was broken."""
@@ -37,31 +53,29 @@
     folder: Path
 
 
-def soak(seed: int, duration_s: float, entries: int, engines: int) -> SoakResult:
+def soak(plan: SoakPlan) -> SoakResult:
     """Run one soak."""
-    folder = Path(tempfile.mkdtemp(prefix=f"yewloom-soak-{seed}-"))
+    folder = Path(tempfile.mkdtemp(prefix=f"yewloom-soak-{plan.seed}-"))
     ledger = Ledger()
-    trio.run(_soak, seed, duration_s, entries, engines, folder, ledger)
+    trio.run(_soak, plan, folder, ledger)
     broken = ledger.check()
     if not broken:
         shutil.rmtree(folder)
     return SoakResult(broken, ledger.outcomes(), folder)
 
 
-async def _soak(
-    seed: int, duration_s: float, entries: int, engines: int, folder: Path, ledger: Ledger
-) -> None:
-    rng = random.Random(seed)
-    faults = draw_faults(rng, duration_s, entries)
+async def _soak(plan: SoakPlan, folder: Path, ledger: Ledger) -> None:
+    rng = random.Random(plan.seed)
+    faults = draw_faults(rng, plan.duration_s, plan.entries)
     async with trio.open_nursery() as nursery:
         fleet = Fleet(folder, ledger, rng, nursery)
         try:
-            await fleet.start(entries, engines, PLAIN_ENDPOINTS)
-            await _wait_until_served(fleet, ledger, START_S, "start")
+            await fleet.start(plan.entries, plan.engines, PLAIN_ENDPOINTS)
+            await _wait_until_served(fleet, ledger, START_S, START_CALLER)
             async with trio.open_nursery() as callers:
-                _start_callers(callers, fleet, ledger, seed)
+                _start_callers(callers, fleet, ledger, plan.seed)
                 await play(faults, fleet, ledger)
-                await _wait_until_served(fleet, ledger, RECOVERY_S, "recovery")
+                await _wait_until_served(fleet, ledger, RECOVERY_S, RECOVERY_CALLER)
                 callers.cancel_scope.cancel()
             await trio.sleep(DEADLINE_S)  # Late work may begin until then.
         finally:
@@ -76,16 +90,16 @@
             nursery.start_soon(caller.run)
 
 
-async def _wait_until_served(fleet: Fleet, ledger: Ledger, limit_s: float, when: str) -> None:
+async def _wait_until_served(fleet: Fleet, ledger: Ledger, limit_s: float, seed: int) -> None:
     """Wait until every entry host serves a stream and a read; note it if one does not in time."""
     for entry in fleet.entries:
-        caller = Caller(entry, fleet, ledger, -1 if when == "start" else -2)
+        caller = Caller(entry, fleet, ledger, seed)
         with trio.move_on_after(limit_s) as timer:
             for kind in (Kind.STREAM, Kind.SAFE):
                 while not await _is_served(caller, kind):  # noqa: ASYNC110 - asks a process
-                    await trio.sleep(0.2)
+                    await trio.sleep(ASK_AGAIN_S)
         if timer.cancelled_caught:
-            ledger.broken.append(Broken("serves", "", f"{entry.life} not within {limit_s} s"))
+            ledger.note_broken("serves", "", f"{entry.life} not within {limit_s} s")
 
 
 async def _is_served(caller: Caller, kind: Kind) -> bool:
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -6,13 +6,14 @@
 from yewloom.tests.soak.ledger import (
     REGRESSION_S,
     REVOCATION_S,
+    Disturbance,
     Kind,
     Ledger,
     Ran,
     Sent,
     expected_answer,
 )
-from yewloom.tests.soak.run import soak
+from yewloom.tests.soak.run import SoakPlan, soak
 
 SHORT_SEEDS = (1, 2)
 """Seeds that CI plays for a short time."""
@@ -118,7 +119,7 @@
         self._add(sent)
         self.ledger.planned_stops["e/1"] = 1.05
         self.assertEqual(self._promises(), ["lost"])
-        self.ledger.disturbed.append((0.0, 1.05))
+        self.ledger.disturbances.append(Disturbance(0.0, 1.05))
         self.assertEqual(self._promises(), [])
 
 
@@ -128,14 +129,14 @@
     def test_short_soaks_break_no_promise(self) -> None:
         for seed in SHORT_SEEDS:
             with self.subTest(seed=seed):
-                self._assert_clean(seed, duration_s=6.0, entries=3, engines=4)
+                self._assert_clean(SoakPlan(seed, duration_s=6.0, entries=3, engines=4))
 
     def test_seeds_that_failed_once_break_no_promise(self) -> None:
         for seed in FAILED_SEEDS:
             with self.subTest(seed=seed):
-                self._assert_clean(seed, duration_s=15.0, entries=4, engines=6)
+                self._assert_clean(SoakPlan(seed, duration_s=15.0, entries=4, engines=6))
 
-    def _assert_clean(self, seed: int, duration_s: float, entries: int, engines: int) -> None:
-        result = soak(seed, duration_s, entries, engines)
+    def _assert_clean(self, plan: SoakPlan) -> None:
+        result = soak(plan)
         self.assertEqual(result.broken, [])
         self.assertGreater(sum(result.outcomes.values()), 0)
