--- a/yewloom/tests/soak/callers.py
+++ b/yewloom/tests/soak/callers.py
@@ -15,6 +15,12 @@
 DEADLINE_S = 4.0
 """Time that a caller waits for an answer."""
 
+CONNECTIONS = 2
+"""Connections that a caller keeps open at most."""
+
+_KEY_LAGS = (0, 0, 0, 1, 2)
+"""How many versions back the key of a request is; now and then one that may just be taken away."""
+
 _PATHS = {Kind.STREAM: "/stream/", Kind.SAFE: "/idempotent/", Kind.UNSAFE: "/non_idempotent/"}
 
 
@@ -30,7 +36,7 @@
 
     async def run(self) -> None:
         """Send until cancelled."""
-        async with httpcore.AsyncConnectionPool(max_connections=2) as pool:
+        async with httpcore.AsyncConnectionPool(max_connections=CONNECTIONS) as pool:
             while True:
                 await trio.sleep(self._rng.expovariate(1 / PAUSE_S))
                 await self.send(pool, self._rng.choice(list(Kind)))
@@ -38,8 +44,7 @@
     async def send(self, pool: httpcore.AsyncConnectionPool, kind: Kind) -> Sent:
         """Send one request, and note it and its answer."""
         request_id = next(self._numbers)
-        # Now and then a key is used that may just have been taken away.
-        version = max(1, self._fleet.version - self._rng.choice([0, 0, 0, 1, 2]))
+        version = max(1, self._fleet.version - self._rng.choice(_KEY_LAGS))
         sent = Sent(
             request_id=request_id,
             kind=kind,
@@ -61,14 +66,7 @@
         return sent
 
     async def _exchange(self, pool: httpcore.AsyncConnectionPool, sent: Sent) -> None:
-        headers: dict[bytes | str, bytes | str] = {
-            "host": HOST,
-            "yewloom-request-id": sent.request_id,
-            "yewloom-deadline-ms": str(round(DEADLINE_S * 1000)),
-            "authorization": f"Token {key_of(sent.key_version)}",
-        }
-        if sent.kind is Kind.STREAM:
-            headers["yewloom-model"] = MODEL
+        headers = _headers(sent)
         method = "GET" if sent.kind is Kind.SAFE else "POST"
         url = f"http://{self._entry.caller_address}{sent.path}"
         async with pool.stream(method, url, headers=headers, content=sent.body or None) as answer:
@@ -78,3 +76,15 @@
             async for chunk in answer.aiter_stream():
                 sent.answer += chunk
             sent.is_whole = True
+
+
+def _headers(sent: Sent) -> dict[bytes | str, bytes | str]:
+    headers: dict[bytes | str, bytes | str] = {
+        "host": HOST,
+        "yewloom-request-id": sent.request_id,
+        "yewloom-deadline-ms": str(round(DEADLINE_S * 1000)),
+        "authorization": f"Token {key_of(sent.key_version)}",
+    }
+    if sent.kind is Kind.STREAM:
+        headers["yewloom-model"] = MODEL
+    return headers
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from typing import Any
 
 import trio
 from starlette.applications import Starlette
@@ -49,7 +50,7 @@
         noted = ran(request, engine.name, body)
         self._ledger.note_run(noted)
         assert engine.group is not None
-        key = (engine.group["name"], engine.group["epoch"], tuple(engine.members))
+        key = (*_group_key(engine.group), tuple(engine.members))
         by_name = {other.name: other for other in self._engines}
         for name in engine.members:
             member = by_name.get(name)
@@ -60,17 +61,22 @@
     def on_join(self, engine: StandinEngine, order: dict[str, object]) -> None:
         """Check that the head of the group which an engine leaves by a join serves no more."""
         old = engine.group
-        if old is None or (old["name"], old["epoch"]) == (order["group"], order["epoch"]):
+        if old is None or _group_key(old) == (order["group"], order["epoch"]):
             return
         head = next((e for e in self._engines if engine.members[:1] == [e.name]), None)
         if head is None or head.is_lost or head.group is None:
             return
-        is_same = (head.group["name"], head.group["epoch"]) == (old["name"], old["epoch"])
+        is_same = _group_key(head.group) == _group_key(old)
         if is_same and head.group["state"] in _SERVING:
             detail = f"{engine.name} joins {order['group']} while {old['name']} serves"
             self._ledger.note_broken("two groups", "", detail)
 
 
+def _group_key(group: dict[str, Any]) -> tuple[str, int]:
+    """Return the name and the generation of a group, which tell it from all others."""
+    return group["name"], group["epoch"]
+
+
 class PlainEndpoint:
     """An endpoint of a plain service: works, rejects or fails, and notes what it ran."""
 
--- /dev/null
+++ b/yewloom/tests/soak/fault_play.py
@@ -0,0 +1,148 @@
+"""Faults of a soak, carried out on the fleet and undone."""
+
+import signal
+from collections.abc import Sequence
+from functools import singledispatch
+
+import trio
+
+from yewloom.tests.soak.faults import (
+    ChangeConfiguration,
+    DisturbEndpoint,
+    DisturbStore,
+    FailStore,
+    Fault,
+    KillEntry,
+    LoseEngine,
+    PauseEntry,
+    ReloadEntry,
+    StopEntry,
+    StoreFault,
+)
+from yewloom.tests.soak.fleet import EntryProcess, Fleet, SoakEngine
+from yewloom.tests.soak.ledger import Disturbance, Ledger
+from yewloom.tests.soak.proxy import LinkFault
+
+QUIET_AFTER_S = 4.0
+"""Time after a fault for which its effects may last."""
+
+GRACE_S = 8.0
+"""Time from the request to stop until a process is killed."""
+
+
+async def play(faults: Sequence[Fault], fleet: Fleet, ledger: Ledger) -> None:
+    """Let all faults happen, and return when the last one is undone."""
+    began_s = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for fault in faults:
+            nursery.start_soon(_play_one, fault, fleet, ledger, began_s)
+
+
+async def _play_one(fault: Fault, fleet: Fleet, ledger: Ledger, began_s: float) -> None:
+    await trio.sleep_until(began_s + fault.at_s)
+    if not isinstance(fault, StopEntry | ReloadEntry | ChangeConfiguration):
+        now_s = trio.current_time()
+        ends_s = now_s + fault.for_s + QUIET_AFTER_S
+        ledger.disturbances.append(Disturbance(now_s, ends_s))
+    await happen(fault, fleet, ledger)
+
+
+@singledispatch
+async def happen(fault: Fault, fleet: Fleet, ledger: Ledger) -> None:
+    """Let a fault happen and undo it."""
+    raise TypeError(f"no such fault: {fault}")
+
+
+@happen.register
+async def _(fault: KillEntry, fleet: Fleet, ledger: Ledger) -> None:
+    entry = fleet.entries[fault.entry]
+    entry.signal(signal.SIGKILL)
+    await _start_again(entry, fault.for_s)
+
+
+@happen.register
+async def _(fault: StopEntry, fleet: Fleet, ledger: Ledger) -> None:
+    entry = fleet.entries[fault.entry]
+    ledger.planned_stops.setdefault(entry.life, trio.current_time())
+    entry.signal(signal.SIGTERM)
+    with trio.move_on_after(GRACE_S):
+        await entry.wait_ended()
+    entry.signal(signal.SIGKILL)
+    await _start_again(entry, fault.for_s)
+
+
+async def _start_again(entry: EntryProcess, after_s: float) -> None:
+    """Start an ended process, unless another fault has done so."""
+    life = entry.life
+    await entry.wait_ended()
+    await trio.sleep(after_s)
+    if entry.life == life and not entry.is_running:
+        entry.start()
+
+
+@happen.register
+async def _(fault: PauseEntry, fleet: Fleet, ledger: Ledger) -> None:
+    entry = fleet.entries[fault.entry]
+    entry.signal(signal.SIGSTOP)
+    await trio.sleep(fault.for_s)
+    entry.signal(signal.SIGCONT)
+
+
+@happen.register
+async def _(fault: ReloadEntry, fleet: Fleet, ledger: Ledger) -> None:
+    fleet.entries[fault.entry].signal(signal.SIGHUP)
+
+
+@happen.register
+async def _(fault: DisturbStore, fleet: Fleet, ledger: Ledger) -> None:
+    links = [fleet.entries[number].store_link for number in fault.entries]
+    for link in links:
+        link.fault = fault.how
+    await trio.sleep(fault.for_s)
+    for link in links:
+        link.fault = LinkFault.NONE
+
+
+@happen.register
+async def _(fault: DisturbEndpoint, fleet: Fleet, ledger: Ledger) -> None:
+    links = [*(engine.link for engine in fleet.engines), *fleet.plain_links]
+    link = links[fault.number % len(links)]
+    link.fault = fault.how
+    await trio.sleep(fault.for_s)
+    link.fault = LinkFault.NONE
+
+
+@happen.register
+async def _(fault: FailStore, fleet: Fleet, ledger: Ledger) -> None:
+    store = fleet.store
+    if fault.how is StoreFault.FORGET:
+        store.forget_history()
+        return
+    store.faults.status = 503 if fault.how is StoreFault.REFUSE else 0
+    store.faults.loses_answers = fault.how is StoreFault.LOSE_ANSWERS
+    await trio.sleep(fault.for_s)
+    store.faults.status, store.faults.loses_answers = 0, False
+
+
+@happen.register
+async def _(fault: LoseEngine, fleet: Fleet, ledger: Ledger) -> None:
+    lost = fleet.engines.pop(fault.number % len(fleet.engines))
+    lost.engine.is_lost = True
+    lost.link.fault = LinkFault.SILENT
+    _stop_group_of(lost, fleet)
+    await trio.sleep(fault.for_s / 2)
+    fleet.store.remove("servers", lost.engine.name)
+    await trio.sleep(fault.for_s / 2)
+    await fleet.add_engine()
+
+
+def _stop_group_of(lost: SoakEngine, fleet: Fleet) -> None:
+    """Let the group stand still that a lost engine was a member of."""
+    for engine in (other.engine for other in fleet.engines):
+        if lost.engine.name in engine.members and engine.members[0] == engine.name:
+            engine.moves = trio.Event()
+
+
+@happen.register
+async def _(fault: ChangeConfiguration, fleet: Fleet, ledger: Ledger) -> None:
+    fleet.change_configuration()
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -14,6 +14,7 @@
 from hypercorn.config import Config
 from starlette.applications import Starlette
 
+from yewloom.addresses import split_address
 from yewloom.platform.standin_engine import StandinEngine
 from yewloom.platform.standin_store import StandinStore
 from yewloom.tests.free_ports import free_address, free_port
@@ -24,6 +25,12 @@
 ENGINES, PLAIN, MODEL = "engines", "plain", "plates"
 HOST = "soak.example"
 
+PROCESS_CHECK_S = 0.05
+"""Pause between two looks whether a process has ended."""
+
+SERVER_CHECK_S = 0.02
+"""Pause before a server that does not listen yet is connected to again."""
+
 ENTRY_SETTINGS = """
 [host]
 id = {name}
@@ -106,6 +113,11 @@
                 env={**os.environ, "YEWLOOM_BOOT": str(self.settings)},
             )
 
+    async def wait_ended(self) -> None:
+        """Wait until the process has ended."""
+        while self.is_running:  # noqa: ASYNC110 - a process
+            await trio.sleep(PROCESS_CHECK_S)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process alone, if it runs."""
         if self.process is not None and self.is_running:
@@ -195,13 +207,12 @@
         config.bind = [address]
         config.errorlog = None
         self.nursery.start_soon(hypercorn.trio.serve, application, config)
-        host, port = address.split(":")
         while True:
             try:
-                async with await trio.open_tcp_stream(host, int(port)):
+                async with await trio.open_tcp_stream(*split_address(address)):
                     return address
             except OSError:
-                await trio.sleep(0.02)
+                await trio.sleep(SERVER_CHECK_S)
 
     def _entry(self, name: str, store_link: Link) -> EntryProcess:
         caller_port = free_port()
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -11,7 +11,8 @@
 import trio
 
 from yewloom.tests.soak.callers import DEADLINE_S, Caller
-from yewloom.tests.soak.faults import draw_faults, play
+from yewloom.tests.soak.fault_play import play
+from yewloom.tests.soak.faults import draw_faults
 from yewloom.tests.soak.fleet import Fleet
 from yewloom.tests.soak.ledger import Broken, Kind, Ledger
 
