--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -114,13 +114,11 @@
     def _build_coordinator(self) -> ReplicaCoordinator:
         return ReplicaCoordinator(
             self._settings,
+            self._parts,
             self._book,
             self._directory,
             self._stalls,
             self._selector,
-            self._parts.records_store,
-            self._parts.stale_store,
-            self._parts.orders,
             self._metrics,
             self._is_before_traffic,
             self._duty.is_mine,
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -19,8 +19,7 @@
 from yewloom.model_need import DemandMeter
 from yewloom.order_delivery import OrderDelivery
 from yewloom.plan_state import PlannedOrder, PlanState
-from yewloom.platforms import Platform
-from yewloom.replica_orders import EngineOrders
+from yewloom.platform_parts import PlatformParts
 from yewloom.replica_plan import ReplicaPlanner
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.records_pb2 import Placement
@@ -44,13 +43,11 @@
     def __init__(
         self,
         settings: EntrySettings,
+        parts: PlatformParts,
         book: ConfigurationBook,
         directory: EndpointDirectory,
         stalls: StallDetector,
         selector: Selector,
-        platform: Platform,
-        stale_platform: Platform,
-        orders: EngineOrders,
         metrics: ForwardMetrics,
         is_before_traffic: Callable[[], bool],
         may_lead: Callable[[], bool],
@@ -63,10 +60,10 @@
         self._may_lead = may_lead
         self._state = PlanState()
         self._demand = DemandMeter()
-        self._lease = LeaseRecord(settings, platform, stale_platform)
-        self._placement = PlacementRecord(self._data_centre, platform)
-        self._delivery = OrderDelivery(orders, self._state, metrics)
-        self._stalled_groups = StalledGroups(directory, stalls, orders, self._state)
+        self._lease = LeaseRecord(settings, parts.records_store, parts.stale_store)
+        self._placement = PlacementRecord(self._data_centre, parts.records_store)
+        self._delivery = OrderDelivery(parts.orders, self._state, metrics)
+        self._stalled_groups = StalledGroups(directory, stalls, parts.orders, self._state)
         self._is_holding = False
         self.is_leaving = False
 
