--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -61,7 +61,7 @@
     def __init__(
         self, me: EntryHostId, data_centre: DataCentreId, started_unix_ms: int = 0
     ) -> None:
-        self.started_unix_ms = started_unix_ms
+        self._started_unix_ms = started_unix_ms
         self._me = me
         self._data_centre = data_centre
         self._heard: dict[EntryHostId, _Heard] = {}
@@ -89,7 +89,7 @@
             self._count(known.state, -1)
         self._count(state, 1)
         self._heard[peer] = _Heard(state, now_s)
-        is_echo = state.echoed_ms and state.echoed_started_unix_ms == self.started_unix_ms
+        is_echo = state.echoed_ms and state.echoed_started_unix_ms == self._started_unix_ms
         return _words_of(state) if is_echo else PeerWords()
 
     def states(self) -> list[EntryState]:
