--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -306,7 +306,7 @@
     Mutation(
         "following: an echo of an earlier process of this host proves nothing",
         "entry_states",
-        "is_echo = state.echoed_ms and state.echoed_started_unix_ms == self.started_unix_ms",
+        "is_echo = state.echoed_ms and state.echoed_started_unix_ms == self._started_unix_ms",
         "is_echo = bool(state.echoed_ms)",
         "test_entry_states",
     ),
@@ -324,13 +324,6 @@
         "return self.is_mine()",
         "test_follow_duty",
     ),
-    Mutation(
-        "following: the same few go on asking while the store answers nobody",
-        "follow_duty",
-        "if not peers and not standing.can_follow:",
-        "if False:",
-        "test_follow_duty",
-    ),
     Mutation(
         "following: a call that peers overtook changes nothing",
         "followers",
