Let the exchange among entry hosts begin anew after an error

Cause: found by reading the change once more: the socket is made once, since changes of endpoints are told before and beside the task, but was bound at each begin; after an unforeseen error the task, begun anew, would have failed at the second bind for as long as the process lived. Ruled out: a socket made anew at each begin (changes are told from another task, with no socket between). Change: it is bound once.

--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -61,10 +61,13 @@
         self._next_remote = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
+        self._is_bound = False
 
     async def run(self) -> None:
         """Exchange until cancelled."""
-        self._socket.bind(split_address(self._addresses.own.address))
+        if not self._is_bound:  # The socket outlives an error after which this is begun anew.
+            self._socket.bind(split_address(self._addresses.own.address))
+            self._is_bound = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._addresses.run)
             nursery.start_soon(self._receive)
