Let the logs tell a request on a new connection from one on a kept connection, and what a stop cut off

A request's line now gives its number on its connection and for how long its host had been stopping when it was read; `stopped` gives the requests without a whole answer. No decision changes. A test set the field `is_leaving`, which is now begun by `start_leaving`; it asserts what it did.

--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -12,9 +12,24 @@
     def __init__(self) -> None:
         self._idle: set[trio.CancelScope] = set()
         self._request_ended = trio.Event()
-        self.is_leaving = False
+        self._leaving_since_s: float | None = None
         self.open_requests = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._leaving_since_s is not None
+
+    def start_leaving(self) -> None:
+        """Begin a planned stop: answers that begin from now on close their connections."""
+        self._leaving_since_s = trio.current_time()
+
+    def stopping_ms(self) -> int | None:
+        """Return for how long the planned stop has been going on; None if there is none."""
+        if self._leaving_since_s is None:
+            return None
+        return round((trio.current_time() - self._leaving_since_s) * 1000)
+
     @contextmanager
     def idle_for(self, limit_s: float) -> Iterator[None]:
         """Mark a connection as idle for a time, after which its wait is cancelled."""
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -43,6 +43,7 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._gone = False
+        self._requests = 0
 
     async def run(self) -> None:
         """Answer requests until either side ends the connection."""
@@ -74,8 +75,15 @@
         body = await self._read_body()
         if body is None:
             return None
+        self._requests += 1
         return CallerRequest(
-            head.method, head.target, list(head.headers), body, trio.current_time()
+            head.method,
+            head.target,
+            list(head.headers),
+            body,
+            trio.current_time(),
+            self._requests,
+            self._activity.stopping_ms(),
         )
 
     def _check_size(self, head: h11.Request) -> None:
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -11,13 +11,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A whole request of a caller; header names are in lower case."""
+    """A whole request of a caller; header names are in lower case.
+
+    ``number_on_connection`` is 1 for the first request of a connection; ``stopping_ms`` is how long
+    the host had been stopping when the request was read, or None.
+    """
 
     method: bytes
     target: bytes
     headers: Sequence[Header]
     body: bytes
     arrived_s: float
+    number_on_connection: int
+    stopping_ms: int | None
 
     @property
     def path(self) -> str:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -189,8 +189,9 @@
                         break
                     reload()
                 await self._stop()
+                cut_off = self._callers.activity.open_requests
                 nursery.cancel_scope.cancel()
-        logger.info("stopped")
+        logger.info("stopped", cut_off=cut_off)
 
     async def _start(self, nursery: trio.Nursery) -> None:
         """Open the servers, then begin the tasks that go on beside them."""
@@ -256,7 +257,8 @@
         began_s = trio.current_time()
         ends_s = began_s + self._settings.host.stop_grace_s - STOP_MARGIN_S
         logger.info("stopping", open_requests=self._callers.activity.open_requests)
-        self._is_leaving = self._coordinator.is_leaving = self._callers.activity.is_leaving = True
+        self._is_leaving = self._coordinator.is_leaving = True
+        self._callers.activity.start_leaving()
         await trio.sleep(BALANCER_NOTICE_S)
         self._callers.stop_accepting()
         self._callers.activity.close_idle()
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -147,6 +147,8 @@
             took_ms=took_ms,
             first_ms=_since_ms(source, request),
             attempts=_attempts_text(request),
+            number_on_connection=source.number_on_connection,
+            stopping_ms=source.stopping_ms,
             configuration=request.configuration.version if request is not None else None,
             configuration_age_ms=self._book.stated_age_ms(now_s),
         )
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -560,7 +560,7 @@
             idle = await trio.open_tcp_stream(*fixture.address)
             first = await fixture.send(idle, "/u/1")
             await fixture.read(idle, first)
-            fixture.server.activity.is_leaving = True
+            fixture.server.activity.start_leaving()
             answer = await fixture.ask("/u/1")
             self.assertEqual((answer.status, answer.headers[b"connection"]), (200, b"close"))
             fixture.server.activity.close_idle()
