--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -31,7 +31,7 @@
     def __init__(
         self,
         activity: CallerActivity,
-        stream: trio.SocketStream,
+        stream: trio.abc.HalfCloseableStream,
         handler: Handler,
         limits: CallerLimits,
     ) -> None:
@@ -95,14 +95,14 @@
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; tell whether there are any."""
-        data = b""
+        data: bytes | bytearray = b""
         with self._activity.idle_for(self._limits.idle_timeout_ms / 1000):
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError:
                 return False
         if data:
-            self._connection.receive_data(data)
+            self._connection.receive_data(bytes(data))
         return bool(data)
 
     async def _read_body(self) -> bytes | None:
@@ -128,7 +128,7 @@
                     data = await self._stream.receive_some(READ_BYTES)
                 except trio.BrokenResourceError as error:
                     raise CallerGoneError from error
-                self._connection.receive_data(data)
+                self._connection.receive_data(bytes(data))
             if timer.cancelled_caught:
                 raise h11.RemoteProtocolError("the request stopped", error_status_hint=408)
 
@@ -166,7 +166,7 @@
                 scope.cancel()
                 return
             held += len(data)
-            self._connection.receive_data(data)
+            self._connection.receive_data(bytes(data))
 
     async def _refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close."""
