Take no request on any connection once a stopping host has stopped taking them

Ruled out: a signal handled late (the readiness check failed within one period); callers that go on after `Connection: close` (all late requests on the code as it is were on connections whose last head went out before the stop). Change: the server has a phase (serving, leaving, closed), which is looked at before each request is begun and before each wait for one. Closed: a request that still arrives is refused as not run and may come back at once, a connection between requests is closed after 0.05 s. Open requests count from their first bytes until their answer has gone out, so the process waits for them. The times of a stop have a module (planned_stop): a short grace leaves time for requests to end; a request of a route on which half of the latest took longer than what is left is refused; what has no answer when the grace ends gets a truthful one. A caller that closes right behind its whole answer is logged as answered. One changed: a request sent right behind the answer is now refused with 503 instead of meeting a close, which the caller can rely on; that the connection is closed behind the answer has a test of its own.

--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -51,6 +51,11 @@
         """Tell whether no endpoint can have run the request."""
         return all(state in _PROVED_NOT_RUN for state in self.states.values())
 
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether an endpoint gave the answer that the caller gets."""
+        return AttemptState.ANSWERED in self.states.values()
+
     @property
     def may_try_another(self) -> bool:
         """Tell whether one more endpoint may get the request."""
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -5,7 +5,7 @@
 import trio
 
 from yewloom.caller_activity import CallerActivity
-from yewloom.caller_messages import CallerGoneError, CallerRequest, Handler, Reply
+from yewloom.caller_messages import CallerGoneError, CallerRequest, Handler, Handlers, Reply
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import READ_BYTES
 
@@ -32,12 +32,12 @@
         self,
         activity: CallerActivity,
         stream: trio.abc.HalfCloseableStream,
-        handler: Handler,
+        handlers: Handlers,
         limits: CallerLimits,
     ) -> None:
         self._activity = activity
         self._stream = stream
-        self._handler = handler
+        self._handlers = handlers
         self._limits = limits
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -47,21 +47,23 @@
 
     async def run(self) -> None:
         """Answer requests until either side ends the connection."""
-        while True:
-            try:
-                request = await self._read_request()
-            except h11.RemoteProtocolError as error:
-                await self._refuse(error.error_status_hint)
-                return
-            if request is None:
-                return
-            if not await self._answer(request):
+        while self._connection.trailing_data[0] or await self._wait_for_bytes():
+            with self._activity.request():
+                may_go_on = await self._serve_request()
+            if not may_go_on:
                 return
             self._connection.start_next_cycle()
 
+    async def _serve_request(self) -> bool:
+        """Read and answer a request; tell whether the connection may carry another one."""
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint)
+            return False
+        return request is not None and await self._answer(request)
+
     async def _read_request(self) -> CallerRequest | None:
-        if not self._connection.trailing_data[0] and not await self._wait_for_bytes():
-            return None
         with trio.move_on_after(self._limits.header_timeout_ms / 1000) as timer:
             head = await self._next_event()
         if timer.cancelled_caught:
@@ -96,7 +98,7 @@
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; tell whether there are any."""
         data: bytes | bytearray = b""
-        with self._activity.idle_for(self._limits.idle_timeout_ms / 1000):
+        with self._activity.waiting(self._limits.idle_timeout_ms / 1000):
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError:
@@ -135,11 +137,11 @@
     async def _answer(self, request: CallerRequest) -> bool:
         """Answer a request; tell whether the connection may carry another one."""
         reply = Reply(self._stream, self._connection, lambda: self._activity.is_leaving)
-        with self._activity.request():
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
-                await self._handle(request, reply)
-                nursery.cancel_scope.cancel()
+        handler = self._handlers.take if self._activity.takes_requests else self._handlers.refuse
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
+            await self._handle(handler, request, reply)
+            nursery.cancel_scope.cancel()
         if self._gone:
             return False
         if self._connection.our_state is h11.MUST_CLOSE:
@@ -147,9 +149,9 @@
             return False
         return self._connection.our_state is h11.DONE
 
-    async def _handle(self, request: CallerRequest, reply: Reply) -> None:
+    async def _handle(self, handler: Handler, request: CallerRequest, reply: Reply) -> None:
         try:
-            await self._handler(request, reply)
+            await handler(request, reply)
         except CallerGoneError:
             self._gone = True
 
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -54,6 +54,11 @@
         """Tell whether a part of the answer was sent."""
         return self.status != 0
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the answer was sent to its end."""
+        return self.is_started and self._connection.our_state is not h11.SEND_BODY
+
     async def send_whole(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         """Send an answer with its length."""
         length = (b"content-length", str(len(body)).encode())
@@ -92,3 +97,16 @@
 
 Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
 """Answers one request; an answer that it leaves unfinished is cut off."""
+
+
+async def refuse_unavailable(request: CallerRequest, reply: Reply) -> None:
+    """Answer that a request has not run."""
+    await reply.send_whole(503, [], b"")
+
+
+@dataclass(frozen=True, slots=True)
+class Handlers:
+    """Who answers requests: while the server takes them, and once it takes none any more."""
+
+    take: Handler
+    refuse: Handler = refuse_unavailable
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -13,7 +13,7 @@
 from yewloom.addresses import split_address
 from yewloom.caller_activity import CallerActivity
 from yewloom.caller_connection import CallerConnection
-from yewloom.caller_messages import CallerGoneError, Handler
+from yewloom.caller_messages import CallerGoneError, Handlers
 from yewloom.configuration import CallerLimits
 
 logger = structlog.get_logger(__name__)
@@ -23,10 +23,10 @@
 
 
 class CallerServer:
-    """Accepts callers' connections and hands their requests to a handler."""
+    """Accepts callers' connections and hands their requests to handlers."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], CallerLimits]) -> None:
-        self._handler = handler
+    def __init__(self, handlers: Handlers, limits: Callable[[], CallerLimits]) -> None:
+        self._handlers = handlers
         self._limits = limits
         self.activity = CallerActivity()
         self._accepting = trio.CancelScope()
@@ -44,12 +44,13 @@
                     self._serve_connection, listeners, handler_nursery=connections
                 )
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket; connections that are open go on."""
+    def stop_taking(self) -> None:
+        """Accept no connection and take no request any more; open requests go on."""
+        self.activity.stop_taking()
         self._accepting.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = CallerConnection(self.activity, stream, self._handler, self._limits())
+        connection = CallerConnection(self.activity, stream, self._handlers, self._limits())
         try:
             await connection.run()
         except CallerGoneError:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -10,7 +10,7 @@
 from prometheus_client import generate_latest
 
 from yewloom.addresses import split_address
-from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
@@ -27,6 +27,7 @@
 from yewloom.intake import ConfigurationIntake, EndpointIntake
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_intake import PeerIntake
+from yewloom.planned_stop import LAST_ANSWERS_S, PlannedStop
 from yewloom.platform_parts import PlatformParts
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.retry_window import RetryWindow
@@ -36,13 +37,6 @@
 
 logger = structlog.get_logger(__name__)
 
-BALANCER_NOTICE_S = 2.6
-"""Time for which connections are still accepted after the host stops being ready: the balancer
-asks once a second and takes a host out after two answers."""
-
-STOP_MARGIN_S = 0.4
-"""Part of the time for a planned stop that is left for the process to end."""
-
 TASK_PAUSE_S = 0.5
 """Pause before a task that failed is begun anew."""
 
@@ -64,7 +58,7 @@
         self._directory = EndpointDirectory()
         self._stalls = StallDetector()
         self._has_had_requests = False
-        self._is_leaving = False
+        self._stop_plan = PlannedStop(settings.host.stop_grace_s)
         self._me = EntryIdentity(
             EntryHostId(settings.host.id),
             DataCentreId(settings.host.data_centre),
@@ -75,9 +69,11 @@
         self._duty = FollowDuty(host_id, data_centre, self._board, self._standing, rng.random())
         self._selector = Selector(self._directory, data_centre, self._board, rng)
         self._forwarder = self._build_forwarder()
-        self._callers = CallerServer(self._handle, self._caller_limits)
-        self._readiness = CallerServer(self._answer_readiness, CallerLimits)
-        self._metrics_server = CallerServer(self._answer_metrics, CallerLimits)
+        self._callers = CallerServer(
+            Handlers(self._handle, self._forwarder.refuse), self._caller_limits
+        )
+        self._readiness = CallerServer(Handlers(self._answer_readiness), CallerLimits)
+        self._metrics_server = CallerServer(Handlers(self._answer_metrics), CallerLimits)
         self._coordinator = self._build_coordinator()
         self._followed_endpoints = FollowedPosition()
         self._endpoint_intake = EndpointIntake(
@@ -107,6 +103,7 @@
             self._metrics,
             bounds.key_revocation_ms / 1000,
             lambda: self._directory.is_known,
+            self._stop_plan,
         )
 
     def _build_coordinator(self) -> ReplicaCoordinator:
@@ -221,7 +218,7 @@
     def _standing(self) -> Standing:
         followers = (self._configuration_follower, self._endpoint_follower)
         is_answered = all(follower.is_answered for follower in followers)
-        return Standing(is_answered and not self._is_leaving, self._coordinator.is_holding)
+        return Standing(is_answered and not self._stop_plan.is_begun, self._coordinator.is_holding)
 
     def _avoid_stalled(self, head: HostId) -> None:
         """Take in that a peer saw a group stand still."""
@@ -245,7 +242,7 @@
 
     async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
         is_known = self._book.current is not None and self._directory.is_known
-        is_ready = is_known and not self._is_leaving
+        is_ready = is_known and not self._stop_plan.is_begun
         await reply.send_whole(200 if is_ready else 503, [], b"")
 
     async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
@@ -254,15 +251,15 @@
 
     async def _stop(self) -> None:
         """Stop without cutting requests off, within the time that the platform allows."""
-        began_s = trio.current_time()
-        ends_s = began_s + self._settings.host.stop_grace_s - STOP_MARGIN_S
         logger.info("stopping", open_requests=self._callers.activity.open_requests)
-        self._is_leaving = self._coordinator.is_leaving = True
+        plan = self._stop_plan
+        plan.begin(trio.current_time())
+        self._forwarder.apply_stop()
+        self._coordinator.is_leaving = True
         self._callers.activity.start_leaving()
-        await trio.sleep(BALANCER_NOTICE_S)
-        self._callers.stop_accepting()
-        self._callers.activity.close_idle()
-        with trio.move_on_at(ends_s):
+        await trio.sleep_until(plan.closes_s)
+        self._callers.stop_taking()
+        with trio.move_on_at(plan.ends_s + LAST_ANSWERS_S):
             await self._callers.activity.wait_until_idle()
 
 
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of callers' requests to endpoints: attempts, final answers and the line in the log."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 import structlog
@@ -14,8 +15,10 @@
 from yewloom.endpoint_calls import Header
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, Refusal
+from yewloom.planned_stop import PlannedStop
 from yewloom.request_admission import RequestAdmission
 from yewloom.retry_window import RetryWindow
+from yewloom.route_durations import RouteDurations
 from yewloom.selection import Selector
 
 logger = structlog.get_logger(__name__)
@@ -23,6 +26,16 @@
 RETRY_AFTER_S = 0.25
 """When a refused caller should come back: endpoints' places free up several times a second."""
 
+STOPPING_RETRY_AFTER_S = 0.0
+"""When a caller should come back that a stopping host refused: at once, since another host answers,
+which this one's stop leaves as it was."""
+
+ANSWERED = "answered"
+"""What became of a request whose caller has the whole answer of an endpoint."""
+
+STOPPING = "host is stopping"
+"""Why a stopping host refuses a request."""
+
 
 class Attempts(Protocol):
     """Sends a request to one endpoint."""
@@ -45,12 +58,16 @@
         metrics: ForwardMetrics,
         key_revocation_s: float,
         is_ready: Callable[[], bool],
+        stop: PlannedStop,
     ) -> None:
         self._book = book
         self._selector = selector
         self._retries = retries
         self._attempts = attempts
         self._metrics = metrics
+        self._stop = stop
+        self._durations = RouteDurations()
+        self._timers: set[trio.CancelScope] = set()
         self._admission = RequestAdmission(book, codec, selector, key_revocation_s, is_ready)
 
     async def handle(self, source: CallerRequest, reply: Reply) -> None:
@@ -59,26 +76,61 @@
         try:
             marks = self._admission.marks(source)
             request = self._admission.admit(source, reply, marks)
+            self._check_time_before_stop(request)
             self._retries.on_request(request.wanted.service, source.arrived_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
             outcome = refusal.reason
             await self._send_refusal(reply, refusal)
         except (CallerGoneError, trio.Cancelled):
-            self._log(source, marks, request, reply, "caller gone")
+            # A caller that closes right behind its whole answer has been served.
+            is_served = request is not None and request.record.is_answered and reply.is_whole
+            outcome = ANSWERED if is_served else "caller gone"
+            self._note_end(source, marks, request, reply, outcome)
             raise
-        self._log(source, marks, request, reply, outcome)
+        self._note_end(source, marks, request, reply, outcome)
+
+    async def refuse(self, source: CallerRequest, reply: Reply) -> None:
+        """Refuse a request that came after the host stopped taking any."""
+        marks, outcome = None, STOPPING
+        try:
+            marks = self._admission.marks(source)
+        except Refusal as refusal:
+            outcome = f"{STOPPING}; {refusal.reason}"
+        await self._send_refusal(reply, Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S))
+        self._note_end(source, marks, None, reply, outcome)
+
+    def apply_stop(self) -> None:
+        """Let requests that are open when a planned stop begins end with it at the latest."""
+        for timer in self._timers:
+            timer.deadline = min(timer.deadline, self._stop.ends_s)
+
+    def _check_time_before_stop(self, request: ForwardRequest) -> None:
+        """Refuse a request that would be cut off: on its route half of the latest took longer."""
+        usual_s = self._durations.usual_s(request.route.name)
+        if not self._stop.has_time_for(usual_s, trio.current_time()):
+            raise Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
 
     async def _forward(self, request: ForwardRequest) -> str:
         """Try endpoints until one answers; return what became of the request."""
-        with trio.move_on_at(request.ends_s) as timer:
+        with self._time_limit(request):
             while True:
                 endpoint = self._next_endpoint(request)
                 if endpoint is None:
                     break
                 if await self._attempt(request, endpoint):
-                    return "answered"
-        return await self._give_up(request, timer.cancelled_caught)
+                    return ANSWERED
+        return await self._give_up(request)
+
+    @contextmanager
+    def _time_limit(self, request: ForwardRequest) -> Iterator[None]:
+        """Cancel the forwarding at the request's end, or at that of a planned stop."""
+        with trio.move_on_at(min(request.ends_s, self._stop.ends_s)) as timer:
+            self._timers.add(timer)
+            try:
+                yield
+            finally:
+                self._timers.discard(timer)
 
     def _next_endpoint(self, request: ForwardRequest) -> Endpoint | None:
         """Return the endpoint that gets the request next, within all bounds; None if none may."""
@@ -103,10 +155,11 @@
         finally:
             self._selector.end(endpoint.id)
 
-    async def _give_up(self, request: ForwardRequest, is_out_of_time: bool) -> str:
+    async def _give_up(self, request: ForwardRequest) -> str:
         """Give the final answer to a request that no endpoint answered."""
         if request.reply.is_started:
             return "cut off"  # Left unfinished, so that it can't look complete.
+        is_out_of_time = trio.current_time() >= request.ends_s
         match request.record.final_answer(is_out_of_time):
             case FinalAnswer.REFUSED:
                 reason = "no endpoint free"
@@ -125,7 +178,7 @@
             headers.append((b"retry-after", f"{refusal.retry_after_s:g}".encode()))
         await reply.send_whole(refusal.status, headers, b"")
 
-    def _log(
+    def _note_end(
         self,
         source: CallerRequest,
         marks: RequestMarks | None,
@@ -133,9 +186,11 @@
         reply: Reply,
         outcome: str,
     ) -> None:
-        """Write the one line that tells what became of a request, and count it."""
+        """Write the one line that tells what became of a request, and count it and its time."""
         now_s = trio.current_time()
         took_ms = round((now_s - source.arrived_s) * 1000)
+        if request is not None and outcome == ANSWERED:
+            self._durations.note(request.route.name, now_s - source.arrived_s)
         kind = request.route.kind.value if request is not None else "none"
         self._metrics.on_request(kind, reply.status, outcome, took_ms / 1000)
         logger.info(
--- a/yewloom/ids.py
+++ b/yewloom/ids.py
@@ -17,6 +17,7 @@
 
 ModelName = NewType("ModelName", str)
 PolicyName = NewType("PolicyName", str)
+RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 RowName = NewType("RowName", str)
 """Kind and name of a table row, for example ``policy/hotel``."""
--- /dev/null
+++ b/yewloom/planned_stop.py
@@ -0,0 +1,44 @@
+"""When a planned stop takes its steps, and which requests still have time to end."""
+
+import math
+
+BALANCER_NOTICE_S = 2.6
+"""Time for which requests are still taken after the host stops being ready: the balancer asks once
+a second and takes a host out after two answers."""
+
+NOTICE_SHARE = 0.4
+"""Largest part of the time for a stop that requests are still taken for; the rest is for them to
+end. Of 8 s, the time on the trial deployments, the balancer's notice is less than that."""
+
+STOP_MARGIN_S = 0.5
+"""Part of the time for a planned stop that is left for last answers and the process to end."""
+
+LAST_ANSWERS_S = 0.1
+"""Part of that margin in which requests that could not end get their last answers."""
+
+
+class PlannedStop:
+    """The times of a planned stop, in seconds of the runtime's clock; infinite before it begins."""
+
+    def __init__(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self.closes_s = math.inf
+        """When the host takes no more requests."""
+        self.ends_s = math.inf
+        """When requests that have no answer get their last one."""
+
+    @property
+    def is_begun(self) -> bool:
+        """Tell whether the stop has begun."""
+        return self.ends_s < math.inf
+
+    def begin(self, now_s: float) -> None:
+        """Set the times; the first of several requests to stop counts."""
+        if self.is_begun:
+            return
+        self.closes_s = now_s + min(BALANCER_NOTICE_S, self._grace_s * NOTICE_SHARE)
+        self.ends_s = now_s + max(0.0, self._grace_s - STOP_MARGIN_S)
+
+    def has_time_for(self, usual_s: float, now_s: float) -> bool:
+        """Tell whether work that usually takes some time would end before the stop does."""
+        return now_s + usual_s <= self.ends_s
--- a/yewloom/platform/records.py
+++ b/yewloom/platform/records.py
@@ -11,7 +11,7 @@
     Service,
 )
 from yewloom.directory import Endpoint, GroupKey, Membership, MemberState
-from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, RouteName, ServiceName
 from yewloom.platforms import StoredObject
 from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
 from yewloom.writes import RecordError
@@ -71,7 +71,7 @@
     split = fields.get("split") or [{"service": fields["service"], "weight": 1}]
     kind = _ROUTE_KINDS[fields["type"]]
     return Route(
-        name=str(fields["name"]),
+        name=RouteName(str(fields["name"])),
         host=str(fields["host"]),
         path_prefix=str(fields["pathPrefix"]),
         kind=kind,
--- a/yewloom/routes.py
+++ b/yewloom/routes.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from yewloom.ids import ServiceName
+from yewloom.ids import RouteName, ServiceName
 
 
 class RouteKind(Enum):
@@ -34,7 +34,7 @@
     ``is_open`` routes ask for no key; streams of ``is_resumable`` routes may go on elsewhere.
     """
 
-    name: str
+    name: RouteName
     host: str
     path_prefix: str
     kind: RouteKind
--- a/yewloom/tests/entry_support.py
+++ b/yewloom/tests/entry_support.py
@@ -2,7 +2,7 @@
 
 from yewloom.configuration import Configuration, EngineProfile, ReplicaModel, Service
 from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, Membership, MemberState
-from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, RouteName, ServiceName
 from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
 
 ENGINES = ServiceName("engines")
@@ -33,7 +33,7 @@
 ) -> Route:
     """Return a route of the host ``x.example``."""
     return Route(
-        name=f"route {prefix}",
+        name=RouteName(f"route {prefix}"),
         host="x.example",
         path_prefix=prefix,
         kind=kind,
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -2,105 +2,12 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 
-import h11
 import trio
 import trio.testing
 
-from yewloom.caller_activity import CallerActivity
-from yewloom.caller_connection import CallerConnection
-from yewloom.caller_messages import CallerRequest, Reply
-from yewloom.configuration import CallerLimits
-
-NOTICE_S = 2.6
-"""Time between the start of a planned stop and the end of taking requests."""
-
-STREAM, PLAIN = "/stream", "/plain"
-
-MemoryStream = trio.StapledStream[trio.testing.MemorySendStream, trio.testing.MemoryReceiveStream]
-
-
-class Caller:
-    """A caller's side of a connection."""
-
-    def __init__(self, stream: MemoryStream) -> None:
-        self.stream = stream
-
-    async def send(self, *paths: str) -> None:
-        """Send whole requests, one right behind the other."""
-        await self.stream.send_all(b"".join(request_bytes(path) for path in paths))
-
-    async def answers(self) -> list[tuple[int, bytes]]:
-        """Read until the connection ends; return status and body of each whole answer."""
-        data = b""
-        while part := await self.stream.receive_some(65536):
-            data += part
-        return parse_answers(data)
-
-
-def request_bytes(path: str) -> bytes:
-    """Return a whole request."""
-    return f"GET {path} HTTP/1.1\r\nhost: x.example\r\n\r\n".encode()
-
-
-def parse_answers(data: bytes) -> list[tuple[int, bytes]]:
-    """Return status and body of each whole answer in the bytes of a connection."""
-    connection = h11.Connection(h11.CLIENT)
-    connection.receive_data(data)
-    found: list[tuple[int, bytes]] = []
-    while connection.trailing_data[0]:
-        connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
-        connection.send(h11.EndOfMessage())
-        head, body = connection.next_event(), b""
-        assert isinstance(head, h11.Response), head
-        while isinstance(event := connection.next_event(), h11.Data):
-            body += event.data
-        assert isinstance(event, h11.EndOfMessage), "an answer was cut off"
-        found.append((head.status_code, body))
-        if connection.their_state is not h11.DONE:
-            break
-        connection.start_next_cycle()
-    return found
-
-
-class Server:
-    """Connections of callers in memory; a stream ends when ``may_end`` is set."""
-
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self._nursery = nursery
-        self.activity = CallerActivity()
-        self.taken: list[str] = []
-        self.may_end = trio.Event()
-
-    def open(self) -> Caller:
-        """Open a connection, as it is accepted."""
-        ours, theirs = trio.testing.memory_stream_pair()
-        self._nursery.start_soon(self._serve, theirs)
-        return Caller(ours)
-
-    async def _serve(self, stream: MemoryStream) -> None:
-        await CallerConnection(self.activity, stream, self._handle, CallerLimits()).run()
-        await trio.aclose_forcefully(stream)
-
-    async def _handle(self, request: CallerRequest, reply: Reply) -> None:
-        self.taken.append(request.path)
-        if request.path != STREAM:
-            await reply.send_whole(200, [], b"plain")
-            return
-        await reply.start(200, [], b"a")
-        await self.may_end.wait()
-        await reply.send(b"b")
-        await reply.finish()
-
-    async def begin_stop(self) -> None:
-        """Begin a planned stop, and wait until the balancer has had its notice."""
-        self.activity.start_leaving()
-        await trio.sleep(NOTICE_S)
-
-    def stop_taking(self) -> None:
-        """Take no more requests."""
-        self.activity.close_idle()
+from yewloom.caller_activity import LAST_LOOK_S
+from yewloom.tests.caller_support import PLAIN, STREAM, Server, request_bytes
 
 
 def run(test: Callable[[Server], Awaitable[None]]) -> None:
@@ -127,13 +34,40 @@
             server.stop_taking()
             server.may_end.set()
             await trio.testing.wait_all_tasks_blocked()
-            with suppress(trio.BrokenResourceError):  # Closed already: the caller sees it.
+            await caller.send(PLAIN)
+            self.assertEqual(await caller.answers(), [(200, b"ab"), (503, b"")])
+            self.assertEqual(server.taken, [STREAM])
+
+        run(test)
+
+    def test_a_connection_that_was_answering_is_closed_behind_its_answer(self) -> None:
+        async def test(server: Server) -> None:
+            caller = server.open()
+            await caller.send(STREAM)
+            await trio.testing.wait_all_tasks_blocked()
+            await server.begin_stop()
+            server.stop_taking()
+            server.may_end.set()
+            with trio.fail_after(2 * LAST_LOOK_S):
+                await server.activity.wait_until_idle()
+            await trio.testing.wait_all_tasks_blocked()
+            with self.assertRaises(trio.BrokenResourceError):
                 await caller.send(PLAIN)
-            self.assertEqual(await caller.answers(), [(200, b"ab")])
             self.assertEqual(server.taken, [STREAM])
 
         run(test)
 
+    def test_a_connection_that_waits_for_a_request_is_closed(self) -> None:
+        async def test(server: Server) -> None:
+            caller = server.open()
+            await server.begin_stop()
+            began_s = trio.current_time()
+            server.stop_taking()
+            self.assertEqual(await caller.answers(), [])
+            self.assertLessEqual(trio.current_time() - began_s, LAST_LOOK_S)
+
+        run(test)
+
     def test_a_request_that_was_not_read_whole_is_refused(self) -> None:
         async def right_behind_one_that_is_answered(server: Server) -> None:
             caller = server.open()
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, OutgoingRequest, open_exchange
@@ -29,13 +29,13 @@
             await may_answer.wait()
             await reply.send_whole(200, [], b"done")
 
-        server, address = CallerServer(handle, CallerLimits), free_address()
+        server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
         async with trio.open_nursery() as nursery:
             await nursery.start(server.serve, address)
             async with open_exchange(address, 1.0) as exchange:
                 await exchange.send(REQUEST)
                 await asked.wait()
-                server.stop_accepting()
+                server.stop_taking()
                 await trio.testing.wait_all_tasks_blocked(0.05)
                 with self.assertRaises(ExchangeError) as refused:
                     async with open_exchange(address, 1.0):
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 import h11
 import trio
 
+from yewloom.caller_messages import Handlers
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
 from yewloom.directory import EndpointDirectory
@@ -16,8 +17,10 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
 from yewloom.ids import EntryHostId, HostId
+from yewloom.planned_stop import STOP_MARGIN_S, PlannedStop
 from yewloom.platform.headers import WireHeaders
 from yewloom.retry_window import RetryWindow
+from yewloom.route_durations import LEAST
 from yewloom.routes import Route, RouteKind
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
@@ -32,6 +35,7 @@
     put_group,
 )
 
+GRACE_S = 8.0
 LIMITS = CallerLimits(max_header_bytes=2000, max_body_bytes=5000, header_timeout_ms=300)
 STREAM_ROUTE = make_route(RouteKind.STREAM, "/s/", ENGINES, is_resumable=True)
 ONCE_ROUTE = make_route(RouteKind.STREAM, "/once/", ENGINES)
@@ -131,6 +135,7 @@
             self.directory, HALL, PeerBoard(EntryHostId("me"), HALL), random.Random(1)
         )
         codec, metrics = WireHeaders(), ForwardMetrics()
+        self.stop = PlannedStop(GRACE_S)
         self.forwarder = Forwarder(
             self.book,
             codec,
@@ -140,8 +145,10 @@
             metrics,
             5.0,
             lambda: True,
+            self.stop,
         )
-        self.server = CallerServer(self.forwarder.handle, lambda: LIMITS)
+        handlers = Handlers(self.forwarder.handle, self.forwarder.refuse)
+        self.server = CallerServer(handlers, lambda: LIMITS)
         self.configuration = configuration or make_configuration(*ROUTES)
         self._nursery: trio.Nursery | None = None
         self.address = ("127.0.0.1", 0)
@@ -563,11 +570,62 @@
             fixture.server.activity.start_leaving()
             answer = await fixture.ask("/u/1")
             self.assertEqual((answer.status, answer.headers[b"connection"]), (200, b"close"))
-            fixture.server.activity.close_idle()
+            fixture.server.activity.stop_taking()
             self.assertEqual(await idle.receive_some(1), b"")
 
         run(test)
 
+    def test_a_request_after_the_stop_is_refused_and_may_come_back_at_once(self) -> None:
+        async def test(fixture: Fixture) -> None:
+            endpoint = Endpoint(answer_ok)
+            await fixture.add_plain("p", endpoint)
+            fixture.server.activity.stop_taking()
+            answer = await fixture.ask("/u/1")
+            self.assertEqual((answer.status, answer.headers[b"retry-after"]), (503, b"0"))
+            self.assertEqual(endpoint.requests, [])
+
+        run(test)
+
+    def test_a_request_that_usually_takes_longer_than_the_stop_is_refused(self) -> None:
+        async def slowly(endpoint: Endpoint, request: h11.Request) -> None:
+            await trio.sleep(0.1)
+            await endpoint.answer(200, b"fine")
+
+        async def test(fixture: Fixture) -> None:
+            slow, fast = Endpoint(slowly), Endpoint(answer_ok)
+            await fixture.add_plain("p", slow)
+            for _ in range(LEAST):
+                self.assertEqual((await fixture.ask("/u/1")).status, 200)
+            fixture.stop.begin(trio.current_time() - GRACE_S + STOP_MARGIN_S + 0.08)
+            answer = await fixture.ask("/u/1")
+            self.assertEqual((answer.status, answer.headers[b"retry-after"]), (503, b"0"))
+            self.assertEqual(len(slow.requests), LEAST)
+            fixture.directory.remove(HostId("p"))
+            await fixture.add_plain("p2", fast)
+            self.assertEqual((await fixture.ask("/r/1")).status, 200)
+
+        run(test)
+
+    def test_a_request_that_the_stop_overtakes_is_answered_truthfully(self) -> None:
+        async def never(endpoint: Endpoint, request: h11.Request) -> None:
+            await trio.sleep_forever()
+
+        async def test(fixture: Fixture) -> None:
+            await fixture.add_plain("p", Endpoint(never))
+            answers: list[Answer] = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._ask_into, fixture, answers)
+                await trio.sleep(0.1)
+                fixture.stop.begin(trio.current_time() - GRACE_S + STOP_MARGIN_S + 0.1)
+                fixture.forwarder.apply_stop()
+            self.assertEqual([answer.status for answer in answers], [502])
+
+        run(test)
+
+    @staticmethod
+    async def _ask_into(fixture: Fixture, answers: list[Answer]) -> None:
+        answers.append(await fixture.ask("/u/1"))
+
 
 def _asked() -> h11.Connection:
     """Return a caller's connection that has sent a request."""
