--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from yewloom.caller_activity import LAST_LOOK_S
-from yewloom.tests.caller_support import PLAIN, STREAM, Server, request_bytes
+from yewloom.tests.caller_support import PLAIN, STREAM, Caller, Server, request_bytes
 
 
 def run(test: Callable[[Server], Awaitable[None]]) -> None:
@@ -27,12 +27,7 @@
 
     def test_a_connection_that_was_answering_takes_nothing_more_behind_its_answer(self) -> None:
         async def test(server: Server) -> None:
-            caller = server.open()
-            await caller.send(STREAM)
-            await trio.testing.wait_all_tasks_blocked()
-            await server.begin_stop()
-            server.stop_taking()
-            server.may_end.set()
+            caller = await self._answer_across_the_stop(server)
             await trio.testing.wait_all_tasks_blocked()
             await caller.send(PLAIN)
             self.assertEqual(await caller.answers(), [(200, b"ab"), (503, b"")])
@@ -42,12 +37,7 @@
 
     def test_a_connection_that_was_answering_is_closed_behind_its_answer(self) -> None:
         async def test(server: Server) -> None:
-            caller = server.open()
-            await caller.send(STREAM)
-            await trio.testing.wait_all_tasks_blocked()
-            await server.begin_stop()
-            server.stop_taking()
-            server.may_end.set()
+            caller = await self._answer_across_the_stop(server)
             with trio.fail_after(2 * LAST_LOOK_S):
                 await server.activity.wait_until_idle()
             await trio.testing.wait_all_tasks_blocked()
@@ -118,6 +108,17 @@
 
         run(test)
 
+    @staticmethod
+    async def _answer_across_the_stop(server: Server) -> Caller:
+        """Return a caller whose answer began before the stop and ends behind the notice."""
+        caller = server.open()
+        await caller.send(STREAM)
+        await trio.testing.wait_all_tasks_blocked()
+        await server.begin_stop()
+        server.stop_taking()
+        server.may_end.set()
+        return caller
+
     def test_requests_are_taken_until_the_balancer_has_had_its_notice(self) -> None:
         async def test(server: Server) -> None:
             await server.begin_stop()
