Show, by tests that fail, three faults at the edges of a stop's last answers

A whole answer whose sending is cancelled midway (by the stop's end, or by its own deadline) leaves h11 in DONE, so the connection goes on and the next answer is put inside the first one's body. An answer that the caller broke off midway counts as answered. A request that an endpoint refused goes to a further one though the stop would cut it off: the time left is looked at once.

--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of forwarding over real connections: what endpoints see and what callers are told."""
 
 import random
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -36,6 +37,9 @@
 )
 
 GRACE_S = 8.0
+LONG_BODY = b"x" * (15 << 20)
+"""More than the sockets of a caller that does not read hold."""
+
 LIMITS = CallerLimits(max_header_bytes=2000, max_body_bytes=5000, header_timeout_ms=300)
 STREAM_ROUTE = make_route(RouteKind.STREAM, "/s/", ENGINES, is_resumable=True)
 ONCE_ROUTE = make_route(RouteKind.STREAM, "/once/", ENGINES)
@@ -135,7 +139,7 @@
             self.directory, HALL, PeerBoard(EntryHostId("me"), HALL), random.Random(1)
         )
         codec, metrics = WireHeaders(), ForwardMetrics()
-        self.stop = PlannedStop(GRACE_S)
+        self.stop, self.metrics = PlannedStop(GRACE_S), metrics
         self.forwarder = Forwarder(
             self.book,
             codec,
@@ -179,6 +183,13 @@
         connection = await self.send(stream, path, **headers)
         return await self.read(stream, connection)
 
+    async def open_slow(self) -> trio.SocketStream:
+        """Open the connection of a caller that reads little at a time."""
+        connection = trio.socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await connection.connect(self.address)
+        return trio.SocketStream(connection)
+
     async def send(self, stream: trio.SocketStream, path: str, **headers: str) -> h11.Connection:
         """Send a request on a connection."""
         connection = h11.Connection(h11.CLIENT)
@@ -228,6 +239,11 @@
     await endpoint.answer(200, b"fine")
 
 
+async def answer_at_length(endpoint: Endpoint, request: h11.Request) -> None:
+    """Answer with more than a caller's sockets hold."""
+    await endpoint.answer(200, LONG_BODY)
+
+
 async def refuse_as_full(endpoint: Endpoint, request: h11.Request) -> None:
     """Refuse, promising that nothing ran."""
     await endpoint.answer(503, b"", yewloom_not_executed="1")
@@ -622,6 +638,92 @@
 
         run(test)
 
+    def test_a_whole_answer_that_was_cut_off_is_the_last_of_its_connection(self) -> None:
+        async def cut_by_the_stop(fixture: Fixture, caller: trio.SocketStream) -> None:
+            await fixture.send(caller, "/u/1")
+            await trio.sleep(0.5)
+            await fixture.send(caller, "/u/2")
+            fixture.stop.begin(trio.current_time() - GRACE_S + STOP_MARGIN_S + 0.2)
+            fixture.forwarder.apply_stop()
+            fixture.server.activity.start_leaving()
+            fixture.server.stop_taking()
+
+        async def cut_by_its_deadline(fixture: Fixture, caller: trio.SocketStream) -> None:
+            await fixture.send(caller, "/u/1", yewloom_deadline_ms="800")
+            await trio.sleep(0.5)
+            await fixture.send(caller, "/u/2")
+
+        for cut in (cut_by_the_stop, cut_by_its_deadline):
+
+            async def test(
+                fixture: Fixture,
+                cut: Callable[[Fixture, trio.SocketStream], Awaitable[None]] = cut,
+            ) -> None:
+                await fixture.add_plain("p", Endpoint(answer_at_length))
+                caller = await fixture.open_slow()
+                await cut(fixture, caller)
+                await trio.sleep(1.0)
+                received = bytearray()
+                with trio.move_on_after(5.0) as limit:
+                    try:
+                        while data := await caller.receive_some(65536):
+                            received += data
+                    except trio.BrokenResourceError:
+                        pass  # A reset shows that the answer is not whole.
+                self.assertEqual(received.count(b"HTTP/1.1 "), 1, "another answer inside the body")
+                self.assertLess(len(received), len(LONG_BODY))
+                self.assertFalse(limit.cancelled_caught, "not closed behind half an answer")
+
+            with self.subTest(cut.__name__):
+                run(test)
+
+    def test_a_whole_answer_that_the_caller_broke_off_does_not_count_as_answered(self) -> None:
+        async def test(fixture: Fixture) -> None:
+            await fixture.add_plain("p", Endpoint(answer_at_length))
+            caller = await fixture.open_slow()
+            await fixture.send(caller, "/u/1")
+            await trio.sleep(1.0)
+            await trio.aclose_forcefully(caller)
+            await fixture.server.activity.wait_until_idle()
+            self.assertEqual(self._outcomes(fixture), ["caller gone"])
+
+        run(test)
+
+    @staticmethod
+    def _outcomes(fixture: Fixture) -> list[str]:
+        """Return the outcomes that the metrics count."""
+        return [
+            sample.labels["outcome"]
+            for metric in fixture.metrics.registry.collect()
+            for sample in metric.samples
+            if sample.name == "yewloom_forwarded_requests_total"
+        ]
+
+    def test_no_further_endpoint_gets_a_request_that_the_stop_would_cut_off(self) -> None:
+        async def slowly(endpoint: Endpoint, request: h11.Request) -> None:
+            await trio.sleep(0.2)
+            await endpoint.answer(200, b"fine")
+
+        async def refuse_late(endpoint: Endpoint, request: h11.Request) -> None:
+            await trio.sleep(0.12)
+            await refuse_as_full(endpoint, request)
+
+        async def test(fixture: Fixture) -> None:
+            await fixture.add_plain("p", Endpoint(slowly))
+            for _ in range(LEAST):
+                self.assertEqual((await fixture.ask("/u/1")).status, 200)
+            fixture.directory.remove(HostId("p"))
+            full, free = Endpoint(refuse_late), Endpoint(slowly)
+            await fixture.add_plain("p1", full)
+            await fixture.add_plain("p2", free)
+            fixture.selector.begin(HostId("p2"))
+            fixture.stop.begin(trio.current_time() - GRACE_S + STOP_MARGIN_S + 0.28)
+            fixture.forwarder.apply_stop()
+            status = (await fixture.ask("/u/1")).status
+            self.assertEqual((len(full.requests), len(free.requests), status), (1, 0, 503))
+
+        run(test)
+
     @staticmethod
     async def _ask_into(fixture: Fixture, answers: list[Answer]) -> None:
         answers.append(await fixture.ask("/u/1"))
