--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -108,6 +108,20 @@
 
         run(test)
 
+    def test_a_body_is_not_asked_for_once_no_request_is_taken(self) -> None:
+        async def test(server: Server) -> None:
+            caller = server.open()
+            await server.begin_stop()
+            server.stop_taking()
+            head = f"POST {PLAIN} HTTP/1.1\r\nhost: x.example\r\ncontent-length: 5\r\n"
+            await caller.stream.send_all(f"{head}expect: 100-continue\r\n\r\n".encode())
+            with trio.fail_after(1):
+                first = await caller.stream.receive_some(65536)
+            self.assertEqual(first.split(b" ")[1], b"503")
+            self.assertEqual(server.taken, [])
+
+        run(test)
+
     @staticmethod
     async def _answer_across_the_stop(server: Server) -> Caller:
         """Return a caller whose answer began before the stop and ends behind the notice."""
