Show, by a test that fails, that a stopping host still begins to coordinate

Whether the host is leaving is looked at once a pass, before the lease is kept: a lease whose write ends after the stop began makes it plan, write and give orders for one more pass.

--- /dev/null
+++ b/yewloom/tests/test_replica_coordinator.py
@@ -0,0 +1,93 @@
+"""Tests of when a host coordinates its data centre, on a clock that jumps."""
+
+import unittest
+from typing import cast
+
+import trio
+import trio.testing
+from result import Ok, Result
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.directory import EndpointDirectory
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.platform_parts import PlatformParts
+from yewloom.platforms import Platform, PlatformError, StoredObject
+from yewloom.replica_coordinator import ReplicaCoordinator
+from yewloom.schema.entry_pb2 import EntrySettings
+from yewloom.selection import Selector
+from yewloom.settings import parse_entry_settings
+from yewloom.stalls import StallDetector
+
+SETTINGS = """
+[host]
+id = e0
+data_centre = hall-a
+caller_address = 127.0.0.1:1
+readiness_address = 127.0.0.1:2
+peer_address = 127.0.0.1:3
+[store]
+address = 127.0.0.1:4
+"""
+
+
+class SlowStore:
+    """An empty store that answers the first write when ``may_answer`` is set."""
+
+    def __init__(self) -> None:
+        self.is_asked, self.may_answer = trio.Event(), trio.Event()
+        self.is_down = False
+        self._version = 0
+
+    async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        """Read nothing."""
+        return Ok(None)
+
+    async def update(
+        self, key: str, value: str, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Take a write."""
+        self.is_asked.set()
+        await self.may_answer.wait()
+        self._version += 1
+        return Ok(self._version)
+
+
+class Parts:
+    """The store, as the platform's parts; there are no engines."""
+
+    def __init__(self, store: SlowStore) -> None:
+        self.records_store = self.stale_store = cast(Platform, store)
+        self.orders = None
+
+
+def _coordinator(store: SlowStore, settings: EntrySettings) -> ReplicaCoordinator:
+    return ReplicaCoordinator(
+        settings,
+        cast(PlatformParts, Parts(store)),
+        ConfigurationBook(),
+        EndpointDirectory(),
+        StallDetector(),
+        cast(Selector, None),
+        ForwardMetrics(),
+        lambda: False,
+        lambda: True,
+    )
+
+
+class TestLeaving(unittest.TestCase):
+    """A host that is stopping does not begin to coordinate."""
+
+    def test_a_lease_that_comes_after_the_stop_began_is_not_used(self) -> None:
+        async def main() -> None:
+            store = SlowStore()
+            coordinator = _coordinator(store, parse_entry_settings(SETTINGS, "test").unwrap())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(coordinator.run)
+                await store.is_asked.wait()
+                coordinator.is_leaving = True
+                store.may_answer.set()
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertFalse(coordinator.is_holding)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
