Show, by a test that fails, that an answer in hand when the time runs out leaves its caller with none

A host behind with its work sees the endpoint's answer and the end of the stop, or of the request's time, in one pass of its loop: the sending is cancelled before its first byte, and the reply counts as started. At the stop's end the connection is closed without an answer; at the deadline it stays open without one. Run twice: both parts fail on each time.

--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -1,7 +1,9 @@
 """Tests of forwarding over real connections: what endpoints see and what callers are told."""
 
+import os
 import random
 import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -677,6 +679,46 @@
             with self.subTest(cut.__name__):
                 run(test)
 
+    def test_an_answer_that_came_while_the_time_ran_out_leaves_no_caller_without_one(self) -> None:
+        """The host is behind with its work: it sees the answer and the end of the time at once."""
+
+        async def answer_behind_the_loop(endpoint: Endpoint, request: h11.Request) -> None:
+            assert endpoint.stream is not None
+            head = h11.Response(
+                status_code=200,
+                headers=[("yewloom-request-id", "r1"), ("content-length", "4")],
+            )
+            data = (endpoint.connection.send(head) or b"") + b"fine"
+            await trio.sleep(0.1)
+            os.write(endpoint.stream.socket.fileno(), data)
+            time.sleep(0.3)  # noqa: ASYNC251 - holds the loop up, and with it the host
+
+        def begin_stop(fixture: Fixture) -> None:
+            fixture.stop.begin(trio.current_time() - GRACE_S + STOP_MARGIN_S + 0.25)
+            fixture.forwarder.apply_stop()
+            fixture.server.activity.start_leaving()
+
+        for what, deadline_ms, late_status in (("stop", 5000, 502), ("deadline", 290, 504)):
+
+            async def test(
+                fixture: Fixture,
+                what: str = what,
+                deadline_ms: int = deadline_ms,
+                late_status: int = late_status,
+            ) -> None:
+                await fixture.add_plain("p", Endpoint(answer_behind_the_loop))
+                if what == "stop":
+                    begin_stop(fixture)
+                with trio.move_on_after(3.0):
+                    answer = await fixture.ask("/u/1", yewloom_deadline_ms=str(deadline_ms))
+                    self.assertIn(answer.status, (200, late_status))
+                    self.assertTrue(answer.is_whole)
+                    return
+                self.fail("neither an answer nor a close")
+
+            with self.subTest(what):
+                run(test)
+
     def test_a_whole_answer_that_the_caller_broke_off_does_not_count_as_answered(self) -> None:
         async def test(fixture: Fixture) -> None:
             await fixture.add_plain("p", Endpoint(answer_at_length))
