Mend what the review of the stop found: answers in hand, cut-off answers, time before each attempt

A whole answer is now kept and passed on outside the time limit; one that is cancelled before its first byte leaves the way free for another answer. - An answer whose sending was cut off let the connection go on, so that the next one stood inside its body; and it counted as whole. The reply now knows whether all its bytes went out. - The time left before the end of a stop was looked at once, not before each further endpoint. - A stopped host still asked for a request's body and waited for it; and a caller that sends slowly held the stop up to its end. What has not arrived 0.05 s after requests are no more taken gets 503. - A lease that the store granted after the stop began was used for one more step. Open requests count until their answers have gone out; connections that are being closed behind them are waited for, but `cut_off` does not count them.

--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -1,5 +1,6 @@
 """What the connections of one server are doing, and how far its planned stop has come."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from enum import Enum
@@ -7,8 +8,8 @@
 import trio
 
 LAST_LOOK_S = 0.05
-"""Time for which a connection between two requests stays open once none are taken any more. What
-has arrived is read at once; this leaves a host that is behind with its work some passes of its
+"""Time for which a connection waits for a request, or for its rest, once none are taken any more.
+What has arrived is read at once; this leaves a host that is behind with its work some passes of its
 loop, and a caller that got its answer the way there and back, 6 ms on the trial deployments."""
 
 
@@ -20,16 +21,17 @@
     """Requests are taken; each answer that begins closes its connection."""
 
     CLOSED = "closed"
-    """No request is taken: those that still arrive are refused, idle connections closed."""
+    """No request is taken: what still arrives is refused, and idle connections are closed."""
 
 
 class CallerActivity:
-    """The phase of a server, its open requests, and its connections that wait for one."""
+    """The phase of a server, and its requests and connections that a planned stop waits for."""
 
     def __init__(self) -> None:
         self._phase = ServerPhase.SERVING
         self._leaving_since_s = 0.0
-        self._waiting: set[trio.CancelScope] = set()
+        self._arriving: set[trio.CancelScope] = set()
+        self._closing = 0
         self._has_changed = trio.Event()
         self.open_requests = 0
 
@@ -50,10 +52,10 @@
             self._leaving_since_s = trio.current_time()
 
     def stop_taking(self) -> None:
-        """Take no request any more, on any connection, and close those that wait for one."""
+        """Take no request any more, on any connection, and wait for none that has not arrived."""
         self.start_leaving()
         self._phase = ServerPhase.CLOSED
-        for scope in self._waiting:
+        for scope in self._arriving:
             scope.deadline = min(scope.deadline, trio.current_time() + LAST_LOOK_S)
 
     def stopping_ms(self) -> int | None:
@@ -63,21 +65,21 @@
         return round((trio.current_time() - self._leaving_since_s) * 1000)
 
     @contextmanager
-    def waiting(self, limit_s: float) -> Iterator[None]:
-        """Mark a connection as waiting for a request, for some time at most."""
+    def arriving(self, limit_s: float = math.inf) -> Iterator[trio.CancelScope]:
+        """Mark a connection as waiting for a request or reading one, for some time at most."""
         if not self.takes_requests:
             limit_s = min(limit_s, LAST_LOOK_S)
         with trio.move_on_after(limit_s) as scope:
-            self._waiting.add(scope)
+            self._arriving.add(scope)
             try:
-                yield
+                yield scope
             finally:
-                self._waiting.discard(scope)
+                self._arriving.discard(scope)
                 self._has_changed.set()
 
     @contextmanager
     def request(self) -> Iterator[None]:
-        """Count a request from its first bytes until its answer has gone out."""
+        """Count a request from when it was read until its answer has gone out."""
         self.open_requests += 1
         try:
             yield
@@ -85,8 +87,18 @@
             self.open_requests -= 1
             self._has_changed.set()
 
+    @contextmanager
+    def closing(self) -> Iterator[None]:
+        """Count a connection that is being closed behind its last answer."""
+        self._closing += 1
+        try:
+            yield
+        finally:
+            self._closing -= 1
+            self._has_changed.set()
+
     async def wait_until_idle(self) -> None:
-        """Wait until no request is open and no connection waits for one."""
-        while self.open_requests or self._waiting:
+        """Wait until no request is open or arriving and no connection is being closed."""
+        while self.open_requests or self._arriving or self._closing:
             self._has_changed = trio.Event()
             await self._has_changed.wait()
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -48,19 +48,21 @@
     async def run(self) -> None:
         """Answer requests until either side ends the connection."""
         while self._connection.trailing_data[0] or await self._wait_for_bytes():
-            with self._activity.request():
-                may_go_on = await self._serve_request()
-            if not may_go_on:
+            if not await self._serve_request():
                 return
             self._connection.start_next_cycle()
 
     async def _serve_request(self) -> bool:
         """Read and answer a request; tell whether the connection may carry another one."""
         try:
-            request = await self._read_request()
+            with self._activity.arriving() as limit:
+                request = await self._read_request()
         except h11.RemoteProtocolError as error:
             await self._refuse(error.error_status_hint)
             return False
+        if limit.cancelled_caught:
+            await self._refuse(503)
+            return False
         return request is not None and await self._answer(request)
 
     async def _read_request(self) -> CallerRequest | None:
@@ -71,12 +73,15 @@
         if not isinstance(head, h11.Request):
             return None
         self._check_size(head)
+        if not self._activity.takes_requests:
+            return self._request(head, b"")  # It is refused, whatever its body.
         if self._connection.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(go_on) or b"")
         body = await self._read_body()
-        if body is None:
-            return None
+        return self._request(head, body) if body is not None else None
+
+    def _request(self, head: h11.Request, body: bytes) -> CallerRequest:
         self._requests += 1
         return CallerRequest(
             head.method,
@@ -98,7 +103,7 @@
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; tell whether there are any."""
         data: bytes | bytearray = b""
-        with self._activity.waiting(self._limits.idle_timeout_ms / 1000):
+        with self._activity.arriving(self._limits.idle_timeout_ms / 1000):
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError:
@@ -138,11 +143,12 @@
         """Answer a request; tell whether the connection may carry another one."""
         reply = Reply(self._stream, self._connection, lambda: self._activity.is_leaving)
         handler = self._handlers.take if self._activity.takes_requests else self._handlers.refuse
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
-            await self._handle(handler, request, reply)
-            nursery.cancel_scope.cancel()
-        if self._gone:
+        with self._activity.request():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_for_leaving, nursery.cancel_scope)
+                await self._handle(handler, request, reply)
+                nursery.cancel_scope.cancel()
+        if self._gone or not reply.is_whole:
             return False
         if self._connection.our_state is h11.MUST_CLOSE:
             await self._close_gently()
@@ -179,7 +185,7 @@
         await self._close_gently()
 
     async def _close_gently(self) -> None:
-        with trio.move_on_after(LINGER_S):
+        with self._activity.closing(), trio.move_on_after(LINGER_S):
             try:
                 await self._stream.send_eof()
                 while await self._stream.receive_some(READ_BYTES):
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -36,7 +36,10 @@
 
 
 class Reply:
-    """The answer to one request; nothing is sent before ``start`` or ``send_whole``."""
+    """The answer to one request; nothing is sent before ``start`` or ``send_whole``.
+
+    A call that is cancelled before it begins to send leaves the answer unstarted.
+    """
 
     def __init__(
         self,
@@ -47,6 +50,7 @@
         self._stream = stream
         self._connection = connection
         self._should_close = should_close
+        self._is_intact = True
         self.status = 0
 
     @property
@@ -57,10 +61,12 @@
     @property
     def is_whole(self) -> bool:
         """Tell whether the answer was sent to its end."""
-        return self.is_started and self._connection.our_state is not h11.SEND_BODY
+        has_ended = self._connection.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return self.is_started and has_ended and self._is_intact
 
     async def send_whole(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         """Send an answer with its length."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         length = (b"content-length", str(len(body)).encode())
         data = self._head(status, [*headers, length])
         if body:
@@ -69,6 +75,7 @@
 
     async def start(self, status: int, headers: Sequence[Header], first: bytes) -> None:
         """Send status, headers and a first part of the body."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         data = self._head(status, headers)
         await self._write(data + (self._connection.send(h11.Data(data=first)) or b""))
 
@@ -87,12 +94,15 @@
         return self._connection.send(response) or b""
 
     async def _write(self, data: bytes) -> None:
+        """Send bytes; an answer whose sending was cut off can't be gone on with."""
         if not data:
             return
+        self._is_intact = False
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError from error
+        self._is_intact = True
 
 
 Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -20,7 +20,7 @@
 )
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forward_request import ForwardRequest
+from yewloom.forward_request import ForwardRequest, WholeAnswer
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
 
@@ -69,7 +69,10 @@
         self._metrics = metrics
 
     async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
-        """Send a request to an endpoint; tell whether its answer is with the caller."""
+        """Send a request to an endpoint; tell whether its answer is the caller's.
+
+        A stream is with the caller by then; a whole answer is kept in the request.
+        """
         is_answered, outcome = await self._try(request, endpoint)
         self._metrics.on_attempt(outcome.split(":")[0])
         if not is_answered:
@@ -152,7 +155,7 @@
         exchange: Exchange,
         head: AnswerHead,
     ) -> tuple[bool, str]:
-        """Pass on an answer once it is whole, unless another endpoint may do better."""
+        """Keep an answer for the caller once it is whole, unless another endpoint may do better."""
         if self._codec.decode_answer(head).is_not_run:
             request.record.note(endpoint.id, AttemptState.NOT_RUN)
             self._selector.avoid(endpoint.id, trio.current_time() + AVOID_FULL_S)
@@ -164,7 +167,7 @@
         request.record.note(endpoint.id, AttemptState.ANSWERED)
         if request.reply.is_started:
             return False, f"failed: status {head.status} in the middle of a stream"
-        await request.reply.send_whole(head.status, self._codec.returned_headers(head), body)
+        request.answer = WholeAnswer(head.status, self._codec.returned_headers(head), body)
         return True, "answered"
 
     def _may_go_on(self, request: ForwardRequest) -> bool:
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -1,21 +1,35 @@
 """One caller's request on its way to an endpoint, or the refusal that ends it before."""
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from yewloom.attempts import AttemptRecord
 from yewloom.caller_headers import RequestMarks
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.configuration import Configuration
+from yewloom.endpoint_calls import Header
 from yewloom.event_stream import StreamCursor
 from yewloom.ids import CustomerId
 from yewloom.routes import Route
 from yewloom.selection import Wanted
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An endpoint's whole answer, as the caller gets it."""
+
+    status: int
+    headers: Sequence[Header]
+    body: bytes
+
+
 @dataclass
 class ForwardRequest:
-    """One request on its way; times are seconds of the runtime's clock."""
+    """One request on its way; times are seconds of the runtime's clock.
+
+    ``answer`` is the final answer of an endpoint that is no stream, once it is here.
+    """
 
     source: CallerRequest
     reply: Reply
@@ -28,6 +42,7 @@
     record: AttemptRecord
     cursor: StreamCursor
     first_event_s: float | None = None
+    answer: WholeAnswer | None = None
 
     def left_ms(self, now_s: float) -> int:
         """Return the time left in whole milliseconds."""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -76,7 +76,6 @@
         try:
             marks = self._admission.marks(source)
             request = self._admission.admit(source, reply, marks)
-            self._check_time_before_stop(request)
             self._retries.on_request(request.wanted.service, source.arrived_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
@@ -105,23 +104,30 @@
         for timer in self._timers:
             timer.deadline = min(timer.deadline, self._stop.ends_s)
 
-    def _check_time_before_stop(self, request: ForwardRequest) -> None:
-        """Refuse a request that would be cut off: on its route half of the latest took longer."""
+    def _has_time_before_stop(self, request: ForwardRequest) -> bool:
+        """Tell whether a planned stop leaves the time that half of the latest on a route took."""
         usual_s = self._durations.usual_s(request.route.name)
-        if not self._stop.has_time_for(usual_s, trio.current_time()):
-            raise Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
+        return self._stop.has_time_for(usual_s, trio.current_time())
 
     async def _forward(self, request: ForwardRequest) -> str:
         """Try endpoints until one answers; return what became of the request."""
         with self._time_limit(request):
-            while True:
-                endpoint = self._next_endpoint(request)
-                if endpoint is None:
-                    break
-                if await self._attempt(request, endpoint):
-                    return ANSWERED
+            await self._try_endpoints(request)
+        # Outside the limit: an answer that is here is passed on, also when the time has run out.
+        if request.answer is not None:
+            answer = request.answer
+            await request.reply.send_whole(answer.status, answer.headers, answer.body)
+        if request.reply.is_whole:
+            return ANSWERED
         return await self._give_up(request)
 
+    async def _try_endpoints(self, request: ForwardRequest) -> None:
+        """Send a request to one endpoint after the other until one answers or none may get it."""
+        while True:
+            endpoint = self._next_endpoint(request)
+            if endpoint is None or await self._attempt(request, endpoint):
+                return
+
     @contextmanager
     def _time_limit(self, request: ForwardRequest) -> Iterator[None]:
         """Cancel the forwarding at the request's end, or at that of a planned stop."""
@@ -137,6 +143,8 @@
         record, service = request.record, request.wanted.service
         if record.states and not record.may_try_another:
             return None
+        if not self._has_time_before_stop(request):
+            return None
         now_s = trio.current_time()
         endpoint = self._selector.choose(
             request.wanted, request.configuration, record.states, now_s
@@ -162,9 +170,9 @@
         is_out_of_time = trio.current_time() >= request.ends_s
         match request.record.final_answer(is_out_of_time):
             case FinalAnswer.REFUSED:
-                reason = "no endpoint free"
-                await self._send_refusal(request.reply, Refusal(503, reason, RETRY_AFTER_S))
-                return reason
+                refusal = self._refusal(request)
+                await self._send_refusal(request.reply, refusal)
+                return refusal.reason
             case FinalAnswer.MAY_HAVE_RUN:
                 await request.reply.send_whole(502, [], b"")
                 return "may have run"
@@ -172,6 +180,12 @@
                 await request.reply.send_whole(504, [], b"")
                 return "out of time"
 
+    def _refusal(self, request: ForwardRequest) -> Refusal:
+        """Return why a request that has not run is refused, and when it may come back."""
+        if self._has_time_before_stop(request):
+            return Refusal(503, "no endpoint free", RETRY_AFTER_S)
+        return Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
+
     async def _send_refusal(self, reply: Reply, refusal: Refusal) -> None:
         headers: list[Header] = []
         if refusal.retry_after_s is not None:
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -75,20 +75,21 @@
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
-            if self.is_leaving and self._is_holding:
-                self._on_lease_change(False)
+            if self.is_leaving:
+                self._set_holding(False)
                 await self._lease.release()
-            elif not self.is_leaving and (self._is_holding or self._may_lead()):
+            elif self._is_holding or self._may_lead():
                 await self._lease.keep()
-                holds = self._lease.holds()
-                if holds != self._is_holding:
-                    self._on_lease_change(holds)
-                if holds:
+                # The host may have begun to stop while the store answered.
+                self._set_holding(self._lease.holds() and not self.is_leaving)
+                if self._is_holding:
                     await self._step()
             await trio.sleep(STEP_S)
 
-    def _on_lease_change(self, holds: bool) -> None:
+    def _set_holding(self, holds: bool) -> None:
         """Begin or end coordinating; what another coordinator may have changed is read anew."""
+        if holds == self._is_holding:
+            return
         logger.info("coordinator changed", holds=holds, term=self._lease.term)
         self._is_holding = holds
         self._placement.forget()
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -6,20 +6,85 @@
 import trio
 import trio.testing
 
-from yewloom.caller_activity import LAST_LOOK_S
+from yewloom.caller_activity import LAST_LOOK_S, CallerActivity
+from yewloom.caller_connection import CallerConnection
+from yewloom.caller_messages import CallerRequest, Handlers, Reply
+from yewloom.configuration import CallerLimits
 from yewloom.tests.caller_support import PLAIN, STREAM, Caller, Server, request_bytes
 
 
+def run_once(test: Callable[..., Awaitable[None]], *arguments: object) -> None:
+    """Run a test on a clock that jumps, within a generous time of that clock."""
+
+    async def main() -> None:
+        with trio.fail_after(120):
+            await test(*arguments)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def run(test: Callable[[Server], Awaitable[None]]) -> None:
     """Run a test with a server on a clock that jumps."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            with trio.fail_after(120):
-                await test(Server(nursery))
+            await test(Server(nursery))
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    run_once(main)
+
+
+class TestCutOff(unittest.TestCase):
+    """An answer whose sending was cut off is the last one of its connection."""
+
+    def test_the_next_request_is_not_answered_inside_a_body_that_was_cut_off(self) -> None:
+        async def whole(reply: Reply) -> None:
+            await reply.send_whole(200, [], b"whole")
+
+        async def streamed(reply: Reply) -> None:
+            await reply.start(200, [], b"a")
+            await reply.finish()
+
+        for answer in (whole, streamed):
+            with self.subTest(answer.__name__):
+                run_once(self._cut_off, answer)
+
+    def test_an_answer_that_is_cancelled_before_it_begins_can_still_be_another_one(self) -> None:
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            for begin in (reply.start, reply.send_whole):
+                with trio.CancelScope() as scope:
+                    scope.cancel()
+                    await begin(200, [], b"late")
+            await reply.send_whole(504, [], b"")
+
+        async def test() -> None:
+            ours, theirs = trio.testing.memory_stream_pair()
+            handlers = Handlers(handle)
+            connection = CallerConnection(CallerActivity(), theirs, handlers, CallerLimits())
+            await ours.send_all(b"GET /1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                self.assertEqual(await Caller(ours).answers(), [(504, b"")])
+
+        run_once(test)
+
+    async def _cut_off(self, answer: Callable[[Reply], Awaitable[None]]) -> None:
+        """Answer a caller that reads nothing of the end of an answer until it was cut off."""
+        asked: list[str] = []
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            asked.append(request.path)
+            with trio.move_on_after(1.0):
+                await answer(reply)
+
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        connection = CallerConnection(CallerActivity(), theirs, Handlers(handle), CallerLimits())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ours.send_all, request_bytes("/1") + request_bytes("/2"))
+            if answer.__name__ == "streamed":
+                nursery.start_soon(ours.receive_some, 1000)  # Its head and first part.
+            await connection.run()
+        self.assertEqual(asked, ["/1"])
 
 
 class TestPlannedStop(unittest.TestCase):
@@ -108,6 +173,22 @@
 
         run(test)
 
+    def test_a_request_whose_rest_does_not_come_does_not_hold_the_stop(self) -> None:
+        for head in (b"GET / HT", b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc"):
+
+            async def test(server: Server, head: bytes = head) -> None:
+                caller = server.open()
+                await caller.stream.send_all(head)
+                await server.begin_stop()
+                server.stop_taking()
+                with trio.fail_after(2 * LAST_LOOK_S):
+                    answer = await caller.stream.receive_some(65536)
+                self.assertEqual(answer.split(b" ")[1], b"503")
+                self.assertEqual(server.taken, [])
+
+            with self.subTest(head):
+                run(test)
+
     def test_a_body_is_not_asked_for_once_no_request_is_taken(self) -> None:
         async def test(server: Server) -> None:
             caller = server.open()
