Play signals to a real entry host while it starts, serves and stops

The new tests send SIGHUP in a series from the first import on until the host serves, SIGTERM and SIGHUP in four orders with streams open and again while the host stops, SIGTERM right after the start, SIGTERM with 20 streams open, and SIGTERM to a process that runs a fifth of the time (SIGSTOP and SIGCONT) with 12 streams that outlast the grace.

--- /dev/null
+++ b/yewloom/tests/test_entry_process.py
@@ -0,0 +1,275 @@
+"""Tests of an entry host as a real process: signals while it starts, serves and stops."""
+
+import signal
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+from unittest import mock
+
+import httpcore
+import trio
+
+from yewloom.tests.soak.callers import Caller
+from yewloom.tests.soak.fault_play import GRACE_S
+from yewloom.tests.soak.fleet import EntryProcess, Fleet, configuration
+from yewloom.tests.soak.ledger import Kind, Ledger, Sent
+
+TEST_LIMIT_S = 120.0
+"""Longest time of a test; reaching it fails the test."""
+
+LOOK_S = 0.01
+"""Pause between two looks at a process."""
+
+FIRST_LIBRARIES = "/lib-dynload/"
+"""Folder of Python's own libraries; the first one is loaded as the long imports begin."""
+
+
+@dataclass(frozen=True)
+class Stream:
+    """How engines answer: so many events, one each ``event_s``."""
+
+    events: int
+    event_s: float
+
+
+LONG = Stream(6, 0.6)
+"""Streams that outlast the notice to the balancer."""
+
+ENDLESS = Stream(60, 0.5)
+"""Streams that outlast the grace."""
+
+TIMEOUT_S = 30.0
+"""Time for which callers wait for an answer, and routes allow one."""
+
+DUTY_PERIOD_S = 0.1
+"""Time in which a slowed process runs once, as under the users' quota."""
+
+SLOW_SHARE = 0.2
+"""Part of the time for which a slowed process runs."""
+
+Series = Sequence[signal.Signals]
+
+
+class World:
+    """A fleet of one data centre, and callers that send one request each."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self._asked = 0
+
+    async def ask(self, entry: EntryProcess, kind: Kind = Kind.STREAM) -> Sent:
+        """Send one request on a connection of its own."""
+        self._asked += 1
+        caller = Caller(entry, self.fleet, self.fleet.ledger, self._asked)
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await caller.send(pool, kind)
+
+    async def wait_until_served(self, entry: EntryProcess) -> None:
+        """Wait until an entry host answers a stream; fail if its process ends."""
+        while not _is_served(await self.ask(entry)):
+            assert entry.is_running, _end_of(entry)
+            await trio.sleep(LOOK_S)
+
+    async def open_streams(
+        self, nursery: trio.Nursery, entry: EntryProcess, count: int
+    ) -> list[Sent]:
+        """Begin streams; return their notes once each has its first event."""
+        before = set(self.fleet.ledger.sent)
+        for _ in range(count):
+            nursery.start_soon(self.ask, entry)
+        while True:
+            sent = self.fleet.ledger.sent
+            new = [s for i, s in sent.items() if i not in before and s.host_life == entry.life]
+            if len(new) == count and all(s.answer for s in new):
+                return new
+            assert entry.is_running, _end_of(entry)
+            await trio.sleep(LOOK_S)
+
+
+def run(test: Callable[[World], Awaitable[None]], entries: int = 1) -> None:
+    """Run a test with entry hosts that serve."""
+
+    async def main() -> None:
+        with tempfile.TemporaryDirectory() as folder, trio.fail_after(TEST_LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                fleet = Fleet(Path(folder), Ledger(), Random(1), nursery)
+                try:
+                    await fleet.start(entries, 4, 1)
+                    world = World(fleet)
+                    for entry in fleet.entries:
+                        await world.wait_until_served(entry)
+                    await test(world)
+                finally:
+                    fleet.stop()
+                nursery.cancel_scope.cancel()
+
+    with (
+        mock.patch("yewloom.tests.soak.callers.DEADLINE_S", TIMEOUT_S),
+        mock.patch("yewloom.tests.soak.fleet.configuration", _patient_configuration),
+    ):
+        trio.run(main)
+
+
+def _is_served(sent: Sent) -> bool:
+    """Tell whether a stream came whole."""
+    return sent.status == 200 and sent.is_whole
+
+
+@contextmanager
+def _streams_of(stream: Stream) -> Iterator[None]:
+    """Let engines answer in a way of its own."""
+    engine = "yewloom.platform.standin_engine"
+    with (
+        mock.patch(f"{engine}.EVENTS", stream.events),
+        mock.patch(f"{engine}.EVENT_S", stream.event_s),
+    ):
+        yield
+
+
+def _patient_configuration(version: int) -> dict[str, Any]:
+    """Return a configuration whose routes allow long answers."""
+    changed = configuration(version)
+    for route in changed["routes"]:
+        route["timeoutMs"] = round(TIMEOUT_S * 1000)
+    return changed
+
+
+def _end_of(entry: EntryProcess) -> str:
+    """Return how a process ended, with the end of its log."""
+    code = entry.process.returncode if entry.process is not None else None
+    return f"{entry.life} ended with {code}: {entry.log.read_text()[-2000:]}"
+
+
+async def _wait_for_log(entry: EntryProcess, event: str) -> None:
+    """Wait until the log of an entry host's only life names an event."""
+    while f'"event": "{event}"' not in entry.log.read_text():
+        assert entry.is_running, _end_of(entry)
+        await trio.sleep(LOOK_S)
+
+
+async def _wait_for_imports(entry: EntryProcess) -> None:
+    """Wait until a process has begun with its long imports."""
+    assert entry.process is not None
+    maps = Path(f"/proc/{entry.process.pid}/maps")
+    while FIRST_LIBRARIES not in maps.read_text():  # noqa: ASYNC110, ASYNC240 - a process
+        await trio.sleep(LOOK_S)
+
+
+async def _ends_in_time(entry: EntryProcess, asked_s: float) -> bool:
+    """Tell whether a process that was asked to stop ends within its grace."""
+    with trio.move_on_at(asked_s + GRACE_S) as timer:
+        while entry.is_running:  # noqa: ASYNC110 - a process
+            await trio.sleep(LOOK_S)
+    return not timer.cancelled_caught
+
+
+async def _slow_down(entry: EntryProcess, share: float) -> None:
+    """Let a process run for a part of the time alone, until cancelled."""
+    while True:
+        entry.signal(signal.SIGSTOP)
+        await trio.sleep(DUTY_PERIOD_S * (1 - share))
+        entry.signal(signal.SIGCONT)
+        await trio.sleep(DUTY_PERIOD_S * share)
+
+
+class TestEntryProcess(unittest.TestCase):
+    """Signals to a real process."""
+
+    def test_a_reload_at_any_moment_of_the_start_leaves_the_process_serving(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            entry.signal(signal.SIGKILL)
+            await entry.wait_ended()
+            entry.start()
+            await _wait_for_imports(entry)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._reload_often, entry)
+                await world.wait_until_served(entry)
+                nursery.cancel_scope.cancel()
+            self.assertTrue(_is_served(await world.ask(entry)))
+
+        run(test)
+
+    async def _reload_often(self, entry: EntryProcess) -> None:
+        while True:
+            entry.signal(signal.SIGHUP)
+            await trio.sleep(LOOK_S)
+
+    def test_more_signals_beside_a_stop_change_nothing(self) -> None:
+        hang_up, stop = signal.SIGHUP, signal.SIGTERM
+        series = [(stop, stop), (stop, hang_up), (hang_up, stop), (stop, hang_up, stop, hang_up)]
+
+        async def test(world: World) -> None:
+            with _streams_of(LONG):
+                async with trio.open_nursery() as nursery:
+                    for entry, numbers in zip(world.fleet.entries, series, strict=True):
+                        nursery.start_soon(self._stop_by, world, entry, numbers)
+
+        run(test, len(series))
+
+    async def _stop_by(self, world: World, entry: EntryProcess, numbers: Series) -> None:
+        """Send signals at once, and again while the process stops, with streams open."""
+        async with trio.open_nursery() as nursery:
+            streams = await world.open_streams(nursery, entry, 3)
+            asked_s = trio.current_time()
+            for number in numbers:
+                entry.signal(number)
+            await _wait_for_log(entry, "stopping")
+            for number in numbers:
+                entry.signal(number)
+            self.assertTrue(await _ends_in_time(entry, asked_s), f"{numbers} {_end_of(entry)}")
+        self._assert_ended_whole(entry, streams)
+
+    def _assert_ended_whole(self, entry: EntryProcess, streams: list[Sent]) -> None:
+        assert entry.process is not None
+        self.assertEqual(entry.process.returncode, 0, _end_of(entry))
+        self.assertIn('"event": "stopped"', entry.log.read_text())
+        self.assertEqual([s for s in streams if not _is_served(s)], [])
+
+    def test_a_stop_right_after_the_start_ends_in_order(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            entry.signal(signal.SIGKILL)
+            await entry.wait_ended()
+            entry.log.write_text("")
+            entry.start()
+            await _wait_for_log(entry, "started")
+            asked_s = trio.current_time()
+            entry.signal(signal.SIGTERM)
+            self.assertTrue(await _ends_in_time(entry, asked_s), _end_of(entry))
+            self._assert_ended_whole(entry, [])
+
+        run(test)
+
+    def test_a_stop_with_many_streams_open_cuts_none_off(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            with _streams_of(LONG):
+                async with trio.open_nursery() as nursery:
+                    streams = await world.open_streams(nursery, entry, 20)
+                    asked_s = trio.current_time()
+                    entry.signal(signal.SIGTERM)
+                    self.assertTrue(await _ends_in_time(entry, asked_s), _end_of(entry))
+            self._assert_ended_whole(entry, streams)
+
+        run(test)
+
+    def test_a_slowed_process_with_work_that_outlasts_the_grace_ends_within_it(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            with _streams_of(ENDLESS):
+                async with trio.open_nursery() as nursery:
+                    await world.open_streams(nursery, entry, 12)
+                    nursery.start_soon(_slow_down, entry, SLOW_SHARE)
+                    asked_s = trio.current_time()
+                    entry.signal(signal.SIGTERM)
+                    self.assertTrue(await _ends_in_time(entry, asked_s), _end_of(entry))
+                    nursery.cancel_scope.cancel()
+            self._assert_ended_whole(entry, [])
+
+        run(test)
