--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -46,12 +46,18 @@
 TIMEOUT_S = 30.0
 """Time for which callers wait for an answer, and routes allow one."""
 
+SLOTS = 1000
+"""Streams that engines take at once: more than a test opens."""
+
 DUTY_PERIOD_S = 0.1
 """Time in which a slowed process runs once, as under the users' quota."""
 
 SLOW_SHARE = 0.2
 """Part of the time for which a slowed process runs."""
 
+SLOWEST_SHARE = 0.1
+"""Part of the time for which the slowest process runs."""
+
 Series = Sequence[signal.Signals]
 
 
@@ -136,6 +142,7 @@
     changed = configuration(version)
     for route in changed["routes"]:
         route["timeoutMs"] = round(TIMEOUT_S * 1000)
+    changed["services"][0]["engine"]["slots"] = SLOTS
     return changed
 
 
@@ -289,16 +296,24 @@
         run(test)
 
     def test_a_slowed_process_with_work_that_outlasts_the_grace_ends_within_it(self) -> None:
+        run(self._cut_off(12, SLOW_SHARE))
+
+    def test_a_slow_process_with_much_work_that_outlasts_the_grace_ends_within_it(self) -> None:
+        run(self._cut_off(100, SLOWEST_SHARE))
+
+    def _cut_off(self, streams: int, share: float) -> Callable[[World], Awaitable[None]]:
+        """Return a test of a stop of a slowed process that has to cut streams off."""
+
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
             with _streams_of(ENDLESS):
                 async with trio.open_nursery() as nursery:
-                    await world.open_streams(nursery, entry, 12)
-                    nursery.start_soon(_slow_down, entry, SLOW_SHARE)
+                    await world.open_streams(nursery, entry, streams)
+                    nursery.start_soon(_slow_down, entry, share)
                     asked_s = trio.current_time()
                     entry.signal(signal.SIGTERM)
                     self.assertTrue(await _ends_in_time(entry, asked_s), _end_of(entry))
                     nursery.cancel_scope.cancel()
             self._assert_ended_whole(entry, [])
 
-        run(test)
+        return test
