--- a/yewloom/tests/test_planned_stop.py
+++ b/yewloom/tests/test_planned_stop.py
@@ -217,13 +217,7 @@
 
     def test_what_cannot_end_before_the_stop_is_not_begun(self) -> None:
         fleet, entry = self.fleet, "short"
-        settings = fleet.settings
-        fleet.settings = settings.replace(
-            "[host]\n", f"[host]\ndrain_timeout_ms = {SHORT_DRAIN_MS}\n"
-        )
-        self.addCleanup(setattr, fleet, "settings", settings)
-        fleet.start_entry(entry, "a")
-        wait_for(lambda: fleet.chat(entry, "warm", 1).status == 200, "an answer")
+        self._start_short_draining(entry)
         caller = self._caller(entry)
         self._stop(entry)
         wait_for(lambda: call("GET", f"{fleet.url(entry)}/readyz").status == 503, "unreadiness")
@@ -232,3 +226,24 @@
         caller.send_body(body)
         self._check_refused(caller.answer())
         self.assertEqual(self._exit_code(entry), 0)
+
+    def test_what_is_cut_off_is_told_what_is_known_of_it(self) -> None:
+        entry = "cut"
+        self._start_short_draining(entry)
+        half = self._caller(entry)
+        half.send_head("POST", CHAT, 100)
+        thread, results = self._slow_answer(entry, 200)
+        self._stop(entry)
+        self._check_refused(half.answer())
+        thread.join()
+        self.assertEqual(results[0].status, 503)
+        self.assertEqual(results[0].json()["outcome"], "unknown")
+        self.assertEqual(self._exit_code(entry), 0)
+
+    def _start_short_draining(self, entry: str) -> None:
+        fleet, settings = self.fleet, self.fleet.settings
+        drain = f"[host]\ndrain_timeout_ms = {SHORT_DRAIN_MS}\n"
+        fleet.settings = settings.replace("[host]\n", drain)
+        self.addCleanup(setattr, fleet, "settings", settings)
+        fleet.start_entry(entry, "a")
+        wait_for(lambda: fleet.chat(entry, "warm", 1).status == 200, "an answer")
