Tell what a stop of yewloomd cuts off what is known of it

Cause: at the end of its time a stop cancelled the process's tasks, and callers saw their connections close without an answer, also those whose request surely had not run. Ruled out: deadlines of requests cut to the stop's end (requests in progress are immutable, and those whose body is not whole have none yet); an error event into a stream that breaks off (its missing end tells the same, and a caller resumes it with Last-Event-ID at another host). Change: each request runs in a scope that the stop cancels at its end; one whose answer has not begun then gets 503 and closes its connection: not_run while its body is not whole (every way to run a request reads the body first), unknown after that. Those that wait for a place are told first. At most 1.5 s in three parts of 0.5 s: waiting ones, cut ones, closing connections.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -352,10 +352,17 @@
         "if True:",
         "test_work",
     ),
+    Mutation(
+        "planned stop: what is cut off is told what is known of it",
+        "counted_requests",
+        "self.outcome = Outcome.UNKNOWN",
+        "pass",
+        "test_work",
+    ),
     Mutation(
         "planned stop: answers close their connections",
         "counted_requests",
-        "is_kept and self._work.is_leaving",
+        "self._is_http_1 and self._work.is_leaving",
         "False",
         "test_work",
     ),
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -49,8 +49,9 @@
 BALANCER_GRACE_S = 0.5
 """Time in s for the balancer to see that this entry host is not ready any more."""
 
-LAST_ANSWERS_S = 1.0
-"""Longest time in s in which refusals are written and connections closed at the very end."""
+LAST_ANSWERS_S = 0.5
+"""Longest time in s, when the time of a stop is over, for each of: telling those that wait, telling
+those that are cut off, and closing connections."""
 
 
 def new_attempt() -> AttemptId:
@@ -185,8 +186,18 @@
         work.phase = Phase.CLOSED
         with trio.move_on_at(ends_s):
             await work.wait_until_none()
+        await self._cut_off()
+
+    async def _cut_off(self) -> None:
+        """Tell what has not ended what is known of it."""
+        work = self._node.work
         self._places.stop_by(trio.current_time())
+        with trio.move_on_after(LAST_ANSWERS_S):
+            await work.wait_until_none()
         logger.info("stopped", cut_off=work.in_progress)
+        work.cut_requests_off()
+        with trio.move_on_after(LAST_ANSWERS_S):
+            await work.wait_until_none()
 
 
 async def _receive_signals(signals: AsyncIterator[int], is_asked: trio.Event) -> None:
--- a/yewloom/tests/test_work.py
+++ b/yewloom/tests/test_work.py
@@ -1,5 +1,6 @@
 """Tests of the state of a planned stop: what counts as work in progress, and until when."""
 
+import json
 import unittest
 from typing import Any
 
@@ -80,6 +81,48 @@
 
         run_on_mock_clock(scenario)
 
+    def _cut(self, message: dict[str, Any], answer_at_once: bool) -> list[Any]:
+        """Return what a caller is sent whose request is cut off after one message of it."""
+        sent: list[Any] = []
+
+        async def application(scope: Any, receive: Any, send: Any) -> None:
+            await receive()
+            if answer_at_once:
+                await send({"type": "http.response.start", "status": 200})
+            await trio.sleep_forever()
+
+        async def receive() -> dict[str, Any]:
+            return message
+
+        async def send(message: Any) -> None:
+            self.assertEqual(self.work.in_progress, 1)
+            sent.append(message)
+
+        async def scenario() -> None:
+            async with trio.open_nursery() as nursery:
+                counted = CountedRequests(application, self.work)
+                nursery.start_soon(counted, _scope("1.1"), receive, send)
+                await trio.testing.wait_all_tasks_blocked()
+                self.work.phase = Phase.CLOSED
+                self.work.cut_requests_off()
+                await self.work.wait_until_none()
+
+        run_on_mock_clock(scenario)
+        return sent
+
+    def test_a_request_that_is_cut_off_is_told_what_is_known_of_it(self) -> None:
+        half = {"type": "http.request", "body": b"x", "more_body": True}
+        for message, outcome in ((half, "not_run"), ({**half, "more_body": False}, "unknown")):
+            start, body = self._cut(message, answer_at_once=False)
+            self.assertEqual(start["status"], 503)
+            self.assertIn((b"connection", b"close"), start["headers"])
+            self.assertEqual(json.loads(body["body"])["outcome"], outcome)
+
+    def test_an_answer_that_is_cut_off_breaks_off(self) -> None:
+        whole = {"type": "http.request", "body": b"x"}
+        sent = self._cut(whole, answer_at_once=True)
+        self.assertEqual([message["type"] for message in sent], ["http.response.start"])
+
     def test_one_end_among_several_is_not_the_last(self) -> None:
         async def scenario() -> float:
             async with trio.open_nursery() as nursery:
--- a/yewloom/work.py
+++ b/yewloom/work.py
@@ -33,6 +33,7 @@
         self.phase = Phase.SERVING
         self.in_progress = 0
         self._ended = trio.Event()
+        self._requests: set[trio.CancelScope] = set()
 
     @property
     def is_leaving(self) -> bool:
@@ -48,6 +49,16 @@
         finally:
             self.end()
 
+    @contextmanager
+    def request(self) -> Iterator[trio.CancelScope]:
+        """Let a request be cut off; its scope tells afterwards whether it was."""
+        with trio.CancelScope() as scope:
+            self._requests.add(scope)
+            try:
+                yield scope
+            finally:
+                self._requests.discard(scope)
+
     def begin(self) -> None:
         """Count one more piece of work; its ``end`` must come."""
         self.in_progress += 1
@@ -57,6 +68,11 @@
         self.in_progress -= 1
         self._ended.set()
 
+    def cut_requests_off(self) -> None:
+        """Cancel the requests that are in progress, at the end of a stop's time."""
+        for scope in self._requests:
+            scope.cancel()
+
     async def wait_until_none(self) -> None:
         """Wait until no work is in progress."""
         while self.in_progress:
