--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -392,7 +392,7 @@
         "daemon",
         "        if number != signal.SIGHUP:\n            is_asked.set()",
         "        if number != signal.SIGHUP:\n            is_asked.set()\n            return",
-        "test_planned_stop",
+        "test_daemon",
     ),
     Mutation(
         "planned stop: a lease that was given up is not held",
