--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -3,32 +3,26 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
-from enum import Enum
 
 import trio
 
+from yewloom.states import Phase
+
 LAST_LOOK_S = 0.05
 """Time for which a connection waits for a request, or for its rest, once none are taken any more.
 What has arrived is read at once; this leaves a host that is behind with its work some passes of its
 loop, and a caller that got its answer the way there and back, 6 ms on the trial deployments."""
 
 
-class ServerPhase(Enum):
-    """How far a server's planned stop has come; it only goes forward."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-    """Requests are taken; each answer that begins closes its connection."""
-
-    CLOSED = "closed"
-    """No request is taken: what still arrives is refused, and idle connections are closed."""
-
-
 class CallerActivity:
-    """The phase of a server, and its requests and connections that a planned stop waits for."""
+    """The phase of a server, and its requests and connections that a planned stop waits for.
+
+    While it leaves, requests are taken, and each answer that begins closes its connection. Once it
+    is closed, what still arrives is refused, and idle connections are closed.
+    """
 
     def __init__(self) -> None:
-        self._phase = ServerPhase.SERVING
+        self._phase = Phase.SERVING
         self._leaving_since_s = 0.0
         self._arriving: set[trio.CancelScope] = set()
         self._closing = 0
@@ -38,23 +32,23 @@
     @property
     def is_leaving(self) -> bool:
         """Tell whether a planned stop has begun."""
-        return self._phase is not ServerPhase.SERVING
+        return self._phase is not Phase.SERVING
 
     @property
     def takes_requests(self) -> bool:
         """Tell whether a request that was read now may be begun."""
-        return self._phase is not ServerPhase.CLOSED
+        return self._phase is not Phase.CLOSED
 
     def start_leaving(self) -> None:
         """Begin a planned stop."""
-        if self._phase is ServerPhase.SERVING:
-            self._phase = ServerPhase.LEAVING
+        if self._phase is Phase.SERVING:
+            self._phase = Phase.LEAVING
             self._leaving_since_s = trio.current_time()
 
     def stop_taking(self) -> None:
         """Take no request any more, on any connection, and wait for none that has not arrived."""
         self.start_leaving()
-        self._phase = ServerPhase.CLOSED
+        self._phase = Phase.CLOSED
         for scope in self._arriving:
             scope.deadline = min(scope.deadline, trio.current_time() + LAST_LOOK_S)
 
