Soak: callers that keep streaming through planned stops, and signals in series

Ruled out: slow streams by longer pauses between events (a trial: the hosts took engines for stalled and cut answers off, which the ledger then counted as lost); signals drawn among the other faults (the faults of earlier seeds would change). Change: half of the streams last 4 s; a caller uses its two connections at once, and opens new ones only as the platform's balancer would; series of signals (SIGTERM twice, SIGHUP around a stop, rolling stops, SIGTERM while starting), alone or beside the faults. New promises: late, unanswered, stop took too long. A deterministic test stops a real process amid two streams; it fails on this code.

--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -23,7 +23,7 @@
 """Time between two events."""
 
 EVENTS = 5
-"""Events of each answer."""
+"""Events of an answer."""
 
 
 def _set_event() -> trio.Event:
@@ -39,6 +39,7 @@
     One that ``is_lost`` tells nothing of itself any more. ``was_ready`` holds the groups, with
     their members, in which it was ready. ``on_run`` and ``on_join`` are told of each request that
     it begins to run, with its body, and of each join before it is carried out.
+    ``events`` gives the number of events of an answer, and ``event_s`` the time between two.
     """
 
     name: str
@@ -58,6 +59,8 @@
     was_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
     on_run: Callable[["StandinEngine", Request, bytes], None] | None = None
     on_join: Callable[["StandinEngine", dict[str, Any]], None] | None = None
+    events: Callable[[Request], int] = lambda request: EVENTS
+    event_s: float = EVENT_S
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -148,11 +151,13 @@
         headers["yewloom-server-stamp"] = self.name
         last = int(request.headers.get("last-event-id", "0"))
         return StreamingResponse(
-            self._events(last), headers=headers, media_type="text/event-stream"
+            self._events(last, self.events(request)),
+            headers=headers,
+            media_type="text/event-stream",
         )
 
-    async def _events(self, last: int) -> AsyncIterator[bytes]:
-        for number in range(last + 1, EVENTS + 1):
+    async def _events(self, last: int, events: int) -> AsyncIterator[bytes]:
+        for number in range(last + 1, events + 1):
             await self.moves.wait()
             yield b"id: %d\ndata: %d\n\n" % (number, number)
-            await trio.sleep(EVENT_S)
+            await trio.sleep(self.event_s)
--- a/yewloom/tests/soak/__main__.py
+++ b/yewloom/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from yewloom.tests.soak.faults import FaultMix
 from yewloom.tests.soak.run import SoakPlan, soak
 
 
@@ -13,11 +14,12 @@
     duration_s: Annotated[float, typer.Option(help="Time with faults of each soak.")] = 20.0,
     entries: Annotated[int, typer.Option(help="Entry hosts.")] = 4,
     engines: Annotated[int, typer.Option(help="Engines.")] = 6,
+    mix: Annotated[FaultMix, typer.Option(help="What happens.")] = FaultMix.BOTH,
 ) -> None:
     """Run soaks; exit code 1 if a promise was broken."""
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seeds):
-        result = soak(SoakPlan(seed, duration_s, entries, engines))
+        result = soak(SoakPlan(seed, duration_s, entries, engines, mix))
         outcomes = ", ".join(f"{name} {n}" for name, n in sorted(result.outcomes.items()))
         print(f"seed {seed}: {len(result.broken)} broken; {outcomes}", flush=True)
         for broken in result.broken:
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -23,6 +23,9 @@
 FAILED_SHARE = 0.03
 """Part of the requests that a plain endpoint runs and answers with 500."""
 
+EVENTS_HEADER = "soak-events"
+"""Header by which a caller says how many events its stream is to have."""
+
 _SERVING = ("open", "closing")
 
 
@@ -38,6 +41,11 @@
     )
 
 
+def events_wanted(request: Request) -> int:
+    """Return how many events an engine is to send."""
+    return int(request.headers[EVENTS_HEADER])
+
+
 class EngineWatch:
     """Checks, at each run and each join, that groups are whole and that no host is in two."""
 
--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -17,17 +17,22 @@
     PauseEntry,
     ReloadEntry,
     StopEntry,
+    StopStartingEntry,
     StoreFault,
 )
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, SoakEngine
-from yewloom.tests.soak.ledger import Disturbance, Ledger
+from yewloom.tests.soak.ledger import GRACE_S, Disturbance, Ledger
 from yewloom.tests.soak.proxy import LinkFault
 
 QUIET_AFTER_S = 4.0
 """Time after a fault for which its effects may last."""
 
-GRACE_S = 8.0
-"""Time from the request to stop until a process is killed."""
+
+PAUSE_SLACK_S = 0.5
+"""Time until a process that stood still is at work again."""
+
+PLANNED = (StopEntry, StopStartingEntry, ReloadEntry, ChangeConfiguration)
+"""Faults that are planned work and disturb nothing."""
 
 
 async def play(faults: Sequence[Fault], fleet: Fleet, ledger: Ledger) -> None:
@@ -40,7 +45,7 @@
 
 async def _play_one(fault: Fault, fleet: Fleet, ledger: Ledger, began_s: float) -> None:
     await trio.sleep_until(began_s + fault.at_s)
-    if not isinstance(fault, StopEntry | ReloadEntry | ChangeConfiguration):
+    if not isinstance(fault, PLANNED):
         now_s = trio.current_time()
         ends_s = now_s + fault.for_s + QUIET_AFTER_S
         ledger.disturbances.append(Disturbance(now_s, ends_s))
@@ -63,12 +68,32 @@
 @happen.register
 async def _(fault: StopEntry, fleet: Fleet, ledger: Ledger) -> None:
     entry = fleet.entries[fault.entry]
-    ledger.planned_stops.setdefault(entry.life, trio.current_time())
+    await _stop(entry, ledger)
+    await _start_again(entry, fault.for_s)
+
+
+@happen.register
+async def _(fault: StopStartingEntry, fleet: Fleet, ledger: Ledger) -> None:
+    entry = fleet.entries[fault.entry]
+    await _stop(entry, ledger)
+    await _start_again(entry, fault.for_s)
+    await trio.sleep(fault.start_s)
+    await _stop(entry, ledger)
+    await _start_again(entry, fault.for_s)
+
+
+async def _stop(entry: EntryProcess, ledger: Ledger) -> None:
+    """Ask a process to stop, perhaps once more, and kill it at the end of its grace."""
+    if not entry.is_running:
+        return
+    life, now_s = entry.life, trio.current_time()
+    stopped_s = ledger.planned_stops.setdefault(life, now_s)
     entry.signal(signal.SIGTERM)
-    with trio.move_on_after(GRACE_S):
+    with trio.move_on_at(stopped_s + GRACE_S):
         await entry.wait_ended()
-    entry.signal(signal.SIGKILL)
-    await _start_again(entry, fault.for_s)
+    if entry.life == life and entry.is_running:
+        ledger.note_overdue(life)
+        entry.signal(signal.SIGKILL)
 
 
 async def _start_again(entry: EntryProcess, after_s: float) -> None:
@@ -83,7 +108,9 @@
 @happen.register
 async def _(fault: PauseEntry, fleet: Fleet, ledger: Ledger) -> None:
     entry = fleet.entries[fault.entry]
+    life, begin_s = entry.life, trio.current_time()
     entry.signal(signal.SIGSTOP)
+    ledger.pauses[life].append(Disturbance(begin_s, begin_s + fault.for_s + PAUSE_SLACK_S))
     await trio.sleep(fault.for_s)
     entry.signal(signal.SIGCONT)
 
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -7,6 +7,14 @@
 from yewloom.tests.soak.proxy import LinkFault
 
 
+class FaultMix(Enum):
+    """What a soak plays: signals alone leave times calm, in which most is promised."""
+
+    FAULTS = "faults"
+    SIGNALS = "signals"
+    BOTH = "both"
+
+
 class StoreFault(Enum):
     """What befalls the store; while it refuses, it answers every call with an error."""
 
@@ -40,6 +48,14 @@
     entry: int
 
 
+@dataclass(frozen=True)
+class StopStartingEntry(Fault):
+    """An entry host is stopped, started again, and stopped ``start_s`` after that once more."""
+
+    entry: int
+    start_s: float
+
+
 @dataclass(frozen=True)
 class PauseEntry(Fault):
     """An entry host stands still."""
@@ -119,3 +135,42 @@
             ChangeConfiguration(at_s, 0.0),
         ]
     )
+
+
+def draw_signals(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return series of signals around planned stops, which overlap too."""
+    faults: list[Fault] = []
+    at_s = 1.0
+    while at_s < duration_s:
+        series = rng.choice([_stop_twice, _stop_amid_reloads, _rolling_stops, _stop_starting])
+        faults += series(rng, at_s, entries)
+        at_s += rng.uniform(1.0, 4.0)
+    return faults
+
+
+def _stop_twice(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
+    entry, for_s = rng.randrange(entries), rng.uniform(0.3, 2.0)
+    again_s = rng.choice([0.02, 0.5, 3.0]) * rng.uniform(0.5, 1.5)
+    return [StopEntry(at_s, for_s, entry), StopEntry(at_s + again_s, for_s, entry)]
+
+
+def _stop_amid_reloads(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
+    entry = rng.randrange(entries)
+    reloads = [ReloadEntry(at_s + rng.uniform(-0.05, 2.5), 0.0, entry) for _ in range(2)]
+    before = ReloadEntry(at_s - rng.uniform(0.001, 0.05), 0.0, entry)
+    return [before, StopEntry(at_s, rng.uniform(0.3, 2.0), entry), *reloads]
+
+
+def _rolling_stops(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
+    """Stop most hosts one after the other, before those that were stopped first are back."""
+    some = rng.sample(range(entries), rng.randint(max(1, entries - 2), entries))
+    pause_s = rng.uniform(0.3, 2.5)
+    return [
+        StopEntry(at_s + number * pause_s, rng.uniform(0.3, 2.0), entry)
+        for number, entry in enumerate(some)
+    ]
+
+
+def _stop_starting(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
+    entry, start_s = rng.randrange(entries), rng.uniform(0.0, 3.0)
+    return [StopStartingEntry(at_s, rng.uniform(0.3, 2.0), entry, start_s)]
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -18,13 +18,16 @@
 from yewloom.platform.standin_engine import StandinEngine
 from yewloom.platform.standin_store import StandinStore
 from yewloom.tests.free_ports import free_address, free_port
-from yewloom.tests.soak.endpoints import EngineWatch, PlainEndpoint
+from yewloom.tests.soak.endpoints import EngineWatch, PlainEndpoint, events_wanted
 from yewloom.tests.soak.ledger import Ledger
 from yewloom.tests.soak.proxy import Link
 
 ENGINES, PLAIN, MODEL = "engines", "plain", "plates"
 HOST = "soak.example"
 
+EVENT_S = 0.1
+"""Time between two events of a stream: about an iteration, and far from a stall."""
+
 PROCESS_CHECK_S = 0.05
 """Pause between two looks whether a process has ended."""
 
@@ -86,6 +89,7 @@
 
     name: str
     caller_address: str
+    readiness_address: str
     settings: Path
     store_link: Link
     log: Path
@@ -168,6 +172,7 @@
         engine = StandinEngine(name, "", ENGINES, domain, "hall-a", self.store)
         watch = EngineWatch(self.ledger, self._known_engines)
         engine.on_run, engine.on_join = watch.on_run, watch.on_join
+        engine.events, engine.event_s = events_wanted, EVENT_S
         self._known_engines.append(engine)
         link = await self._open_link(await self._serve(engine.application()))
         engine.address = link.address
@@ -215,15 +220,21 @@
                 await trio.sleep(SERVER_CHECK_S)
 
     def _entry(self, name: str, store_link: Link) -> EntryProcess:
-        caller_port = free_port()
+        caller_port, readiness_port = free_port(), free_port()
         text = ENTRY_SETTINGS.format(
             name=name,
             caller_port=caller_port,
-            readiness_port=free_port(),
+            readiness_port=readiness_port,
             peer_port=free_port(),
             store=store_link.address,
         )
         settings = self.folder / f"{name}.ini"
         settings.write_text(text, encoding="utf-8")
-        address = f"127.0.0.1:{caller_port}"
-        return EntryProcess(name, address, settings, store_link, self.folder / f"{name}.log")
+        return EntryProcess(
+            name,
+            f"127.0.0.1:{caller_port}",
+            f"127.0.0.1:{readiness_port}",
+            settings,
+            store_link,
+            self.folder / f"{name}.log",
+        )
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -14,8 +14,23 @@
 REGRESSION_S = 0.25
 """Time after which a host that showed a version must not act on an older one."""
 
+NOTICE_S = 2.6
+"""Time after SIGTERM for which a host still takes requests: the balancer asks it once a second and
+takes it out after two answers; from the platform's pages, as in ``entry_host``."""
+
+NOTICE_SLACK_S = 0.4
+"""Time beyond the notice until a request counts as late, which gives the 3 s after SIGTERM of the
+platform's pages."""
+
+CROSSING_S = 0.3
+"""Time after a request was sent whole until which a close may have crossed it: 0.2 s by the
+platform's pages, and 0.1 s for this busy process to see it."""
+
+GRACE_S = 8.0
+"""Time from the request to stop until a process is killed; from the platform's pages."""
+
 STREAM_EVENTS = 5
-"""Events of a whole stream, as the stand-in engines send them."""
+"""Events of a whole stream of the shorter kind."""
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Answers that promise that the request has not run and never will."""
@@ -42,7 +57,8 @@
 class Sent:
     """A request as its caller sent it; ``key_version`` is the configuration that brought its key.
 
-    ``host_life`` names the process that was asked.
+    ``host_life`` names the process that was asked, ``is_on_kept`` tells whether on a connection
+    that was open before, and ``has_left`` that the caller left when its deadline passed.
     """
 
     request_id: str
@@ -52,7 +68,11 @@
     key_version: int
     host_life: str
     sent_s: float
+    sent_whole_s: float | None = None
     ended_s: float | None = None
+    events: int = STREAM_EVENTS
+    is_on_kept: bool = True
+    has_left: bool = False
     status: int | None = None
     stamp: str = ""
     answer: bytes = b""
@@ -89,11 +109,18 @@
     broken: list[Broken] = field(default_factory=list)
     planned_stops: dict[str, float] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
+    pauses: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
 
     def note_broken(self, promise: str, request_id: str, detail: str) -> None:
         """Take in that a promise was broken; ``request_id`` is empty if by no one request."""
         self.broken.append(Broken(promise, request_id, detail))
 
+    def note_overdue(self, life: str) -> None:
+        """Take in that a process did not end within its grace; one that stood still may not."""
+        stopped_s = self.planned_stops[life]
+        if not any(_overlaps(span, stopped_s, stopped_s + GRACE_S) for span in self.pauses[life]):
+            self.note_broken("stop took too long", "", f"{life} runs {GRACE_S} s after SIGTERM")
+
     def note_run(self, ran: Ran) -> None:
         """Take in that an endpoint runs a request, and check what must hold at once."""
         self.runs[ran.request_id].append(ran)
@@ -115,6 +142,8 @@
         found = list(self.broken)
         for sent in self.sent.values():
             found += self._check_request(sent)
+            if self._is_unanswered(sent):
+                found.append(Broken("unanswered", sent.request_id, f"by {sent.host_life}"))
         return found + list(self._check_regressions()) + list(self._check_planned_stops())
 
     def _check_request(self, sent: Sent) -> Iterable[Broken]:
@@ -154,11 +183,45 @@
         return removed_s is not None and (sent.ended_s is None or sent.ended_s >= removed_s)
 
     def _check_planned_stops(self) -> Iterable[Broken]:
-        """A planned stop in calm times cuts no request off."""
+        """A planned stop takes no request late and, in calm times, cuts none off."""
         for life, stopped_s in self.planned_stops.items():
-            for sent in self.sent.values():
-                if sent.host_life == life and self._is_lost(sent, stopped_s):
-                    yield Broken("lost", sent.request_id, f"cut off by the stop of {life}")
+            for sent in (sent for sent in self.sent.values() if sent.host_life == life):
+                how = "kept" if sent.is_on_kept else "new"
+                detail = f"{life}, {how} connection, {sent.sent_s - stopped_s:.2f} s after SIGTERM"
+                if self._is_lost(sent, stopped_s):
+                    yield Broken("lost", sent.request_id, detail)
+                if sent.sent_s > self._notice_ends_s(life) and self.runs.get(sent.request_id):
+                    yield Broken("late", sent.request_id, detail)
+
+    def _notice_ends_s(self, life: str) -> float:
+        """Return when a stopping process takes no more requests; it may begin anew behind a pause.
+
+        A process that stood still then sees signal, timer and requests together when it goes on.
+        """
+        stopped_s = self.planned_stops[life]
+        ends_s = stopped_s + NOTICE_S + NOTICE_SLACK_S
+        for pause in self.pauses[life]:
+            if _overlaps(pause, stopped_s, ends_s):
+                ends_s = max(ends_s, pause.end_s + NOTICE_S + NOTICE_SLACK_S)
+        return ends_s
+
+    def _is_unanswered(self, sent: Sent) -> bool:
+        """Tell whether a request that was sent whole in calm times has no answer at all.
+
+        Excused are a caller that left at its deadline, and a close by a planned stop that crossed
+        the request; one that ran before the stop cut it off counts as lost.
+        """
+        if sent.sent_whole_s is None or sent.ended_s is None:
+            return False
+        if sent.status is not None or sent.has_left:
+            return False
+        if self._is_disturbed(sent.sent_s, sent.ended_s):
+            return False
+        stopped_s = self.planned_stops.get(sent.host_life)
+        if stopped_s is None or sent.ended_s < stopped_s:
+            return True
+        is_crossed = sent.ended_s - sent.sent_whole_s <= CROSSING_S
+        return not is_crossed and not self.runs.get(sent.request_id)
 
     def _is_lost(self, sent: Sent, stopped_s: float) -> bool:
         """Tell whether a request that ran in calm times has no whole answer after a stop."""
@@ -169,7 +232,7 @@
         return sent.status is None or (sent.status == 200 and not sent.is_whole)
 
     def _is_disturbed(self, from_s: float, to_s: float) -> bool:
-        return any(span.begin_s < to_s and span.end_s > from_s for span in self.disturbances)
+        return any(_overlaps(span, from_s, to_s) for span in self.disturbances)
 
     def outcomes(self) -> Counter[str]:
         """Count the requests by kind and status."""
@@ -179,6 +242,10 @@
         )
 
 
+def _overlaps(span: Disturbance, from_s: float, to_s: float) -> bool:
+    return span.begin_s < to_s and span.end_s > from_s
+
+
 def _newest_version_before(sent: Sent, accepted: Iterable[Sent]) -> int:
     """Return the newest version whose key was accepted some time before a request; 0 if none."""
     return max(
@@ -194,6 +261,6 @@
 def expected_answer(sent: Sent) -> bytes:
     """Return the body that a whole answer to a request has."""
     if sent.kind is Kind.STREAM:
-        numbers = range(1, STREAM_EVENTS + 1)
+        numbers = range(1, sent.events + 1)
         return b"".join(b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers)
     return b"%s for %s" % (sent.stamp.encode(), sent.request_id.encode())
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -4,15 +4,17 @@
 import shutil
 import tempfile
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
-import httpcore
 import trio
 
-from yewloom.tests.soak.callers import DEADLINE_S, Caller
+from yewloom.tests.soak.balancer import Balancer
+from yewloom.tests.soak.callers import STREAM_DEADLINE_S, Caller
 from yewloom.tests.soak.fault_play import play
-from yewloom.tests.soak.faults import draw_faults
+from yewloom.tests.soak.faults import Fault, FaultMix, draw_faults, draw_signals
 from yewloom.tests.soak.fleet import Fleet
 from yewloom.tests.soak.ledger import Broken, Kind, Ledger
 
@@ -43,6 +45,15 @@
     duration_s: float
     entries: int
     engines: int
+    mix: FaultMix = FaultMix.BOTH
+
+    def draw(self, rng: random.Random) -> list[Fault]:
+        """Return what is to happen; the faults of a seed are the same with signals and without."""
+        faults = draw_faults(rng, self.duration_s, self.entries)
+        if self.mix is FaultMix.FAULTS:
+            return faults
+        signals = draw_signals(random.Random(f"signals {self.seed}"), self.duration_s, self.entries)
+        return signals if self.mix is FaultMix.SIGNALS else faults + signals
 
 
 @dataclass(frozen=True)
@@ -67,43 +78,54 @@
 
 async def _soak(plan: SoakPlan, folder: Path, ledger: Ledger) -> None:
     rng = random.Random(plan.seed)
-    faults = draw_faults(rng, plan.duration_s, plan.entries)
+    faults = plan.draw(rng)
     async with trio.open_nursery() as nursery:
         fleet = Fleet(folder, ledger, rng, nursery)
-        try:
-            await fleet.start(plan.entries, plan.engines, PLAIN_ENDPOINTS)
-            await _wait_until_served(fleet, ledger, START_S, START_CALLER)
+        async with open_fleet(fleet, plan.entries, plan.engines) as balancer:
             async with trio.open_nursery() as callers:
-                _start_callers(callers, fleet, ledger, plan.seed)
+                _start_callers(callers, fleet, balancer, ledger, plan.seed)
                 await play(faults, fleet, ledger)
-                await _wait_until_served(fleet, ledger, RECOVERY_S, RECOVERY_CALLER)
+                await _wait_until_served(fleet, balancer, RECOVERY_S, RECOVERY_CALLER)
                 callers.cancel_scope.cancel()
-            await trio.sleep(DEADLINE_S)  # Late work may begin until then.
-        finally:
-            fleet.stop()
+            await trio.sleep(STREAM_DEADLINE_S)  # Late work may begin until then.
         nursery.cancel_scope.cancel()
 
 
-def _start_callers(nursery: trio.Nursery, fleet: Fleet, ledger: Ledger, seed: int) -> None:
+@asynccontextmanager
+async def open_fleet(fleet: Fleet, entries: int, engines: int) -> AsyncIterator[Balancer]:
+    """Start a fleet, yield its balancer once all serve, and end its processes."""
+    try:
+        await fleet.start(entries, engines, PLAIN_ENDPOINTS)
+        balancer = Balancer(fleet.entries)
+        fleet.nursery.start_soon(balancer.run)
+        await _wait_until_served(fleet, balancer, START_S, START_CALLER)
+        yield balancer
+    finally:
+        fleet.stop()
+
+
+def _start_callers(
+    nursery: trio.Nursery, fleet: Fleet, balancer: Balancer, ledger: Ledger, seed: int
+) -> None:
     for place, entry in enumerate(fleet.entries):
         for number in range(CALLERS_PER_ENTRY):
-            caller = Caller(entry, fleet, ledger, (seed * 100 + place) * 100 + number)
+            caller = Caller(entry, fleet, balancer, ledger, (seed * 100 + place) * 100 + number)
             nursery.start_soon(caller.run)
 
 
-async def _wait_until_served(fleet: Fleet, ledger: Ledger, limit_s: float, seed: int) -> None:
+async def _wait_until_served(fleet: Fleet, balancer: Balancer, limit_s: float, seed: int) -> None:
     """Wait until every entry host serves a stream and a read; note it if one does not in time."""
     for entry in fleet.entries:
-        caller = Caller(entry, fleet, ledger, seed)
+        caller = Caller(entry, fleet, balancer, fleet.ledger, seed)
         with trio.move_on_after(limit_s) as timer:
             for kind in (Kind.STREAM, Kind.SAFE):
                 while not await _is_served(caller, kind):  # noqa: ASYNC110 - asks a process
                     await trio.sleep(ASK_AGAIN_S)
         if timer.cancelled_caught:
-            ledger.note_broken("serves", "", f"{entry.life} not within {limit_s} s")
+            fleet.ledger.note_broken("serves", "", f"{entry.life} not within {limit_s} s")
 
 
 async def _is_served(caller: Caller, kind: Kind) -> bool:
-    async with httpcore.AsyncConnectionPool() as pool:
+    async with caller.open_pool() as pool:
         sent = await caller.send(pool, kind)
     return sent.status == 200 and sent.is_whole
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -1,9 +1,31 @@
 """Tests of the soak's checks, and short soaks with fixed seeds."""
 
+import random
+import signal
+import tempfile
 import unittest
 from dataclasses import replace
+from pathlib import Path
 
+import httpcore
+import trio
+
+from yewloom.tests.soak.balancer import MISSES, Balancer
+from yewloom.tests.soak.callers import LONG_EVENTS, Caller
+from yewloom.tests.soak.faults import (
+    Fault,
+    FaultMix,
+    ReloadEntry,
+    StopEntry,
+    StopStartingEntry,
+    draw_signals,
+)
+from yewloom.tests.soak.fleet import EntryProcess, Fleet
 from yewloom.tests.soak.ledger import (
+    CROSSING_S,
+    GRACE_S,
+    NOTICE_S,
+    NOTICE_SLACK_S,
     REGRESSION_S,
     REVOCATION_S,
     Disturbance,
@@ -13,11 +35,15 @@
     Sent,
     expected_answer,
 )
-from yewloom.tests.soak.run import SoakPlan, soak
+from yewloom.tests.soak.proxy import Link
+from yewloom.tests.soak.run import SoakPlan, open_fleet, soak
 
 SHORT_SEEDS = (1, 2)
 """Seeds that CI plays for a short time."""
 
+SIGNAL_SEED = 201
+"""Seed whose series of signals CI plays for a short time, in otherwise calm times."""
+
 LEAST_STREAMS = 20
 """Whole streams that a soak must have had, which shows that its callers were at work: the requests
 that ask whether all serve are some ten."""
@@ -28,6 +54,12 @@
 101: a host that was asked to stop went on accepting connections, and cut off the last request.
 """
 
+HEAD_S = 0.4
+"""Time in which the head of an answer is on its way."""
+
+STOP_LIMIT_S = 30.0
+"""Longest time of a stream and the stop of its host; both end in some 8 s."""
+
 
 def _sent(name: str, kind: Kind = Kind.SAFE, sent_s: float = 1.0, key_version: int = 1) -> Sent:
     """Return a request that was answered whole."""
@@ -135,19 +167,180 @@
         self.ledger.disturbances.append(Disturbance(0.0, 1.05))
         self.assertEqual(self._promises(), [])
 
+    def test_a_stop_that_takes_a_request_after_its_notice(self) -> None:
+        self.ledger.planned_stops["e/1"] = 1.0
+        late_s = 1.0 + NOTICE_S + NOTICE_SLACK_S
+        self._add(_sent("a", sent_s=late_s - 0.1))
+        self._add(replace(_sent("b", sent_s=late_s + 0.1), host_life="e/2"))
+        self.ledger.sent["c"] = _sent("c", sent_s=late_s + 0.1)  # It never ran.
+        self.ledger.sent["c"].status = None
+        self.assertEqual(self._promises(), [])
+        self._add(_sent("d", sent_s=late_s + 0.1))
+        self.ledger.disturbances.append(Disturbance(0.0, late_s + 1.0))
+        self.assertEqual(self._promises(), ["late"])
+
+    def test_the_notice_of_a_stop_begins_anew_behind_a_pause_of_that_process_alone(self) -> None:
+        self.ledger.planned_stops["e/1"] = 1.0
+        late_s = 1.0 + NOTICE_S + NOTICE_SLACK_S
+        self._add(_sent("a", sent_s=late_s + 0.5))
+        self.ledger.pauses["e/2"].append(Disturbance(0.5, 2.0))
+        self.assertEqual(self._promises(), ["late"])
+        self.ledger.pauses["e/1"].append(Disturbance(0.5, 2.0))
+        self.assertEqual(self._promises(), [])
+        self._add(_sent("b", sent_s=late_s + 1.1))
+        self.assertEqual(self._promises(), ["late"])
+
+    def test_a_request_that_gets_no_answer_in_calm_times(self) -> None:
+        silent = self._add_silent(waited_s=0.1)
+        self.assertEqual(self._promises(), ["unanswered"])
+        for change in ({"has_left": True}, {"sent_whole_s": None}, {"ended_s": None}):
+            self.ledger.sent["a"] = replace(silent, **change)
+            self.assertEqual(self._promises(), [])
+        self.ledger.sent["a"] = silent
+        self.ledger.disturbances.append(Disturbance(0.0, 1.05))
+        self.assertEqual(self._promises(), [])
+
+    def test_a_close_by_a_planned_stop_may_only_cross_a_request(self) -> None:
+        self.ledger.planned_stops["e/1"] = 0.5
+        self._add_silent(waited_s=CROSSING_S - 0.1)
+        self.assertEqual(self._promises(), [])
+        silent = self._add_silent(waited_s=CROSSING_S + 0.1)
+        self.assertEqual(self._promises(), ["unanswered"])
+        self.ledger.note_run(_ran(silent))
+        self.assertEqual(self._promises(), ["lost"])
+        self.ledger.planned_stops["e/1"] = 2.0
+        self.assertEqual(self._promises(), ["unanswered"])
+
+    def _add_silent(self, waited_s: float) -> Sent:
+        """Add a request that was sent whole and got no answer."""
+        sent = replace(_sent("a"), status=None, is_whole=False, sent_whole_s=1.0)
+        sent.ended_s = 1.0 + waited_s
+        self.ledger.sent["a"] = sent
+        return sent
+
+    def test_a_stop_that_takes_too_long(self) -> None:
+        self.ledger.planned_stops["e/1"] = 1.0
+        self.ledger.disturbances.append(Disturbance(0.0, 20.0))
+        self.ledger.pauses["e/2"].append(Disturbance(0.0, 20.0))
+        self.ledger.pauses["e/1"].append(Disturbance(1.5 + GRACE_S, 20.0))
+        self.ledger.note_overdue("e/1")
+        self.assertEqual(self._promises(), ["stop took too long"])
+        self.ledger.pauses["e/1"].append(Disturbance(0.5, 1.5))
+        self.ledger.note_overdue("e/1")
+        self.assertEqual(self._promises(), ["stop took too long"])
+
+
+class TestBalancer(unittest.TestCase):
+    """A host is in use while it is ready, or while most are not."""
+
+    def setUp(self) -> None:
+        self.entries = [_entry(name) for name in ("e0", "e1", "e2", "e3")]
+        self.balancer = Balancer(self.entries)
+
+    def _miss(self, *names: str) -> list[bool]:
+        """Take hosts out; return which ones are used."""
+        for name in names * MISSES:
+            self.balancer.note_answer(name, is_ready=False)
+        return [self.balancer.uses(entry) for entry in self.entries]
+
+    def test_two_misses_in_a_row_take_a_host_out_until_it_answers(self) -> None:
+        for is_ready in (False, True, False):
+            self.balancer.note_answer("e0", is_ready)
+            self.assertTrue(self.balancer.uses(self.entries[0]))
+        self.assertEqual(self._miss("e0"), [False, True, True, True])
+        self.balancer.note_answer("e0", is_ready=True)
+        self.assertTrue(self.balancer.uses(self.entries[0]))
+
+    def test_all_are_used_once_under_half_are_ready(self) -> None:
+        self.assertEqual(self._miss("e0", "e1"), [False, False, True, True])
+        self.assertEqual(self._miss("e2"), [True] * 4)
+
+
+class TestSignals(unittest.TestCase):
+    """Signals come in series that overlap, drawn from the seed."""
+
+    def _draw(self, seed: int) -> list[Fault]:
+        return draw_signals(random.Random(seed), 15.0, 4)
+
+    def test_a_seed_gives_the_same_signals_again(self) -> None:
+        self.assertEqual(self._draw(1), self._draw(1))
+        self.assertNotEqual(self._draw(1), self._draw(2))
+
+    def test_all_kinds_of_signals_come(self) -> None:
+        drawn = [fault for seed in range(20) for fault in self._draw(seed)]
+        kinds = {type(fault) for fault in drawn}
+        self.assertEqual(kinds, {StopEntry, ReloadEntry, StopStartingEntry})
+
+    def test_signals_leave_the_faults_of_a_seed_as_they_are(self) -> None:
+        plans = [SoakPlan(101, 15.0, 4, 6, mix) for mix in (FaultMix.FAULTS, FaultMix.BOTH)]
+        faults, both = (plan.draw(random.Random(101)) for plan in plans)
+        self.assertEqual(both[: len(faults)], faults)
+        self.assertGreater(len(both), len(faults))
+
+
+class TestStop(unittest.TestCase):
+    """A planned stop of a real process, with one caller that keeps its connection."""
+
+    def test_a_connection_whose_stream_outlasts_the_notice_takes_no_more_requests(self) -> None:
+        ledger = Ledger()
+        with tempfile.TemporaryDirectory() as folder:
+            following = trio.run(self._stop_amid_a_stream, Path(folder), ledger)
+        self.assertEqual(ledger.runs.get(following.request_id, []), [])
+        self.assertEqual(ledger.check(), [])
+
+    async def _stop_amid_a_stream(self, folder: Path, ledger: Ledger) -> Sent:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(folder, ledger, random.Random(1), nursery)
+            async with open_fleet(fleet, entries=1, engines=4) as balancer:
+                caller = Caller(fleet.entries[0], fleet, balancer, ledger, seed=1)
+                with trio.fail_after(STOP_LIMIT_S):
+                    following = await self._use_through_stop(caller, fleet.entries[0], ledger)
+            nursery.cancel_scope.cancel()
+        return following
+
+    async def _use_through_stop(self, caller: Caller, entry: EntryProcess, ledger: Ledger) -> Sent:
+        """Let one stream end late in the stop while another one still holds the process."""
+        async with caller.open_pool() as pool, trio.open_nursery() as nursery:
+            first_ended = trio.Event()
+            nursery.start_soon(_stream, caller, pool, first_ended)
+            await trio.sleep(HEAD_S)
+            nursery.start_soon(_stream, caller, pool, trio.Event())
+            await trio.sleep(HEAD_S)  # The heads of both answers are out.
+            stopped_s = ledger.planned_stops[entry.life] = trio.current_time()
+            entry.signal(signal.SIGTERM)
+            await first_ended.wait()
+            self.assertGreater(trio.current_time(), stopped_s + NOTICE_S + NOTICE_SLACK_S)
+            following = await caller.send(pool, Kind.UNSAFE)
+            self.assertTrue(entry.is_running)
+        return following
+
+
+async def _stream(caller: Caller, pool: httpcore.AsyncConnectionPool, ended: trio.Event) -> None:
+    await caller.send(pool, Kind.STREAM, LONG_EVENTS)
+    ended.set()
+
+
+def _entry(name: str) -> EntryProcess:
+    return EntryProcess(name, "", "", Path(), Link(""), Path())
+
 
 class TestSoak(unittest.TestCase):
     """Short soaks: entry hosts as processes, faults from outside."""
 
+    def test_short_signals_break_no_promise(self) -> None:
+        plan = SoakPlan(SIGNAL_SEED, 6.0, entries=3, engines=4, mix=FaultMix.SIGNALS)
+        self._assert_clean(plan)
+
     def test_short_soaks_break_no_promise(self) -> None:
         for seed in SHORT_SEEDS:
             with self.subTest(seed=seed):
-                self._assert_clean(SoakPlan(seed, duration_s=6.0, entries=3, engines=4))
+                self._assert_clean(SoakPlan(seed, 6.0, entries=3, engines=4))
 
     def test_seeds_that_failed_once_break_no_promise(self) -> None:
         for seed in FAILED_SEEDS:
             with self.subTest(seed=seed):
-                self._assert_clean(SoakPlan(seed, duration_s=15.0, entries=4, engines=6))
+                plan = SoakPlan(seed, 15.0, entries=4, engines=6, mix=FaultMix.FAULTS)
+                self._assert_clean(plan)
 
     def _assert_clean(self, plan: SoakPlan) -> None:
         result = soak(plan)
