--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -11,13 +11,12 @@
 from typing import Any
 from unittest import mock
 
-import httpcore
 import trio
 
+from yewloom.tests.soak.balancer import Balancer
 from yewloom.tests.soak.callers import Caller
-from yewloom.tests.soak.fault_play import GRACE_S
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, configuration
-from yewloom.tests.soak.ledger import Kind, Ledger, Sent
+from yewloom.tests.soak.ledger import GRACE_S, Kind, Ledger, Sent
 
 TEST_LIMIT_S = 120.0
 """Longest time of a test; reaching it fails the test."""
@@ -37,6 +36,9 @@
     event_s: float
 
 
+SHORT = Stream(5, 0.02)
+"""Streams that end at once."""
+
 LONG = Stream(6, 0.6)
 """Streams that outlast the notice to the balancer."""
 
@@ -66,14 +68,30 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
+        self._balancer = Balancer(fleet.entries)  # It asks nobody, so all hosts are used.
         self._asked = 0
+        self._events = SHORT.events
 
     async def ask(self, entry: EntryProcess, kind: Kind = Kind.STREAM) -> Sent:
         """Send one request on a connection of its own."""
         self._asked += 1
-        caller = Caller(entry, self.fleet, self.fleet.ledger, self._asked)
-        async with httpcore.AsyncConnectionPool() as pool:
-            return await caller.send(pool, kind)
+        caller = Caller(entry, self.fleet, self._balancer, self.fleet.ledger, self._asked)
+        async with caller.open_pool() as pool:
+            return await caller.send(pool, kind, self._events)
+
+    @contextmanager
+    def streams_of(self, stream: Stream) -> Iterator[None]:
+        """Let engines answer in a way of its own."""
+        self._set_stream(stream)
+        try:
+            yield
+        finally:
+            self._set_stream(SHORT)
+
+    def _set_stream(self, stream: Stream) -> None:
+        self._events = stream.events
+        for engine in self.fleet.engines:
+            engine.engine.event_s = stream.event_s
 
     async def wait_until_served(self, entry: EntryProcess) -> None:
         """Wait until an entry host answers a stream; fail if its process ends."""
@@ -115,7 +133,7 @@
                 nursery.cancel_scope.cancel()
 
     with (
-        mock.patch("yewloom.tests.soak.callers.DEADLINE_S", TIMEOUT_S),
+        mock.patch("yewloom.tests.soak.callers.STREAM_DEADLINE_S", TIMEOUT_S),
         mock.patch("yewloom.tests.soak.fleet.configuration", _patient_configuration),
     ):
         trio.run(main)
@@ -126,17 +144,6 @@
     return sent.status == 200 and sent.is_whole
 
 
-@contextmanager
-def _streams_of(stream: Stream) -> Iterator[None]:
-    """Let engines answer in a way of its own."""
-    engine = "yewloom.platform.standin_engine"
-    with (
-        mock.patch(f"{engine}.EVENTS", stream.events),
-        mock.patch(f"{engine}.EVENT_S", stream.event_s),
-    ):
-        yield
-
-
 def _patient_configuration(version: int) -> dict[str, Any]:
     """Return a configuration whose routes allow long answers."""
     changed = configuration(version)
@@ -227,7 +234,7 @@
         series.append((stop, signal.SIGINT))
 
         async def test(world: World) -> None:
-            with _streams_of(LONG):
+            with world.streams_of(LONG):
                 async with trio.open_nursery() as nursery:
                     for entry, numbers in zip(world.fleet.entries, series, strict=True):
                         nursery.start_soon(self._stop_by, world, entry, numbers)
@@ -285,7 +292,7 @@
     def test_a_stop_with_many_streams_open_cuts_none_off(self) -> None:
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
-            with _streams_of(LONG):
+            with world.streams_of(LONG):
                 async with trio.open_nursery() as nursery:
                     streams = await world.open_streams(nursery, entry, 20)
                     asked_s = trio.current_time()
@@ -306,7 +313,7 @@
 
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
-            with _streams_of(ENDLESS):
+            with world.streams_of(ENDLESS):
                 async with trio.open_nursery() as nursery:
                     await world.open_streams(nursery, entry, streams)
                     nursery.start_soon(_slow_down, entry, share)
