Show that a lost member may stay unheard among entry hosts

Five tests fail on the code as it is; test_a_member_that_is_seen_again_is_missing_no_more passes and guards the mend. Of two views of one group the one with the later sighting counts, and a member that stands still freezes that sighting: a peer's newer report with the loss is dropped when it came slower than an earlier one without, and for ever when the last to see the group is gone.

--- a/yewloom/tests/test_coordinators.py
+++ b/yewloom/tests/test_coordinators.py
@@ -12,6 +12,7 @@
 from yewloom.observers import Observer
 from yewloom.orders import due_orders
 from yewloom.platforms import StoredObject
+from yewloom.schema.peer_pb2 import GroupReport
 from yewloom.schema.records_pb2 import Group, GroupMember, Host, HostReport, Order, Placement
 from yewloom.schema.table_pb2 import Row, VersionedRow
 from yewloom.settings import parse_settings
@@ -24,6 +25,7 @@
     run_on_mock_clock,
 )
 from yewloom.tests.test_dispatch import SETTINGS
+from yewloom.watchers import parse_placement
 
 
 class _Trial:
@@ -40,9 +42,25 @@
             self.engines.reports[host.address] = report
 
     def coordinator(self, name: str) -> Coordinator:
+        return self.coordinator_and_node(name)[0]
+
+    def coordinator_and_node(self, name: str) -> tuple[Coordinator, Node]:
         node = _node(name)
         observer = Observer(node, self.engines)
-        return Coordinator(node, self.platform, self.engines, observer, self.new_attempt)
+        coordinator = Coordinator(node, self.platform, self.engines, observer, self.new_attempt)
+        return coordinator, node
+
+    def take_orders(self) -> None:
+        """Let each engine that was given an order be ready in its group."""
+        for order in self.engines.orders:
+            address = order.member_addresses[order.rank]
+            report = self.engines.reports[address]
+            report.state = EngineState.READY.value
+            report.group_id, report.generation = order.group_id, order.generation
+
+    def placed_generation(self) -> int:
+        """Return the generation of the placement in the platform."""
+        return parse_placement(self.platform.objects["placements/hall-a"]).generation
 
     def new_attempt(self) -> AttemptId:
         self.attempts += 1
@@ -110,6 +128,31 @@
         self.assertEqual(len(run_on_mock_clock(scenario)), 1)
         self.assertEqual(trial.platform.objects["placements/hall-a"].version, 1)
 
+    def test_a_group_whose_observers_are_gone_is_given_up_by_own_probes(self) -> None:
+        trial = _Trial(checks_fences=True)
+        coordinator, node = trial.coordinator_and_node("entry-1")
+
+        async def scenario() -> tuple[int, int]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(coordinator.run)
+                await trio.sleep(10)
+                trial.take_orders()
+                # The observers are elsewhere: one tells that the group is ready, and goes.
+                seen = [
+                    GroupReport(group_id=name, generation=1, ready=True, was_ready=True)
+                    for name in node.fleet.group_ids()
+                ]
+                node.fleet.merge_groups(seen, trio.current_time())
+                del trial.engines.reports["h0:1"]
+                groups = node.settings.groups
+                await trio.sleep((groups.freshness_ms + groups.give_up_ms) / 2000)
+                early = trial.placed_generation()
+                await trio.sleep((groups.freshness_ms + groups.give_up_ms) / 2000 + 2)
+                nursery.cancel_scope.cancel()
+            return early, trial.placed_generation()
+
+        self.assertEqual(run_on_mock_clock(scenario), (1, 2))
+
     def test_another_takes_over_after_a_kill(self) -> None:
         trial = _Trial(checks_fences=True)
 
--- a/yewloom/tests/test_placement.py
+++ b/yewloom/tests/test_placement.py
@@ -433,6 +433,31 @@
         self.assertEqual({host.fabric_domain for host in chosen}, {"rack-1"})
 
 
+def _two_that_observe() -> tuple[Fleet, Fleet, Group]:
+    """Return two entry hosts' views of one placement, and its group of one member."""
+    group = Group(
+        id="g",
+        generation=1,
+        intent=GroupIntent.ACTIVE.value,
+        members=[GroupMember(host_id="h0")],
+    )
+    fleets = Fleet(FRESHNESS_S, GIVE_UP_S), Fleet(FRESHNESS_S, GIVE_UP_S)
+    for fleet in fleets:
+        fleet.apply_placement(Placement(data_centre=PLACE, generation=1, groups=[group]))
+    return *fleets, group
+
+
+def _see(fleet: Fleet, group: Group, answered_s: float) -> None:
+    report = HostReport(host_id="h0", state=EngineState.READY.value, group_id="g", generation=1)
+    fleet.on_host_answered(HostId("h0"), report, answered_s)
+    fleet.sum_up(group, answered_s)
+
+
+def _miss(fleet: Fleet, group: Group, now_s: float) -> None:
+    fleet.on_host_failed(HostId("h0"), now_s)
+    fleet.sum_up(group, now_s)
+
+
 class TestObservation(unittest.TestCase):
     """Reports about one group from several observers."""
 
@@ -454,6 +479,60 @@
         self.assertTrue(fleet.is_open(group, 1.4))
         self.assertFalse(fleet.is_open(group, 2.1))
 
+    def test_a_loss_is_heard_though_earlier_reports_came_faster(self) -> None:
+        fleet, peer, group = _two_that_observe()
+        _see(peer, group, answered_s=0.0)
+        fleet.merge_groups(peer.group_reports(0.001), asked_s=0.001)
+        for tenth in range(5, 70):
+            now_s = tenth / 10
+            _miss(peer, group, now_s)
+            fleet.merge_groups(peer.group_reports(now_s), asked_s=now_s - 0.05)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
+
+    def test_a_loss_counts_though_the_last_to_see_the_group_is_gone(self) -> None:
+        fleet, peer, group = _two_that_observe()
+        _see(fleet, group, answered_s=0.0)
+        _see(peer, group, answered_s=0.2)
+        fleet.merge_groups(peer.group_reports(0.2), asked_s=0.2)
+        for tenth in range(4, 80):
+            _miss(fleet, group, tenth / 10)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
+
+    def test_a_loss_to_one_counts_only_once_no_other_sees_the_group(self) -> None:
+        fleet, peer, group = _two_that_observe()
+        _see(fleet, group, answered_s=0.0)
+        for tenth in range(1, 100):
+            now_s = tenth / 10
+            _miss(fleet, group, now_s)
+            _see(peer, group, answered_s=now_s)
+            fleet.merge_groups(peer.group_reports(now_s), asked_s=now_s)
+            self.assertEqual(fleet.group_observations[GroupId("g")].missing, ())
+        for tenth in range(100, 138):
+            _miss(fleet, group, tenth / 10)
+            self.assertEqual(fleet.group_observations[GroupId("g")].missing, ())
+        _miss(fleet, group, 14.0)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
+
+    def test_a_member_that_is_seen_again_is_missing_no_more(self) -> None:
+        fleet, peer, group = _two_that_observe()
+        _see(fleet, group, answered_s=0.0)
+        for tenth in range(1, 60):
+            _miss(fleet, group, tenth / 10)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
+        _see(peer, group, answered_s=6.0)
+        fleet.merge_groups(peer.group_reports(6.0), asked_s=6.0)
+        _miss(fleet, group, 6.1)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ())
+
+    def test_failures_before_a_pause_in_probing_count_as_no_silence(self) -> None:
+        fleet, _, group = _two_that_observe()
+        _miss(fleet, group, 0.0)
+        _miss(fleet, group, 100.0)
+        _miss(fleet, group, 100.0 + GIVE_UP_S / 2)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ())
+        _miss(fleet, group, 100.0 + GIVE_UP_S)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
+
     def test_a_failed_call_closes_a_group_until_it_is_seen_again(self) -> None:
         fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
         trial = _Trial(make_policy(size=2), [make_host("h0"), make_host("h1")])
