Show that a prober that stood still takes the members for silent

The test fails on the code as it is: two probes sent before a stall of the entry host and found failed after it give the member up at once.

--- a/yewloom/tests/test_placement.py
+++ b/yewloom/tests/test_placement.py
@@ -533,6 +533,15 @@
         _miss(fleet, group, 100.0 + GIVE_UP_S)
         self.assertEqual(fleet.group_observations[GroupId("g")].missing, ("h0",))
 
+    def test_a_stall_of_the_prober_is_no_silence_of_the_member(self) -> None:
+        fleet, _, group = _two_that_observe()
+        _see(fleet, group, answered_s=0.0)
+        # Asked before the stall; the answers lie unread until the limits have passed.
+        for asked_s in (0.1, 0.5):
+            fleet.on_host_failed(HostId("h0"), asked_s)
+        fleet.sum_up(group, 0.5 + GIVE_UP_S)
+        self.assertEqual(fleet.group_observations[GroupId("g")].missing, ())
+
     def test_a_failed_call_closes_a_group_until_it_is_seen_again(self) -> None:
         fleet = Fleet(FRESHNESS_S, GIVE_UP_S)
         trial = _Trial(make_policy(size=2), [make_host("h0"), make_host("h1")])
