Give a silent member up in bounded time

A member that stands still freezes that time, and a peer's age is counted from before the peer was asked, so a report that came faster before the loss beats every later one that tells of it: until by chance one comes faster than all before, the coordinator holds the group for "loading". With the last to see the group gone, that never comes. Change: a missing member counts once nobody has seen the whole group for give_up_ms, whichever view is later; the coordinator sums up groups that do not serve from its own probes, for observers that are gone; a pause in probing begins the silence anew, and at least half of it must lie between failed probes that were sent, since a prober that stood still finds all its probes failed. The last assertion of test_an_older_answer_does_not_replace_a_newer_one passes the new argument; what it asserts is unchanged.

--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -145,6 +145,7 @@
             return
         await self._read_hosts()
         await self._observer.probe_members(self._unobserved())
+        self._sum_up_closed()
         plan = self._plan()
         if plan.placement is not None and self.is_holding:
             await self._write_placement(plan)
@@ -188,6 +189,13 @@
         free = [h for h in listed if not (h.service or h.is_entry_host or h.id in taken)]
         return members + [GroupMember(host_id=host.id, address=host.address) for host in free]
 
+    def _sum_up_closed(self) -> None:
+        """Sum up the groups that do not serve, as the observers of one may be gone or cut off."""
+        now_s = trio.current_time()
+        for group in self._placement.groups:
+            if group.members and not self._node.fleet.is_open(group, now_s):
+                self._node.fleet.sum_up(group, now_s)
+
     def _plan(self) -> Plan:
         state = FleetState(
             listed=self._listed,
--- a/yewloom/fleet.py
+++ b/yewloom/fleet.py
@@ -124,7 +124,8 @@
 
     def on_host_failed(self, host_id: HostId, asked_s: float) -> None:
         """Take in that an own probe of a model engine failed."""
-        self._hosts[host_id] = self._hosts.get(host_id, HostObservation()).failed(asked_s)
+        known = self._hosts.get(host_id, HostObservation())
+        self._hosts[host_id] = known.failed(asked_s, self._give_up_s)
 
     def on_service_answered(self, host_id: HostId, report: HostReport, asked_s: float) -> None:
         """Take in a plain service's answer to an own probe."""
@@ -134,11 +135,12 @@
 
     def on_service_failed(self, host_id: HostId, asked_s: float) -> None:
         """Take in that an own probe of a plain service failed."""
-        self._services[host_id] = self._services.get(host_id, HostObservation()).failed(asked_s)
+        known = self._services.get(host_id, HostObservation())
+        self._services[host_id] = known.failed(asked_s, self._give_up_s)
 
     def sum_up(self, group: Group, now_s: float) -> None:
         """Sum up own probes of a group that this entry host observes."""
-        self._merge(observe_group(group, self._hosts, now_s, self._give_up_s))
+        self._merge(observe_group(group, self._hosts, now_s, self._give_up_s), now_s)
 
     def on_call_failed(self, group_id: GroupId, now_s: float) -> None:
         """Close a group after a failed call, until all members are seen again after it."""
@@ -148,7 +150,7 @@
         """Take in a peer's group reports; ``asked_s`` is from before it was asked."""
         for report in reports:
             if report.group_id in self._placed:
-                self._merge(_observation_from(report, asked_s))
+                self._merge(_observation_from(report, asked_s), asked_s)
 
     def merge_services(self, reports: Iterable[ServiceReport], asked_s: float) -> None:
         """Take in a peer's reports of plain services."""
@@ -180,10 +182,11 @@
             return False
         return known.is_fresh(now_s, self._freshness_s)
 
-    def _merge(self, observation: GroupObservation) -> None:
+    def _merge(self, observation: GroupObservation, now_s: float) -> None:
         current = self._groups.get(observation.group_id)
-        merged = observation if current is None else merge_observations(observation, current)
-        self._groups[observation.group_id] = merged
+        if current is not None:
+            observation = merge_observations(observation, current, now_s, self._give_up_s)
+        self._groups[observation.group_id] = observation
 
     def _index_groups(self) -> None:
         """Index the groups of all placements anew, and forget those that are gone."""
--- a/yewloom/groups.py
+++ b/yewloom/groups.py
@@ -14,27 +14,35 @@
 
 NEVER_S = float("-inf")
 
+PROBED_SHARE = 0.5
+"""Part of the bound for giving up within which failed probes were sent: a prober that stood still
+itself finds all its probes failed, which were sent within one probe's limit."""
+
 
 @dataclass(frozen=True)
 class HostObservation:
     """What one entry host knows of an endpoint from its own probes.
 
     ``asked_s`` is the time before the last answered probe was sent, so the age of the report is
-    never understated. ``failing_since_s`` is the first of the failed probes since then.
+    never understated. ``failing_since_s`` is the first of the failed probes since then, and
+    ``failed_s`` the last; a pause in probing begins the count anew.
     """
 
     report: HostReport | None = None
     asked_s: float = NEVER_S
     failing_since_s: float | None = None
+    failed_s: float = NEVER_S
 
     def answered(self, report: HostReport, asked_s: float) -> "HostObservation":
         """Return the observation after an answered probe."""
         return HostObservation(report, asked_s)
 
-    def failed(self, asked_s: float) -> "HostObservation":
+    def failed(self, asked_s: float, longest_pause_s: float) -> "HostObservation":
         """Return the observation after a failed probe."""
-        since = asked_s if self.failing_since_s is None else self.failing_since_s
-        return replace(self, failing_since_s=since)
+        since = self.failing_since_s
+        if since is None or asked_s - self.failed_s > longest_pause_s:
+            since = asked_s
+        return replace(self, failing_since_s=since, failed_s=max(asked_s, self.failed_s))
 
     def is_fresh(self, now_s: float, freshness_s: float) -> bool:
         """Tell whether the endpoint was seen within the freshness bound."""
@@ -92,16 +100,24 @@
     )
 
 
-def merge_observations(first: GroupObservation, second: GroupObservation) -> GroupObservation:
+def merge_observations(
+    first: GroupObservation, second: GroupObservation, now_s: float, give_up_s: float
+) -> GroupObservation:
     """Return the better of two views of one group: higher generation, then the later one.
 
-    What either saw once in the same generation stays: a failure, a leaving member, readiness.
+    What either saw once in the same generation stays: a failure, a leaving member, readiness. So
+    does a missing member once nobody has seen the whole group within the bound for giving up: a
+    member that is silent ends the sightings, and then the later one is no newer view.
     """
     if first.generation != second.generation:
         return first if first.generation > second.generation else second
-    later = first if first.observed_s >= second.observed_s else second
+    later, earlier = (first, second) if first.observed_s >= second.observed_s else (second, first)
+    missing = later.missing
+    if now_s - later.observed_s >= give_up_s:
+        missing += tuple(host for host in earlier.missing if host not in missing)
     return replace(
         later,
+        missing=missing,
         failed=first.failed or second.failed,
         leaving=first.leaving or second.leaving,
         was_ready=first.was_ready or second.was_ready,
@@ -149,4 +165,8 @@
 
 
 def _given_up(known: HostObservation, now_s: float, give_up_s: float) -> bool:
-    return known.failing_since_s is not None and now_s - known.failing_since_s >= give_up_s
+    """Tell whether probes failed for so long, and were sent for at least half of that time."""
+    since_s = known.failing_since_s
+    if since_s is None or now_s - since_s < give_up_s:
+        return False
+    return known.failed_s - since_s >= give_up_s * PROBED_SHARE
--- a/yewloom/tests/test_placement.py
+++ b/yewloom/tests/test_placement.py
@@ -566,4 +566,4 @@
         fleet.on_host_answered(HostId("h"), HostReport(running=2), 5.0)
         fleet.on_host_answered(HostId("h"), HostReport(running=1), 4.0)
         self.assertEqual(fleet.hosts[HostId("h")].asked_s, 5.0)
-        self.assertEqual(HostObservation().failed(1.0).failed(2.0).failing_since_s, 1.0)
+        self.assertEqual(HostObservation().failed(1.0, 4.0).failed(2.0, 4.0).failing_since_s, 1.0)
