Rest the process tests' waits on states instead of a second

Two tests began their streams and slept one second before the kill or pause; beside load a stream may not have begun by then, and the test would pass without the failure under test. They wait until each stream brought ten pieces, and one at least must run at the leader. The test of the paused leader waits for the closed group, the new placement and the replacement in turn, so that the failing step is named; 30 s bounds each state as before and is not raised.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -76,6 +76,13 @@
         "if since is None:",
         "test_placement",
     ),
+    Mutation(
+        "loss: a stall of the prober is no silence",
+        "groups",
+        "return known.failed_s - since_s >= give_up_s * PROBED_SHARE",
+        "return True",
+        "test_placement",
+    ),
     Mutation(
         "loss: the coordinator's own probes count",
         "coordinators",
--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -4,7 +4,6 @@
 import subprocess
 import sys
 import threading
-import time
 import unittest
 from typing import Any
 
@@ -14,6 +13,9 @@
 from yewloom.tests.free_ports import free_port
 from yewloom.tests.processes import CUSTOMER_KEY, MODEL, Fleet, call, wait_for
 
+BEGUN_PIECES = 10
+"""Pieces after which a stream is under way; the streams of these tests have eight times as many."""
+
 
 def _expected(prompt: str, count: int) -> str:
     return "".join(expected_tokens(f"user: {prompt}", count))
@@ -25,14 +27,20 @@
     )
 
 
-def _stream_text(client: openai.OpenAI, prompt: str, count: int) -> str:
+def _stream_text(
+    client: openai.OpenAI, prompt: str, count: int, pieces: list[str] | None = None
+) -> str:
+    """Return the text of a stream; its pieces land in the list as they come."""
+    pieces = [] if pieces is None else pieces
     stream = client.chat.completions.create(
         model=MODEL,
         messages=[{"role": "user", "content": prompt}],
         max_tokens=count,
         stream=True,
     )
-    return "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+    for chunk in stream:
+        pieces.append(chunk.choices[0].delta.content or "")
+    return "".join(pieces)
 
 
 class _FleetCase(unittest.TestCase):
@@ -57,6 +65,17 @@
         thread.start()
         return thread, results
 
+    def begin_streams(
+        self, prompt: str, count: int, number: int, leader: str
+    ) -> list[tuple[threading.Thread, list[Any]]]:
+        """Start streams and wait until all are under way, one at least at this leader."""
+        pieces: list[list[str]] = [[] for _ in range(number)]
+        client = _client(self.fleet, "e1")
+        streams = [self.in_background(_stream_text, client, prompt, count, one) for one in pieces]
+        wait_for(lambda: all(len(one) >= BEGUN_PIECES for one in pieces), "the streams' begin")
+        self.assertTrue(self.fleet.runs(leader))
+        return streams
+
     def group_of(self, place: str) -> Any:
         groups = self.fleet.open_groups("e1")
         return next(group for group in groups if group["data_centre"] == place)
@@ -107,9 +126,7 @@
         fleet, group = self.fleet, self.group_of("a")
         for name in group["members"]:
             fleet.control(name, token_ms=30)
-        work = (_stream_text, _client(fleet, "e1"), "long", 100)
-        threads = [self.in_background(*work) for _ in range(4)]
-        time.sleep(1)
+        threads = self.begin_streams("long", 100, 4, group["members"][0])
         fleet.kill(group["members"][2])
         for thread, results in threads:
             thread.join()
@@ -136,23 +153,28 @@
         leader = group["members"][0]
         for other in fleet.open_groups("e1"):
             fleet.control(other["members"][0], token_ms=30)
-        streams = [
-            self.in_background(_stream_text, _client(fleet, "e1"), "paused", 80) for _ in range(3)
-        ]
-        time.sleep(1)
+        streams = self.begin_streams("paused", 80, 3, leader)
+        generation = fleet.status("e1")["placements"]["a"]
         fleet.signal(leader, signal.SIGSTOP)
         for thread, results in streams:
             thread.join()
             self.assertEqual(results, [_expected("paused", 80)])
-        wait_for(lambda: self._replacement_of(group), "the replacement group")
-        ran = sum(fleet.runs(*self._replacement_of(group)).values())
+        wait_for(lambda: not self._is_open(group), "the closed group")
+        wait_for(lambda: fleet.status("e1")["placements"]["a"] > generation, "a new placement")
+        members = wait_for(lambda: self._replacement_of(group), "the replacement group")
+        self.assertNotIn(leader, members)
+        ran = sum(fleet.runs(*members).values())
         fleet.signal(leader, signal.SIGCONT)
         before = sum(fleet.runs(leader).values())
         for number in range(6):
             self.assertEqual(fleet.chat("e1", f"awake {number}").status, 200)
         self.assertEqual(sum(fleet.runs(leader).values()), before)
+        self.assertFalse(self._is_open(group))
         self.assertNotIn(leader, self._replacement_of(group))
-        self.assertGreater(sum(fleet.runs(*self._replacement_of(group)).values()), ran)
+        self.assertGreater(sum(fleet.runs(*members).values()), ran)
+
+    def _is_open(self, group: Any) -> bool:
+        return any(found["id"] == group["id"] for found in self.fleet.open_groups("e1"))
 
     def _replacement_of(self, lost: Any) -> list[str]:
         """Return the members of the open group in the lost one's data centre."""
