Let the test of a paused coordinator look at what it changed

It is named "changes nothing when it wakes" and looked at the gauges only. It now also checks that the woken holder, after it took in the new placement, logged no placement of its own and took no lease; all earlier assertions stand.

--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -263,10 +263,15 @@
         fleet.kill(victim)
         wait_for(lambda: fleet.status(other)["placements"]["a"] > generation, "a new placement")
         latest = fleet.status(other)["placements"]["a"]
+        told = len(fleet.log_text(holder))
         fleet.signal(holder, signal.SIGCONT)
         wait_for(lambda: fleet.status(holder)["placements"]["a"] >= latest, "the new placement")
         self.assertTrue(self._is_coordinator(other))
         self.assertFalse(self._is_coordinator(holder))
+        since = fleet.log_text(holder)[told:]
+        self.assertIn('"placement in force"', since)
+        self.assertNotIn('"event": "placed"', since)
+        self.assertNotIn('"is_holding": true', since)
 
     def test_a_replaced_entry_host_serves_during_an_outage_of_the_platform(self) -> None:
         fleet = self.fleet
