--- a/yewloom/tests/free_ports.py
+++ b/yewloom/tests/free_ports.py
@@ -11,14 +11,16 @@
 """Ports that a process keeps other test runs from; each costs a descriptor."""
 
 _random = random.SystemRandom()  # Tests may seed the usual one.
+_given: set[int] = set()
 _reserved: deque[socket.socket] = deque(maxlen=MAX_RESERVED)
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on now and that no other test run was given."""
+    """Return a port that nothing listens on now and that no test, of any run, was given."""
     while True:
         port = _random.choice(PORTS)
-        if _reserve(port) and _is_free(port):
+        if port not in _given and _reserve(port) and _is_free(port):
+            _given.add(port)
             return port
 
 
