--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -52,8 +52,8 @@
 """Seeds that failed once, with what they were played with and what they found.
 
 101: a host that was asked to stop went on accepting connections, and cut off the last request.
-204: a stopping host took requests on connections whose answers ended behind the notice, and cut them
-off; so did seeds 200 to 229. Seed 219 also had a host that a reload ended while it started:
+204: a stopping host took requests on connections whose answers ended behind the notice, and cut
+them off; so did seeds 200 to 229. Seed 219 also had a host that a reload ended while it started:
 test_entry_process plays that.
 """
 
