Bound the time for which a whole answer may wait for its caller to read it

Since whole answers and refusals go out beyond a request's own time, a caller that reads nothing could hold one until the process ends (found by the review; a test on a clock that jumps failed first). After 10 s it counts as gone. Parts of streams stay bound by the request's time.

--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -8,6 +8,11 @@
 
 from yewloom.endpoint_calls import Header
 
+SEND_LIMIT_S = 10.0
+"""Longest time for a whole answer to go out; then the caller counts as gone. Longer than the
+deadlines on the trial deployments, 8 s at most, so that a slow caller is given all of its time. The
+parts of a stream go out within the time of its request."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -71,7 +76,11 @@
         data = self._head(status, [*headers, length])
         if body:
             data += self._connection.send(h11.Data(data=body)) or b""
-        await self._write(data + (self._connection.send(h11.EndOfMessage()) or b""))
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        with trio.move_on_after(SEND_LIMIT_S) as limit:
+            await self._write(data)
+        if limit.cancelled_caught:
+            raise CallerGoneError
 
     async def start(self, status: int, headers: Sequence[Header], first: bytes) -> None:
         """Send status, headers and a first part of the body."""
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -8,7 +8,13 @@
 
 from yewloom.caller_activity import LAST_LOOK_S, CallerActivity
 from yewloom.caller_connection import CallerConnection
-from yewloom.caller_messages import CallerRequest, Handlers, Reply
+from yewloom.caller_messages import (
+    SEND_LIMIT_S,
+    CallerGoneError,
+    CallerRequest,
+    Handlers,
+    Reply,
+)
 from yewloom.configuration import CallerLimits
 from yewloom.tests.caller_support import PLAIN, STREAM, Caller, Server, request_bytes
 
@@ -68,6 +74,28 @@
 
         run_once(test)
 
+    def test_a_caller_that_takes_nothing_of_its_answer_counts_as_gone(self) -> None:
+        gone: list[float] = []
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            try:
+                await reply.send_whole(200, [], b"whole")
+            except CallerGoneError:
+                gone.append(trio.current_time())
+                raise
+
+        async def test() -> None:
+            ours, theirs = trio.testing.lockstep_stream_pair()
+            handlers, began_s = Handlers(handle), trio.current_time()
+            connection = CallerConnection(CallerActivity(), theirs, handlers, CallerLimits())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ours.send_all, request_bytes("/1"))
+                with trio.fail_after(2 * SEND_LIMIT_S):
+                    await connection.run()
+            self.assertAlmostEqual(gone[0] - began_s, SEND_LIMIT_S)
+
+        run_once(test)
+
     async def _cut_off(self, answer: Callable[[Reply], Awaitable[None]]) -> None:
         """Answer a caller that reads nothing of the end of an answer until it was cut off."""
         asked: list[str] = []
