--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -41,7 +41,10 @@
     """Sends a request to one endpoint."""
 
     async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
-        """Send a request to an endpoint; tell whether its answer is with the caller."""
+        """Send a request to an endpoint; tell whether its answer is the caller's.
+
+        A stream is with the caller by then; a whole answer is kept in the request.
+        """
         ...
 
 
--- a/yewloom/planned_stop.py
+++ b/yewloom/planned_stop.py
@@ -16,7 +16,6 @@
 LAST_ANSWERS_S = 0.1
 """Part of that margin in which requests that could not end get their last answers."""
 
-
 REQUEST_END_S = 0.01
 """Time that the end of a request may take that the stop cuts off: 0.4 to 1.0 ms of processor time
 each, measured on a host with a tenth of a core."""
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -1,7 +1,7 @@
 """Starts an entry host on the users' platform: ``python3 -m yewloom.platform``.
 
-The program's long imports come after the signals are set: a word that the settings changed would
-end a process that does not listen for it yet.
+The program's long imports come after SIGHUP is passed over: by its default action it would end a
+process that does not listen for it yet.
 """
 
 import os
@@ -21,6 +21,6 @@
 
 
 if __name__ == "__main__":
-    # Until the host listens. The settings are read later, so nothing is missed.
+    # Until the program listens. The settings are read later, so nothing is missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     end(run())
