Take signals in one way in both programs

yewloomd received signals by a task of its own, which doubled what ProcessSignals does, counted its stop from when the loop took a signal up, and had the same short gap at its end.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -500,11 +500,11 @@
         "test_work",
     ),
     Mutation(
-        "planned stop: a second signal is received",
-        "daemon",
-        "        if number != signal.SIGHUP:\n            is_asked.set()",
-        "        if number != signal.SIGHUP:\n            is_asked.set()\n            return",
-        "test_daemon",
+        "planned stop: it counts from the first signal",
+        "process_signals",
+        "elif self._asked_ns is None:",
+        "else:",
+        "test_process_signals",
     ),
     Mutation(
         "planned stop: a lease that was given up is not held",
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -1,9 +1,7 @@
 """``yewloomd``: one entry host of the system."""
 
 import random
-import signal
 import uuid
-from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Annotated
 
@@ -31,6 +29,7 @@
 from yewloom.peers import PeerExchange, serve_peers
 from yewloom.places import Places
 from yewloom.platforms import HttpPlatform
+from yewloom.process_signals import ProcessSignals
 from yewloom.retries import RetryBudget
 from yewloom.schema.settings_pb2 import Settings
 from yewloom.schema.table_pb2 import CustomerRow
@@ -59,9 +58,6 @@
     return AttemptId(uuid.uuid4().hex)
 
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
-
 class Daemon:
     """Wires the parts of an entry host and runs them until a planned stop."""
 
@@ -70,17 +66,8 @@
         self._node = build_node(settings, random.Random(), unix_ms())
         self._places = Places(self._node.admission)
 
-    async def run(self) -> None:
+    async def run(self, signals: ProcessSignals) -> None:
         """Run until a signal asks for a planned stop and work in progress has ended."""
-        is_asked = trio.Event()
-        # The signals are received to the end: one that nobody receives ends the process at once.
-        with trio.open_signal_receiver(*_SIGNALS) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_receive_signals, signals, is_asked)
-                await self._serve(is_asked)
-                nursery.cancel_scope.cancel()
-
-    async def _serve(self, is_asked: trio.Event) -> None:
         settings = self._settings
         # Calls to the platform and probes never wait for a connection behind callers' streams.
         control = HttpCaller(settings.requests.connect_timeout_ms / 1000)
@@ -112,8 +99,7 @@
             stopped = trio.Event()
             async with trio.open_nursery() as callers:
                 callers.start_soon(self._serve_callers, application, stopped)
-                await is_asked.wait()
-                await self._stop(coordinator)
+                await self._stop(coordinator, await signals.wait_for_stop(_pass_over_reload))
                 stopped.set()
             nursery.cancel_scope.cancel()
 
@@ -173,16 +159,17 @@
         logger.info("serving", entry_host=host.id, caller_address=config.bind[0])
         await hypercorn.trio.serve(application, config, shutdown_trigger=stopped.wait)
 
-    async def _stop(self, coordinator: Coordinator) -> None:
+    async def _stop(self, coordinator: Coordinator, asked_s: float) -> None:
         """Take nothing new, and wait until the work in progress has ended or its time is over."""
         work = self._node.work
         logger.info("stopping", in_progress=work.in_progress)
         drain_s = self._settings.host.drain_timeout_ms / 1000
-        ends_s = trio.current_time() + BALANCER_GRACE_S + drain_s
+        closes_s = asked_s + BALANCER_GRACE_S
+        ends_s = closes_s + drain_s
         self._node.start_leaving()
         coordinator.release()
         self._places.stop_by(ends_s)
-        await trio.sleep(BALANCER_GRACE_S)
+        await trio.sleep_until(closes_s)
         work.phase = Phase.CLOSED
         with trio.move_on_at(ends_s):
             await work.wait_until_none()
@@ -200,12 +187,8 @@
             await work.wait_until_none()
 
 
-async def _receive_signals(signals: AsyncIterator[int], is_asked: trio.Event) -> None:
-    """Ask for a planned stop at the first signal that means one; further ones change nothing."""
-    async for number in signals:
-        logger.info("signal", name=signal.Signals(number).name)
-        if number != signal.SIGHUP:
-            is_asked.set()
+def _pass_over_reload() -> None:
+    logger.info("reload passed over", reason="settings are read at the start only")
 
 
 def _read_token(path: str) -> str:
@@ -220,10 +203,12 @@
     config: Annotated[Path, typer.Option(help="Settings file, see docs/settings.md.")],
 ) -> None:
     """Run an entry host until SIGTERM; requests in progress end first."""
+    signals = ProcessSignals()
+    signals.listen()
     match read_settings(config):
         case Ok(settings):
             log.set_up(settings.host.log_level)
-            trio.run(Daemon(settings).run)
+            trio.run(Daemon(settings).run, signals)
         case Err(error):
             typer.echo(f"yewloomd: {error}", err=True)
             raise typer.Exit(2)
