--- a/yewloom/tests/test_daemon.py
+++ b/yewloom/tests/test_daemon.py
@@ -193,8 +193,8 @@
         for caller in (kept[1], self._caller(entry)):
             self._check_refused(caller.get("/v1/models"))
             self.assertTrue(caller.is_closed())
-        members = fleet.status("watch")["members"]
-        self.assertIn({"id": entry, "data_centre": "a", "is_leaving": True}, members)
+        leaving = {"id": entry, "data_centre": "a", "is_leaving": True}
+        wait_for(lambda: leaving in fleet.status("watch")["members"], "the word to the peers")
         thread.join()
         self.assertEqual([getattr(result, "status", result) for result in results], [200])
         self.assertEqual(self._exit_code(entry), 0)
