Look at a route's durations only while a stop is on; say two things once in the tests

The median of a route's durations was sorted for each request and each further endpoint, though without a stop every request has time: the answer is the same without it. Two tests killed and started a process by the same lines, and the tests' notice repeated the product's constant. No assertion changes.

--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -109,6 +109,8 @@
 
     def _has_time_before_stop(self, request: ForwardRequest) -> bool:
         """Tell whether a planned stop leaves the time that half of the latest on a route took."""
+        if not self._stop.is_begun:
+            return True
         usual_s = self._durations.usual_s(request.route.name)
         return self._stop.has_time_for(usual_s, trio.current_time())
 
--- a/yewloom/tests/caller_support.py
+++ b/yewloom/tests/caller_support.py
@@ -10,9 +10,7 @@
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import CallerGoneError, CallerRequest, Handlers, Reply
 from yewloom.configuration import CallerLimits
-
-NOTICE_S = 2.6
-"""Time between the start of a planned stop and the end of taking requests."""
+from yewloom.planned_stop import BALANCER_NOTICE_S
 
 STREAM, PLAIN = "/stream", "/plain"
 
@@ -108,7 +106,7 @@
     async def begin_stop(self) -> None:
         """Begin a planned stop, and wait until the balancer has had its notice."""
         self.activity.start_leaving()
-        await trio.sleep(NOTICE_S)
+        await trio.sleep(BALANCER_NOTICE_S)
 
     def stop_taking(self) -> None:
         """Take no more requests."""
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -174,6 +174,14 @@
         await trio.sleep(LOOK_S)
 
 
+async def _start_anew(entry: EntryProcess) -> None:
+    """Kill a process and start it again with an empty log."""
+    entry.signal(signal.SIGKILL)
+    await entry.wait_ended()
+    entry.log.write_text("")
+    entry.start()
+
+
 async def _ends_in_time(entry: EntryProcess, asked_s: float) -> bool:
     """Tell whether a process that was asked to stop ends within its grace."""
     with trio.move_on_at(asked_s + GRACE_S) as timer:
@@ -249,10 +257,7 @@
     def test_a_stop_before_the_host_listens_ends_in_order(self) -> None:
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
-            entry.signal(signal.SIGKILL)
-            await entry.wait_ended()
-            entry.log.write_text("")
-            entry.start()
+            await _start_anew(entry)
             await entry.wait_until_taken(signal.SIGTERM)
             entry.signal(signal.SIGTERM)
             await entry.wait_ended()
@@ -263,10 +268,7 @@
     def test_a_stop_right_after_the_start_ends_in_order(self) -> None:
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
-            entry.signal(signal.SIGKILL)
-            await entry.wait_ended()
-            entry.log.write_text("")
-            entry.start()
+            await _start_anew(entry)
             await _wait_for_log(entry, "started")
             asked_s = trio.current_time()
             entry.signal(signal.SIGTERM)
