--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -38,7 +38,8 @@
 
     One that ``is_lost`` tells nothing of itself any more. ``was_ready`` holds the groups, with
     their members, in which it was ready. ``on_run`` and ``on_join`` are told of each request that
-    it begins to run, with its body, and of each join before it is carried out.
+    it begins to run, with its body, and of each join before it is carried out; ``on_whole`` of
+    each request whose last event it makes.
     ``events`` gives the number of events of an answer, and ``event_s`` the time between two.
     """
 
@@ -58,6 +59,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     was_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
     on_run: Callable[["StandinEngine", Request, bytes], None] | None = None
+    on_whole: Callable[[Request], None] | None = None
     on_join: Callable[["StandinEngine", dict[str, Any]], None] | None = None
     events: Callable[[Request], int] = lambda request: EVENTS
     event_s: float = EVENT_S
@@ -151,13 +153,16 @@
         headers["yewloom-server-stamp"] = self.name
         last = int(request.headers.get("last-event-id", "0"))
         return StreamingResponse(
-            self._events(last, self.events(request)),
+            self._events(request, last),
             headers=headers,
             media_type="text/event-stream",
         )
 
-    async def _events(self, last: int, events: int) -> AsyncIterator[bytes]:
+    async def _events(self, request: Request, last: int) -> AsyncIterator[bytes]:
+        events = self.events(request)
         for number in range(last + 1, events + 1):
             await self.moves.wait()
+            if number == events and self.on_whole is not None:
+                self.on_whole(request)
             yield b"id: %d\ndata: %d\n\n" % (number, number)
             await trio.sleep(self.event_s)
--- a/yewloom/tests/soak/callers.py
+++ b/yewloom/tests/soak/callers.py
@@ -90,6 +90,7 @@
             host_life=self._entry.life,
             sent_s=trio.current_time(),
             events=events,
+            deadline_s=deadline_s(kind),
         )
         self._ledger.sent[request_id] = sent
         patience_s = self._rng.choice(PATIENCES_S)
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -66,6 +66,10 @@
                 detail = f"{name} was never ready in {key}"
                 self._ledger.note_broken("partial", noted.request_id, detail)
 
+    def on_whole(self, request: Request) -> None:
+        """Note that an engine made the last event of an answer."""
+        self._ledger.note_whole(request.headers["yewloom-request-id"])
+
     def on_join(self, engine: StandinEngine, order: dict[str, object]) -> None:
         """Check that the head of the group which an engine leaves by a join serves no more."""
         old = engine.group
@@ -123,6 +127,7 @@
         noted = ran(request, self.name, body)
         self._ledger.note_run(noted)
         await trio.sleep(PLAIN_WORK_S)
+        self._ledger.note_whole(noted.request_id)
         headers["yewloom-server-stamp"] = self.name
         if self._rng.random() < FAILED_SHARE:
             return Response(b"failed", status_code=500, headers=headers)
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -195,6 +195,7 @@
         engine = StandinEngine(name, "", ENGINES, domain, "hall-a", self.store)
         watch = EngineWatch(self.ledger, self._known_engines)
         engine.on_run, engine.on_join = watch.on_run, watch.on_join
+        engine.on_whole = watch.on_whole
         engine.events, engine.event_s = events_wanted, EVENT_S
         self._known_engines.append(engine)
         link = await self._open_link(await self._serve(engine.application()))
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -3,6 +3,7 @@
 A request is one attempt of a caller, under its own id. Times are seconds of the soak's clock.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -29,6 +30,14 @@
 GRACE_S = 8.0
 """Time from the request to stop until a process is killed; from the platform's pages."""
 
+LAST_WORK_S = GRACE_S * 5 / 6
+"""Time after SIGTERM from which work that an endpoint has not ended may be cut off; from the
+platform's pages: the last sixth of the grace."""
+
+ANSWER_MARGIN_S = 0.05
+"""Time before a deadline from which an end counts as the deadline's: a host gives requests up some
+40 ms before it, so that the caller still hears it."""
+
 STREAM_EVENTS = 5
 """Events of a whole stream of the shorter kind."""
 
@@ -57,6 +66,8 @@
 class Sent:
     """A request as its caller sent it; ``key_version`` is the configuration that brought its key.
 
+    ``deadline_s`` is the time that the host was given for an answer.
+
     ``host_life`` names the process that was asked, ``is_on_kept`` tells whether on a connection
     that was open before, and ``has_left`` that the caller left when its deadline passed.
     """
@@ -73,6 +84,7 @@
     events: int = STREAM_EVENTS
     is_on_kept: bool = True
     has_left: bool = False
+    deadline_s: float = math.inf
     status: int | None = None
     stamp: str = ""
     answer: bytes = b""
@@ -105,6 +117,7 @@
 
     sent: dict[str, Sent] = field(default_factory=dict)
     runs: dict[str, list[Ran]] = field(default_factory=lambda: defaultdict(list))
+    whole: set[str] = field(default_factory=set)
     removed_s: dict[int, float] = field(default_factory=dict)
     broken: list[Broken] = field(default_factory=list)
     planned_stops: dict[str, float] = field(default_factory=dict)
@@ -137,6 +150,10 @@
             age_s = sent.sent_s - removed_s
             self.note_broken("revoked", ran.request_id, f"key gone for {age_s:.2f} s")
 
+    def note_whole(self, request_id: str) -> None:
+        """Take in that an endpoint has made the whole answer to a request."""
+        self.whole.add(request_id)
+
     def check(self) -> list[Broken]:
         """Return all promises that were broken so far."""
         found = list(self.broken)
@@ -229,8 +246,20 @@
             return False
         if self._is_disturbed(sent.sent_s, sent.ended_s) or not self.runs.get(sent.request_id):
             return False
+        if _has_reached_deadline(sent) or self._is_late_work(sent, stopped_s):
+            return False
         return sent.status is None or (sent.status == 200 and not sent.is_whole)
 
+    def _is_late_work(self, sent: Sent, stopped_s: float) -> bool:
+        """Tell whether an endpoint was still at work in the last part of a stop's grace.
+
+        That excuses requests of the notice alone, and none whose answer the endpoint had made.
+        """
+        assert sent.ended_s is not None
+        is_in_notice = sent.sent_s <= stopped_s + NOTICE_S + NOTICE_SLACK_S
+        is_in_last_part = sent.ended_s >= stopped_s + LAST_WORK_S
+        return is_in_notice and is_in_last_part and sent.request_id not in self.whole
+
     def _is_disturbed(self, from_s: float, to_s: float) -> bool:
         return any(_overlaps(span, from_s, to_s) for span in self.disturbances)
 
@@ -246,6 +275,12 @@
     return span.begin_s < to_s and span.end_s > from_s
 
 
+def _has_reached_deadline(sent: Sent) -> bool:
+    """Tell whether a request ended when its time had run out."""
+    assert sent.ended_s is not None
+    return sent.ended_s >= sent.sent_s + sent.deadline_s - ANSWER_MARGIN_S
+
+
 def _newest_version_before(sent: Sent, accepted: Iterable[Sent]) -> int:
     """Return the newest version whose key was accepted some time before a request; 0 if none."""
     return max(
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -24,6 +24,7 @@
 from yewloom.tests.soak.ledger import (
     CROSSING_S,
     GRACE_S,
+    LAST_WORK_S,
     NOTICE_S,
     NOTICE_SLACK_S,
     REGRESSION_S,
@@ -170,6 +171,32 @@
         self.ledger.disturbances.append(Disturbance(0.0, 1.05))
         self.assertEqual(self._promises(), [])
 
+    def _add_cut_off(self, after_stop_s: float, took_s: float) -> None:
+        """Add a stream that was cut off; its host was asked to stop at 1 s."""
+        self.setUp()
+        sent = replace(_sent("a", Kind.STREAM, 1.0 + after_stop_s), is_whole=False, deadline_s=6.0)
+        sent.ended_s = sent.sent_s + took_s
+        self._add(sent)
+        self.ledger.planned_stops["e/1"] = 1.0
+
+    def test_a_stop_that_cuts_a_request_off_at_its_deadline(self) -> None:
+        self._add_cut_off(after_stop_s=0.32, took_s=5.9)
+        self.assertEqual(self._promises(), ["lost"])
+        self._add_cut_off(after_stop_s=0.32, took_s=5.96)
+        self.assertEqual(self._promises(), [])
+
+    def test_a_stop_that_cuts_work_off_in_the_last_part_of_its_grace(self) -> None:
+        in_time_s = LAST_WORK_S - 2.1
+        self._add_cut_off(after_stop_s=2.1, took_s=in_time_s - 0.1)
+        self.assertEqual(self._promises(), ["lost"])
+        self._add_cut_off(after_stop_s=2.1, took_s=in_time_s + 0.1)
+        self.assertEqual(self._promises(), [])
+        self.ledger.note_whole("a")
+        self.assertEqual(self._promises(), ["lost"])
+        late_s = NOTICE_S + NOTICE_SLACK_S + 0.1
+        self._add_cut_off(after_stop_s=late_s, took_s=LAST_WORK_S - late_s + 0.1)
+        self.assertEqual(self._promises(), ["lost", "late"])
+
     def test_a_stop_that_takes_a_request_after_its_notice(self) -> None:
         self.ledger.planned_stops["e/1"] = 1.0
         late_s = 1.0 + NOTICE_S + NOTICE_SLACK_S
