--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -24,6 +24,7 @@
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
+from yewloom.key_trust import KeyTrust
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_intake import PeerIntake
 from yewloom.planned_stop import PlannedStop
@@ -102,7 +103,7 @@
             retries,
             EndpointAttempts(parts.codec, self._selector, self._stalls, self._metrics),
             self._metrics,
-            bounds.key_revocation_ms / 1000,
+            KeyTrust(self._book, bounds.key_revocation_ms / 1000, bounds.keys_need_proof),
             lambda: self._directory.is_known,
             self._stop_plan,
         )
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -17,6 +17,7 @@
 from yewloom.endpoint_calls import Header
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, Refusal
+from yewloom.key_trust import KeyTrust
 from yewloom.planned_stop import PlannedStop
 from yewloom.request_admission import RequestAdmission
 from yewloom.retry_window import RetryWindow
@@ -61,7 +62,7 @@
         retries: RetryWindow,
         attempts: Attempts,
         metrics: ForwardMetrics,
-        key_revocation_s: float,
+        key_trust: KeyTrust,
         is_ready: Callable[[], bool],
         stop: PlannedStop,
     ) -> None:
@@ -73,7 +74,7 @@
         self._stop = stop
         self._durations = RouteDurations()
         self._timers: dict[trio.CancelScope, None] = {}  # In the order in which they began.
-        self._admission = RequestAdmission(book, codec, selector, key_revocation_s, is_ready)
+        self._admission = RequestAdmission(book, codec, selector, key_trust, is_ready)
 
     async def handle(self, source: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
--- a/yewloom/peer_intake.py
+++ b/yewloom/peer_intake.py
@@ -57,6 +57,7 @@
 
     def _take_configuration_word(self, word: ConfigurationWord) -> None:
         current = self._book.current
+        self._book.note_version(word.version)
         if current is None:
             return
         if word.version == current.version:
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -9,14 +9,10 @@
 from yewloom.event_stream import StreamCursor
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.ids import CustomerId
+from yewloom.key_trust import KeyTrust
 from yewloom.routes import Route
 from yewloom.selection import Selector, Wanted
 
-KEY_AGE_SHARE = 0.76
-"""Part of the time allowed for taking keys away after which this host, having no proof that its
-configuration is current, refuses keyed requests. Of 5 s, 1.2 s are left: a watch may hear nothing
-for a second before it is cut, and the request has some milliseconds to go."""
-
 ANSWER_MARGIN_S = 0.04
 """Time before the deadline at which a request is given up, so that the caller still hears it."""
 
@@ -35,13 +31,13 @@
         book: ConfigurationBook,
         codec: HeaderCodec,
         selector: Selector,
-        key_revocation_s: float,
+        key_trust: KeyTrust,
         is_ready: Callable[[], bool],
     ) -> None:
         self._book = book
         self._codec = codec
         self._selector = selector
-        self._max_key_age_s = key_revocation_s * KEY_AGE_SHARE
+        self._key_trust = key_trust
         self._is_ready = is_ready
 
     def marks(self, source: CallerRequest) -> RequestMarks:
@@ -56,34 +52,37 @@
         configuration = self._book.current
         if configuration is None or not self._is_ready():
             raise Refusal(503, "no configuration yet", NOT_READY_RETRY_AFTER_S)
-        age_s = self._book.age_s(source.arrived_s)
-        route = self._find_route(configuration, marks.host, source.path, age_s)
+        route = self._find_route(configuration, marks.host, source)
         customer = None
         if configuration.asks_for_keys and not route.is_open:
-            customer = self._find_customer(configuration, marks.api_key or "", age_s)
+            customer = self._find_customer(configuration, marks.api_key or "", source)
         return self._build(source, reply, marks, configuration, route, customer)
 
-    def _find_route(
-        self, configuration: Configuration, host: str, path: str, age_s: float
-    ) -> Route:
-        route = configuration.routes.find(host, path)
-        if route is not None:
-            return route
-        if self._is_fresh(age_s):
-            raise Refusal(404, "no such route")
-        raise Refusal(503, f"configuration {age_s:.1f} s old", NOT_READY_RETRY_AFTER_S)
+    def _find_route(self, configuration: Configuration, host: str, source: CallerRequest) -> Route:
+        route = configuration.routes.find(host, source.path)
+        if route is None:
+            raise self._refusal_of_unknown(404, "no such route", source)
+        return route
 
-    def _find_customer(self, configuration: Configuration, key: str, age_s: float) -> CustomerId:
-        if not self._is_fresh(age_s):
-            raise Refusal(503, f"keys {age_s:.1f} s old", NOT_READY_RETRY_AFTER_S)
+    def _find_customer(
+        self, configuration: Configuration, key: str, source: CallerRequest
+    ) -> CustomerId:
+        if not self._key_trust.may_accept(source.arrived_s):
+            raise self._unproved("keys", source)
         customer = configuration.customers.get(key)
         if customer is None:
-            raise Refusal(401, "unknown key")
+            raise self._refusal_of_unknown(401, "unknown key", source)
         return customer
 
-    def _is_fresh(self, age_s: float) -> bool:
-        """Tell whether a configuration of this age is recent enough to judge keys by."""
-        return age_s <= self._max_key_age_s
+    def _refusal_of_unknown(self, status: int, reason: str, source: CallerRequest) -> Refusal:
+        """Return a refusal for good, or one for now if a newer configuration may know better."""
+        if self._key_trust.may_refuse(source.arrived_s):
+            return Refusal(status, reason)
+        return self._unproved(f"{reason}; configuration", source)
+
+    def _unproved(self, what: str, source: CallerRequest) -> Refusal:
+        age_s = self._book.age_s(source.arrived_s)
+        return Refusal(503, f"{what} {age_s:.1f} s old", NOT_READY_RETRY_AFTER_S)
 
     def _build(
         self,
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -17,6 +17,7 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
 from yewloom.ids import EntryHostId
+from yewloom.key_trust import KeyTrust
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform.headers import WireHeaders
 from yewloom.retry_window import RetryWindow
@@ -145,7 +146,7 @@
             RetryWindow(0.2, 10.0, lambda: 10.0),
             EndpointAttempts(codec, self.selector, StallDetector(), metrics),
             metrics,
-            5.0,
+            KeyTrust(self.book, 5.0, needs_proof=True),
             lambda: True,
             self.stop,
         )
--- /dev/null
+++ b/yewloom/tests/test_key_trust.py
@@ -0,0 +1,93 @@
+"""Tests of whom a host serves during an outage of the store that outlasts its proofs.
+
+The load is that of an outage of 11 s, the longest of the trial deployments, in which callers go on
+asking with known and unknown keys while hosts start, and other hosts may hear of changes.
+"""
+
+import unittest
+from random import Random
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.caller_messages import CallerRequest, Reply
+from yewloom.configuration import ConfigurationBook
+from yewloom.directory import EndpointDirectory
+from yewloom.entry_states import PeerBoard
+from yewloom.forward_request import Refusal
+from yewloom.ids import EntryHostId
+from yewloom.key_trust import PROOF_SHARE, KeyTrust
+from yewloom.platform.headers import WireHeaders
+from yewloom.request_admission import RequestAdmission
+from yewloom.routes import RouteKind
+from yewloom.selection import Selector
+from yewloom.tests.entry_support import ENGINES, HALL, make_configuration, make_route
+
+REVOCATION_S = 5.0
+OUTAGE_S = 11.0
+STATUS_OF_ADMITTED = 200
+
+
+class Host:
+    """The admission of a host that read a configuration at 0 s, if any, and nothing since."""
+
+    def __init__(self, needs_proof: bool, has_configuration: bool = True) -> None:
+        self.book = ConfigurationBook()
+        if has_configuration:
+            route = make_route(RouteKind.STREAM, "/s/", ENGINES)
+            self.book.apply(make_configuration(route), 0.0)
+        trust = KeyTrust(self.book, REVOCATION_S, needs_proof)
+        board = PeerBoard(EntryHostId("me"), HALL)
+        selector = Selector(EndpointDirectory(), HALL, board, Random(1))
+        self._admission = RequestAdmission(self.book, WireHeaders(), selector, trust, lambda: True)
+
+    def status(self, at_s: float, key: str = "k1", path: str = "/s/1") -> int:
+        """Return how a request is answered that comes at some time."""
+        headers = [(b"host", b"x.example"), (b"authorization", f"Token {key}".encode())]
+        headers.append((b"yewloom-request-id", b"r1"))
+        source = CallerRequest(b"POST", path.encode(), headers, b"", at_s, 1, None)
+        try:
+            self._admission.admit(source, mock.Mock(Reply), self._admission.marks(source))
+        except Refusal as refusal:
+            return refusal.status
+        return STATUS_OF_ADMITTED
+
+
+class TestOutage(unittest.TestCase):
+    """Who is served while no proof comes."""
+
+    def test_a_strict_host_refuses_keys_once_its_proof_is_too_old(self) -> None:
+        host = Host(needs_proof=True)
+        self.assertEqual(host.status(REVOCATION_S * PROOF_SHARE), 200)
+        self.assertEqual(host.status(REVOCATION_S * PROOF_SHARE + 0.01), 503)
+
+    def test_another_host_serves_the_keys_last_known_through_the_outage(self) -> None:
+        host = Host(needs_proof=False)
+        for at_s in (0.0, REVOCATION_S, OUTAGE_S):
+            self.assertEqual(host.status(at_s), 200)
+
+    def test_a_host_that_hears_of_a_newer_configuration_refuses_keys_until_it_has_read_it(
+        self,
+    ) -> None:
+        host = Host(needs_proof=False)
+        host.book.note_version(4)
+        self.assertEqual(host.status(1.0), 200)
+        self.assertEqual(host.status(OUTAGE_S), 503)
+        route = make_route(RouteKind.STREAM, "/s/", ENGINES)
+        host.book.apply(make_configuration(route, version=4), 0.0)
+        self.assertEqual(host.status(OUTAGE_S), 200)
+
+    def test_a_host_that_starts_during_the_outage_refuses_for_now(self) -> None:
+        self.assertEqual(Host(needs_proof=False, has_configuration=False).status(1.0), 503)
+
+    @given(st.booleans(), st.floats(0.0, 100.0), st.booleans())
+    def test_what_is_not_known_is_refused_for_good_only_by_a_proved_configuration(
+        self, needs_proof: bool, at_s: float, is_outdated: bool
+    ) -> None:
+        host = Host(needs_proof)
+        if is_outdated:
+            host.book.note_version(4)
+        is_proved = at_s <= REVOCATION_S * PROOF_SHARE
+        self.assertEqual(host.status(at_s, key="k9"), 401 if is_proved else 503)
+        self.assertEqual(host.status(at_s, path="/none/"), 404 if is_proved else 503)
