--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -43,7 +43,8 @@
 class Endpoint:
     """An endpoint as the platform lists it.
 
-    ``staged`` are the models whose weights its host keeps.
+    ``models`` are those that it serves, or served in its last group; ``staged`` are the models
+    whose weights its host keeps.
     """
 
     id: HostId
@@ -56,6 +57,14 @@
     staged: frozenset[ModelName] = frozenset()
     membership: Membership | None = None
 
+    def is_prepared_for(self, model: ModelName) -> bool:
+        """Tell whether it can join a group of a model without a load.
+
+        An engine still holds the model of its last group, also when its host keeps the weights of
+        another one; joining a group of the same model takes it 0.2 s.
+        """
+        return model in self.staged or model in self.models
+
 
 class EndpointDirectory:
     """All listed endpoints, indexed by service and group."""
--- a/yewloom/group_exchanges.py
+++ b/yewloom/group_exchanges.py
@@ -22,7 +22,7 @@
 
     def hosts_to_load(self) -> list[Endpoint]:
         """Return the hosts that lack the weights."""
-        return [host for host in self.hosts if self.model.name not in host.staged]
+        return [host for host in self.hosts if not host.is_prepared_for(self.model.name)]
 
 
 class GroupExchanges:
@@ -67,12 +67,12 @@
                 hosts += members
         if len(hosts) < wanted.group_size or not given:
             return None
-        hosts.sort(key=lambda host: wanted.name not in host.staged)
+        hosts.sort(key=lambda host: not host.is_prepared_for(wanted.name))
         return GroupExchange(domain, wanted, given, hosts[: wanted.group_size])
 
     def _hosts_to_load(self, group: Group, wanted: ReplicaModel) -> int:
         return sum(
-            wanted.name not in member.staged for member in members_of(group, self._directory)
+            not member.is_prepared_for(wanted.name) for member in members_of(group, self._directory)
         )
 
 
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -1,7 +1,7 @@
 """Hosts for new groups: which group comes next, and which weights to load ahead.
 
-Loading takes far longer than anything else, so a group is formed only of hosts that keep its
-model's weights, and weights are loaded ahead onto free hosts, or onto hosts of a model that has
+Loading takes far longer than anything else, so a group is formed only of hosts that are prepared
+for its model, and weights are loaded ahead onto free hosts, or onto hosts of a model that has
 replicas to spare while they go on serving.
 """
 
@@ -148,14 +148,14 @@
         return None
 
     def _can_join(self, endpoint: Endpoint, model: ReplicaModel) -> bool:
-        return self._bounds.loads_are_free or model.name in endpoint.staged
+        return self._bounds.loads_are_free or endpoint.is_prepared_for(model.name)
 
     def _stage_domain(self, endpoints: Sequence[Endpoint], need: ModelNeed, now_s: float) -> None:
         model = _model_to_stage(endpoints, need)
         loading = [e for e in endpoints if self._loads.is_loading(e)]
         wanted = min(model.group_size, len(endpoints))
-        wanted -= sum(model.name in e.staged for e in endpoints) + len(loading)
-        idle = [e for e in endpoints if e not in loading and model.name not in e.staged]
+        wanted -= sum(e.is_prepared_for(model.name) or e in loading for e in endpoints)
+        idle = [e for e in endpoints if e not in loading and not e.is_prepared_for(model.name)]
         for endpoint in sorted(idle, key=lambda e: (bool(e.staged), e.id))[: max(0, wanted)]:
             self._loads.load(endpoint, model, now_s)
 
@@ -190,11 +190,11 @@
     """Return the model whose weights a domain's free hosts should have.
 
     That is the one that lacks replicas most, if the hosts are enough for a group of it, or if some
-    keep its weights already and wait for more hosts.
+    are prepared for it already and wait for more hosts.
     """
     by_need = need.order()
     for model in by_need:
-        has_weights = any(model.name in endpoint.staged for endpoint in endpoints)
-        if model.group_size <= len(endpoints) or has_weights:
+        is_begun = any(endpoint.is_prepared_for(model.name) for endpoint in endpoints)
+        if model.group_size <= len(endpoints) or is_begun:
             return model
     return by_need[0]
