--- a/yewloom/caller_headers.py
+++ b/yewloom/caller_headers.py
@@ -38,12 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Sending:
-    """What this system adds to a request on its way to an endpoint."""
+    """What this system adds to a request on its way to an endpoint.
+
+    ``urgency`` is that of a request for an engine, as in ``urgency``; None for other endpoints.
+    """
 
     endpoint: HostId
     customer: CustomerId | None
     deadline_ms: int
     last_event_id: int | None
+    urgency: int | None = None
 
 
 class HeaderCodec(Protocol):
--- a/yewloom/platform/headers.py
+++ b/yewloom/platform/headers.py
@@ -11,6 +11,7 @@
 _EXPECTED_ENDPOINT = b"yewloom-expect-instance"
 _CUSTOMER = b"yewloom-tenant"
 _MODEL = b"yewloom-model"
+_URGENCY = b"yewloom-request-priority"
 _NOT_RUN = b"yewloom-not-executed"
 _LAST_EVENT_ID = b"last-event-id"
 _KEY_SCHEME = b"Token "
@@ -26,7 +27,16 @@
         b"upgrade",
     }
 )
-_OURS = frozenset({b"authorization", _DEADLINE, _EXPECTED_ENDPOINT, _CUSTOMER, b"content-length"})
+_OURS = frozenset(
+    {
+        b"authorization",
+        _DEADLINE,
+        _EXPECTED_ENDPOINT,
+        _CUSTOMER,
+        _URGENCY,
+        b"content-length",
+    }
+)
 _MISDIRECTED_STATUS = 421
 
 
@@ -57,6 +67,8 @@
         passed.append((_EXPECTED_ENDPOINT, sending.endpoint.encode()))
         if sending.customer is not None:
             passed.append((_CUSTOMER, sending.customer.encode()))
+        if sending.urgency is not None:
+            passed.append((_URGENCY, str(sending.urgency).encode()))
         if sending.last_event_id is not None:
             passed.append((_LAST_EVENT_ID, str(sending.last_event_id).encode()))
         return passed
