--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -23,6 +23,7 @@
 from yewloom.forward_request import ForwardRequest, WholeAnswer
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
+from yewloom.urgency import urgency
 
 logger = structlog.get_logger(__name__)
 
@@ -130,14 +131,15 @@
                 self._stalls.on_end(endpoint.id)
 
     def _outgoing(self, request: ForwardRequest, endpoint: Endpoint) -> OutgoingRequest:
+        now_s, source, route = trio.current_time(), request.source, request.route
         resumes = request.cursor.has_events or request.marks.last_event_id > 0
         sending = Sending(
             endpoint=endpoint.id,
             customer=request.customer,
-            deadline_ms=max(1, request.left_ms(trio.current_time())),
+            deadline_ms=max(1, request.left_ms(now_s)),
             last_event_id=request.cursor.last_event_id if resumes else None,
+            urgency=None,
         )
-        source = request.source
         headers = self._codec.outgoing_headers(source.headers, sending)
         if source.body or source.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers.append((b"content-length", str(len(source.body)).encode()))
