--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -5,12 +5,12 @@
 close each connection behind an answer (docs/DESIGN.md).
 """
 
+import socket
 from collections.abc import Callable
 
 import structlog
 import trio
 
-from yewloom.addresses import split_address
 from yewloom.caller_activity import CallerActivity
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import CallerGoneError, Handlers
@@ -18,9 +18,6 @@
 
 logger = structlog.get_logger(__name__)
 
-LISTEN_BACKLOG = 512
-"""Connections that may wait to be accepted; a full queue costs a caller seconds."""
-
 
 class CallerServer:
     """Accepts callers' connections and hands their requests to handlers."""
@@ -32,11 +29,10 @@
         self._accepting = trio.CancelScope()
 
     async def serve(
-        self, address: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        self, listener: socket.socket, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept connections until cancelled; those that are open then are cancelled too."""
-        host, port = split_address(address)
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+        listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
         task_status.started()
         async with trio.open_nursery() as connections:
             with self._accepting:
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -10,6 +10,7 @@
 from yewloom.caller_headers import HeaderCodec, Sending
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import (
+    CONNECT_TIMEOUT_S,
     AnswerHead,
     Exchange,
     ExchangeError,
@@ -21,18 +22,15 @@
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, WholeAnswer
+from yewloom.reachability import Reachability
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
 from yewloom.urgency import urgency
 
 logger = structlog.get_logger(__name__)
 
-CONNECT_TIMEOUT_S = 0.25
-"""Longest wait for a connection: one way between data centres takes at most 1.4 ms on the trial
-deployments, and a lost opening packet is sent again only after a second."""
-
-AVOID_UNREACHABLE_S = 1.0
-"""Time for which an endpoint that can't be reached, or broke off, gets nothing new."""
+AVOID_BROKEN_S = 1.0
+"""Time for which an endpoint that broke off gets nothing new."""
 
 AVOID_FULL_S = 0.15
 """Time for which an endpoint that said it is full gets nothing new: a few of its batches."""
@@ -63,8 +61,10 @@
         selector: Selector,
         stalls: StallDetector,
         metrics: ForwardMetrics,
+        reachability: Reachability,
     ) -> None:
         self._codec = codec
+        self._reachability = reachability
         self._selector = selector
         self._stalls = stalls
         self._metrics = metrics
@@ -101,10 +101,17 @@
     def _note_failure(
         self, request: ForwardRequest, endpoint: Endpoint, error: ExchangeError
     ) -> str:
+        now_s = trio.current_time()
         if not error.is_sent:
             request.record.note(endpoint.id, AttemptState.NOTHING_SENT)
-        if error.failure is not ExchangeFailure.UNREADABLE:
-            self._avoid_and_report(endpoint, AVOID_UNREACHABLE_S)
+        match error.failure:
+            case ExchangeFailure.NOT_CONNECTED:
+                self._reachability.on_failure(endpoint, now_s)
+                self._stalls.report(endpoint.id, now_s)
+            case ExchangeFailure.BROKEN:
+                self._avoid_and_report(endpoint, AVOID_BROKEN_S)
+            case ExchangeFailure.UNREADABLE:
+                pass  # It says nothing of other requests: one answer was wrong.
         return str(error)
 
     def _avoid_and_report(self, endpoint: Endpoint, avoid_s: float) -> None:
@@ -115,6 +122,7 @@
 
     async def _exchange(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
         async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
+            self._reachability.on_connected(endpoint, trio.current_time())
             request.record.note(endpoint.id, AttemptState.SENT)
             await exchange.send(self._outgoing(request, endpoint))
             if not request.route.is_stream:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -1,6 +1,7 @@
 """One entry host on the users' platform: wires its parts and runs them until a planned stop."""
 
 import random
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -13,7 +14,9 @@
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
+from yewloom.early_listener import listen
 from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
+from yewloom.endpoint_probes import EndpointProbes
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
@@ -30,6 +33,7 @@
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
+from yewloom.reachability import Reachability
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.retry_window import RetryWindow
 from yewloom.schema.entry_pb2 import EntrySettings
@@ -39,6 +43,13 @@
 
 logger = structlog.get_logger(__name__)
 
+FIRST_KNOWLEDGE_S = 0.5
+"""Longest time for which a host that has started lets callers wait for its first configuration: as
+long as it would tell them to stay away, which costs them a try."""
+
+FIRST_LOOK_S = 0.01
+"""Pause between two looks for it: the store answers two calls in some 10 ms."""
+
 TASK_PAUSE_S = 0.5
 """Pause before a task that failed is begun anew."""
 
@@ -52,8 +63,10 @@
         parts: PlatformParts,
         metrics: ForwardMetrics,
         rng: random.Random,
+        listener: socket.socket | None = None,
     ) -> None:
         self._settings = settings
+        self._listener = listener
         self._parts = parts
         self._metrics = metrics
         self._book = ConfigurationBook()
@@ -69,7 +82,10 @@
         host_id, data_centre = self._me.host_id, self._me.data_centre
         self._board = PeerBoard(host_id, data_centre, self._me.started_unix_ms)
         self._duty = FollowDuty(host_id, data_centre, self._board, self._standing, rng.random())
-        self._selector = Selector(self._directory, data_centre, self._board, rng)
+        self._reachability = Reachability(self._directory)
+        self._selector = Selector(
+            self._directory, data_centre, self._board, rng, self._reachability
+        )
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(
             Handlers(self._handle, self._forwarder.refuse), self._caller_limits
@@ -101,7 +117,9 @@
             parts.codec,
             self._selector,
             retries,
-            EndpointAttempts(parts.codec, self._selector, self._stalls, self._metrics),
+            EndpointAttempts(
+                parts.codec, self._selector, self._stalls, self._metrics, self._reachability
+            ),
             self._metrics,
             KeyTrust(self._book, bounds.key_revocation_ms / 1000, bounds.keys_need_proof),
             lambda: self._directory.is_known,
@@ -199,21 +217,36 @@
     async def _start(self, nursery: trio.Nursery) -> None:
         """Open the servers, then begin the tasks that go on beside them."""
         host = self._settings.host
-        await nursery.start(self._callers.serve, host.caller_address)
-        await nursery.start(self._readiness.serve, host.readiness_address)
+        listener = self._listener or _listen(host.caller_address)
+        nursery.start_soon(self._serve_callers, listener)
+        await nursery.start(self._readiness.serve, _listen(host.readiness_address))
         if host.metrics_port:
             ip, _ = split_address(host.caller_address)
-            await nursery.start(self._metrics_server.serve, f"{ip}:{host.metrics_port}")
+            metrics_listener = listen(ip, host.metrics_port)
+            await nursery.start(self._metrics_server.serve, metrics_listener)
         tasks = [
             self._configuration_follower.run,
             self._endpoint_follower.run,
             self._endpoint_intake.drop_lapsed,
+            EndpointProbes(self._reachability).run,
             self._exchange.run,
             self._coordinator.run,
         ]
         for task in tasks:
             nursery.start_soon(_keep_running, task)
 
+    async def _serve_callers(self, listener: socket.socket) -> None:
+        """Serve callers once this host knows whom to send them to, or soon in any case."""
+        with trio.move_on_after(FIRST_KNOWLEDGE_S):
+            while not self._knows_all:  # noqa: ASYNC110 - known by two parts
+                await trio.sleep(FIRST_LOOK_S)
+        await self._callers.serve(listener)
+
+    @property
+    def _knows_all(self) -> bool:
+        """Tell whether the configuration and the endpoints are known."""
+        return self._book.current is not None and self._directory.is_known
+
     def _endpoint_pause_s(self) -> float:
         """Return how long changes of endpoints are gathered; a coordinator waits for them."""
         store = self._settings.store
@@ -247,8 +280,7 @@
         await self._forwarder.handle(request, reply)
 
     async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
-        is_known = self._book.current is not None and self._directory.is_known
-        is_ready = is_known and not self._stop_plan.is_begun
+        is_ready = self._knows_all and not self._stop_plan.is_begun
         await reply.send_whole(200 if is_ready else 503, [], b"")
 
     async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
@@ -256,6 +288,10 @@
         await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
 
 
+def _listen(address: str) -> socket.socket:
+    return listen(*split_address(address))
+
+
 async def _keep_running(task: Callable[[], Awaitable[None]]) -> None:
     """Run a task until cancelled; begin it anew after an error that nobody foresaw."""
     while True:
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -1,7 +1,7 @@
 """The program of an entry host on the users' platform: settings, logs, wiring and the loop."""
 
-import os
 import random
+import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -25,9 +25,6 @@
 
 logger = structlog.get_logger(__name__)
 
-SETTINGS_VARIABLE = "YEWLOOM_BOOT"
-"""Environment variable that names the settings file; set by the platform."""
-
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a connection to the store or to an engine that is given an order."""
 
@@ -52,11 +49,13 @@
     )
 
 
-def main(end: Callable[[int], None]) -> int:
-    """Run an entry host; return the exit code, unless a planned stop has called ``end`` with it."""
+def main(path: Path, listener: socket.socket | None, end: Callable[[int], None]) -> int:
+    """Run an entry host with a settings file; ``listener`` is its socket for callers, if open.
+
+    Return the exit code, unless a planned stop has called ``end`` with it.
+    """
     signals = ProcessSignals()
     signals.listen()
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     metrics = ForwardMetrics()
     sink = LogSink(sys.stdout.fileno(), metrics.on_log_line_lost)
     match read_entry_settings(path):
@@ -68,7 +67,7 @@
             pass
     set_up_logs(settings.host.log_level, sink, settings.host.id)
     rng = random.Random()
-    host = EntryHost(settings, build_parts(settings, rng), metrics, rng)
+    host = EntryHost(settings, build_parts(settings, rng), metrics, rng, listener)
 
     def end_process() -> None:
         sink.flush()
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -9,6 +9,7 @@
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
+from yewloom.reachability import Reachability
 from yewloom.routes import Route
 
 REMOTE_PENALTY = 0.25
@@ -47,8 +48,10 @@
         data_centre: DataCentreId,
         peers: PeerBoard,
         rng: random.Random,
+        reachability: Reachability | None = None,
     ) -> None:
         self._directory = directory
+        self._reachability = reachability or Reachability(directory)
         self._peers = peers
         self._data_centre = data_centre
         self._rng = rng
@@ -76,7 +79,7 @@
         for endpoint, penalty in self._candidates(wanted, engine):
             if endpoint.id in tried:
                 continue
-            if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+            if self._is_avoided(endpoint, now_s):
                 penalty += AVOIDED_PENALTY
             score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
             if score < best_score:
@@ -109,6 +112,11 @@
         """Return how many requests this host and its peers run at each endpoint."""
         return Counter(self._running) + Counter(self._peers.loads())
 
+    def _is_avoided(self, endpoint: Endpoint, now_s: float) -> bool:
+        if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+            return True
+        return self._reachability.is_avoided(endpoint)
+
     def _candidates(
         self, wanted: Wanted, engine: EngineProfile | None
     ) -> Iterator[tuple[Endpoint, float]]:
--- a/yewloom/tests/entry_support.py
+++ b/yewloom/tests/entry_support.py
@@ -97,11 +97,12 @@
     generation: int = 1,
     domain: str = "d1",
     staged: ModelName | None = None,
+    data_centre: DataCentreId = HALL,
 ) -> GroupKey:
     """List engines as the members of a group; the first one leads."""
     key = GroupKey(GroupId(group), generation)
     for rank, name in enumerate(names):
         shown = state if rank == 0 or state is not MemberState.OPEN else MemberState.READY
         member = Membership(key, rank, shown)
-        directory.put(make_engine(name, domain, staged or model, member, model))
+        directory.put(make_engine(name, domain, staged or model, member, model, data_centre))
     return key
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -20,6 +20,7 @@
 from yewloom.key_trust import KeyTrust
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform.headers import WireHeaders
+from yewloom.reachability import Reachability
 from yewloom.retry_window import RetryWindow
 from yewloom.routes import Route, RouteKind
 from yewloom.selection import Selector
@@ -134,9 +135,9 @@
     def __init__(self, configuration: Configuration | None = None) -> None:
         self.book = ConfigurationBook()
         self.directory = EndpointDirectory()
-        self.selector = Selector(
-            self.directory, HALL, PeerBoard(EntryHostId("me"), HALL), random.Random(1)
-        )
+        reachability = Reachability(self.directory)
+        board = PeerBoard(EntryHostId("me"), HALL)
+        self.selector = Selector(self.directory, HALL, board, random.Random(1), reachability)
         codec, metrics = WireHeaders(), ForwardMetrics()
         self.stop, self.metrics = PlannedStop(GRACE_S), metrics
         self.forwarder = Forwarder(
@@ -144,7 +145,7 @@
             codec,
             self.selector,
             RetryWindow(0.2, 10.0, lambda: 10.0),
-            EndpointAttempts(codec, self.selector, StallDetector(), metrics),
+            EndpointAttempts(codec, self.selector, StallDetector(), metrics, reachability),
             metrics,
             KeyTrust(self.book, 5.0, needs_proof=True),
             lambda: True,
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -5,9 +5,11 @@
 import trio
 import trio.testing
 
+from yewloom.addresses import split_address
 from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
+from yewloom.early_listener import listen
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, OutgoingRequest, open_exchange
 from yewloom.tests.free_ports import free_address
 
@@ -31,7 +33,7 @@
 
         server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
         async with trio.open_nursery() as nursery:
-            await nursery.start(server.serve, address)
+            await nursery.start(server.serve, listen(*split_address(address)))
             async with open_exchange(address, 1.0) as exchange:
                 await exchange.send(REQUEST)
                 await asked.wait()
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -4,7 +4,7 @@
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable, Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -13,6 +13,7 @@
 
 import trio
 
+from yewloom.addresses import split_address
 from yewloom.tests.soak.balancer import Balancer
 from yewloom.tests.soak.callers import Caller
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, configuration
@@ -174,6 +175,17 @@
         await trio.sleep(LOOK_S)
 
 
+async def _wait_until_it_listens(entry: EntryProcess) -> None:
+    """Wait until a process lets callers connect."""
+    host, port = split_address(entry.caller_address)
+    while True:
+        assert entry.is_running, _end_of(entry)
+        with suppress(OSError):
+            await trio.aclose_forcefully(await trio.open_tcp_stream(host, port))
+            return
+        await trio.sleep(LOOK_S)
+
+
 async def _start_anew(entry: EntryProcess) -> None:
     """Kill a process and start it again with an empty log."""
     entry.signal(signal.SIGKILL)
@@ -222,6 +234,16 @@
             entry.signal(signal.SIGHUP)
             await trio.sleep(LOOK_S)
 
+    def test_a_caller_that_connects_while_the_host_starts_is_answered(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            await _start_anew(entry)
+            await _wait_until_it_listens(entry)
+            self.assertNotIn('"event": "started"', entry.log.read_text())
+            self.assertTrue(_is_served(await world.ask(entry)))
+
+        run(test)
+
     def test_more_signals_beside_a_stop_change_nothing(self) -> None:
         hang_up, stop = signal.SIGHUP, signal.SIGTERM
         series = [(stop, stop), (stop, hang_up), (hang_up, stop), (stop, hang_up, stop, hang_up)]
--- /dev/null
+++ b/yewloom/tests/test_reachability.py
@@ -0,0 +1,153 @@
+"""Tests of where requests go while a data centre is cut off, and while single endpoints crash.
+
+The pattern is a cut of one of three data centres for 5 s, of which clients on the other side go on
+sending 13 requests a second to each of their hosts, a third of them meant for the lost endpoints.
+"""
+
+import random
+import unittest
+from collections.abc import Container
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.directory import Endpoint, EndpointDirectory
+from yewloom.entry_states import PeerBoard
+from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.reachability import (
+    CUT_PROBE_PAUSE_S,
+    ENDPOINTS_OF_A_CUT,
+    FAILURE_COUNTS_S,
+    PROBE_PAUSE_S,
+    Reachability,
+)
+from yewloom.selection import Selector, Wanted
+from yewloom.tests.entry_support import ENGINES, HALL, SMALL, make_configuration, put_group
+
+HALLS = (HALL, DataCentreId("hall-b"), DataCentreId("hall-c"))
+CUT_OFF = HALLS[2]
+HEADS_OF_A_HALL = 6
+CUT_S = 5.0
+REQUESTS_PER_S = 13
+CONNECT_LIMIT_S = 0.25
+CONFIGURATION = make_configuration()
+WANTED = Wanted(ENGINES, SMALL)
+
+
+class Host:
+    """A host that chooses endpoints of three data centres, and learns from its connections."""
+
+    def __init__(self) -> None:
+        self.directory = EndpointDirectory()
+        self.reachability = Reachability(self.directory)
+        board = PeerBoard(EntryHostId("me"), HALL)
+        rng = random.Random(1)
+        self.selector = Selector(self.directory, HALL, board, rng, self.reachability)
+        for hall in HALLS:
+            for number in range(HEADS_OF_A_HALL):
+                names = [f"{hall}-{number}-{rank}" for rank in (0, 1)]
+                put_group(self.directory, f"{hall}-{number}", SMALL, names, data_centre=hall)
+
+    def choose(self, now_s: float, tried: Container[HostId] = ()) -> Endpoint:
+        """Return the endpoint that a request gets."""
+        chosen = self.selector.choose(WANTED, CONFIGURATION, tried, now_s)
+        assert chosen is not None
+        return chosen
+
+    def head(self, hall: DataCentreId, number: int) -> Endpoint:
+        """Return a leader."""
+        return self.directory.by_id[HostId(f"{hall}-{number}-0")]
+
+    def lose(self, hall: DataCentreId, *numbers: int, now_s: float = 0.0) -> None:
+        """Fail to connect to some leaders."""
+        for number in numbers:
+            self.reachability.on_failure(self.head(hall, number), now_s)
+
+
+class TestCut(unittest.TestCase):
+    """A data centre that is cut off."""
+
+    def setUp(self) -> None:
+        self.host = Host()
+
+    def test_through_a_cut_two_requests_wait_for_a_connection(self) -> None:
+        waited = 0
+        pending: list[tuple[float, Endpoint]] = []
+        for number in range(int(CUT_S * REQUESTS_PER_S)):
+            now_s = number / REQUESTS_PER_S
+            while pending and pending[0][0] <= now_s:
+                failed_s, endpoint = pending.pop(0)
+                self.host.reachability.on_failure(endpoint, failed_s)
+            for endpoint in self.host.reachability.take_due_probes(now_s):
+                self.assertEqual(endpoint.data_centre, CUT_OFF)  # It fails as the requests do.
+            endpoint = self.host.choose(now_s)
+            self.host.selector.begin(endpoint.id)
+            if endpoint.data_centre == CUT_OFF:
+                waited += 1
+                self.host.selector.end(endpoint.id)
+                pending.append((now_s + CONNECT_LIMIT_S, endpoint))
+        self.assertGreater(waited, 0)
+        self.assertLessEqual(waited, REQUESTS_PER_S * CONNECT_LIMIT_S + ENDPOINTS_OF_A_CUT)
+
+    def test_one_lost_endpoint_leaves_the_others_in_use(self) -> None:
+        self.host.lose(CUT_OFF, 0)
+        self.assertFalse(self.host.reachability.is_cut_off(CUT_OFF))
+        self.assertTrue(self.host.reachability.is_avoided(self.host.head(CUT_OFF, 0)))
+        self.assertFalse(self.host.reachability.is_avoided(self.host.head(CUT_OFF, 1)))
+
+    def test_two_that_fail_long_after_each_other_are_no_cut(self) -> None:
+        self.host.lose(CUT_OFF, 0)
+        self.host.lose(CUT_OFF, 1, now_s=FAILURE_COUNTS_S + 0.1)
+        self.assertFalse(self.host.reachability.is_cut_off(CUT_OFF))
+
+    def test_a_domain_that_goes_dark_is_no_cut_once_another_endpoint_answers_a_probe(self) -> None:
+        self.host.lose(CUT_OFF, 0, 1)
+        self.assertTrue(self.host.reachability.is_avoided(self.host.head(CUT_OFF, 5)))
+        probed = self.host.reachability.take_due_probes(0.0)
+        lost = {self.host.head(CUT_OFF, number).id for number in (0, 1)}
+        self.assertTrue(lost.isdisjoint(endpoint.id for endpoint in probed))
+        self.host.reachability.on_connected(probed[0], 0.01)
+        self.assertFalse(self.host.reachability.is_avoided(self.host.head(CUT_OFF, 5)))
+        self.assertTrue(self.host.reachability.is_avoided(self.host.head(CUT_OFF, 0)))
+
+    def test_the_end_of_a_cut_is_seen_by_the_next_round_of_probes(self) -> None:
+        self.host.lose(CUT_OFF, 0, 1)
+        self.host.reachability.take_due_probes(0.0)
+        self.assertEqual(self.host.reachability.take_due_probes(CUT_PROBE_PAUSE_S / 2), [])
+        for endpoint in self.host.reachability.take_due_probes(CUT_PROBE_PAUSE_S):
+            self.host.reachability.on_connected(endpoint, CUT_PROBE_PAUSE_S)
+        self.assertFalse(self.host.reachability.is_cut_off(CUT_OFF))
+        due = self.host.reachability.take_due_probes(CUT_PROBE_PAUSE_S + PROBE_PAUSE_S)
+        for endpoint in due:
+            self.host.reachability.on_connected(endpoint, 1.0)
+        self.assertEqual(self.host.reachability.take_due_probes(10.0), [])
+
+    def test_a_host_that_reaches_nobody_still_sends_to_someone(self) -> None:
+        for hall in HALLS:
+            self.host.lose(hall, *range(HEADS_OF_A_HALL))
+        self.host.choose(0.0)
+
+    def test_what_is_no_longer_listed_is_forgotten(self) -> None:
+        self.host.lose(CUT_OFF, *range(HEADS_OF_A_HALL))
+        for endpoint in list(self.host.directory.by_id.values()):
+            if endpoint.data_centre == CUT_OFF:
+                self.host.directory.remove(endpoint.id)
+        self.assertEqual(self.host.reachability.take_due_probes(10.0), [])
+
+    @given(st.lists(st.tuples(st.integers(0, 5), st.booleans(), st.floats(0.0, 0.5))))
+    def test_once_every_probe_is_answered_nothing_is_avoided(
+        self, events: list[tuple[int, bool, float]]
+    ) -> None:
+        host, now_s = Host(), 0.0
+        for number, is_reached, pause_s in events:
+            now_s += pause_s
+            if is_reached:
+                host.reachability.on_connected(host.head(CUT_OFF, number), now_s)
+            else:
+                host.lose(CUT_OFF, number, now_s=now_s)
+        for _ in range(2):
+            now_s += PROBE_PAUSE_S
+            for endpoint in host.reachability.take_due_probes(now_s):
+                host.reachability.on_connected(endpoint, now_s)
+        heads = (host.head(CUT_OFF, number) for number in range(HEADS_OF_A_HALL))
+        self.assertFalse(any(host.reachability.is_avoided(head) for head in heads))
