--- a/yewloom/order_delivery.py
+++ b/yewloom/order_delivery.py
@@ -1,10 +1,12 @@
 """Giving the coordinator's orders to engines, and noting what their answers tell."""
 
 from collections.abc import Iterable
+from functools import partial
 
 import structlog
 import trio
 
+from yewloom.background import BackgroundTasks
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import HostId
 from yewloom.plan_state import PlannedOrder, PlanState, order_name
@@ -32,11 +34,14 @@
         """Drop what is known of the engines' counts, as others may have given orders since."""
         self._sequences.clear()
 
-    async def give(self, orders: Iterable[PlannedOrder]) -> None:
-        """Give all orders at once and wait for their answers."""
-        async with trio.open_nursery() as nursery:
-            for order in orders:
-                nursery.start_soon(self._give_one, order)
+    def give(self, orders: Iterable[PlannedOrder], tasks: BackgroundTasks) -> None:
+        """Give all orders at once, and wait for none of the answers.
+
+        An engine that is busy with an order gets no other one: the next plan gives it again.
+        """
+        for order in orders:
+            if not tasks.start(order.engine, partial(self._give_one, order)):
+                self._plan_again(order)
 
     async def _give_one(self, planned: PlannedOrder) -> None:
         sequence = await self._sequence_for(planned)
@@ -71,8 +76,12 @@
         elif answer is OrderAnswer.HOLDS and known is not None:
             self._sequences[planned.engine] = known
         elif answer is OrderAnswer.OUT_OF_DATE:
-            # The next plan gives the order again, with the sequence as it is then.
-            self._state.ordered_s.pop(order_name(planned), None)
+            self._plan_again(planned)
+
+    def _plan_again(self, planned: PlannedOrder) -> None:
+        """Let the next plan give an order again, with the sequence as it is then."""
+        self._state.ordered_s.pop(order_name(planned), None)
+        if isinstance(planned.order, StageModel):
             self._state.staging.pop(planned.engine, None)
 
     def _note_reach(self, engine: HostId, answer: OrderAnswer) -> None:
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -11,6 +11,7 @@
 import structlog
 import trio
 
+from yewloom.background import BackgroundTasks
 from yewloom.configuration import ConfigurationBook, EngineProfile, Service
 from yewloom.coordinator_records import LeaseRecord, PlacementRecord
 from yewloom.directory import EndpointDirectory
@@ -74,28 +75,35 @@
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
-        while True:
-            if self.is_leaving:
-                self._set_holding(False)
-                await self._lease.release()
-            elif self._is_holding or self._may_lead():
-                await self._lease.keep()
-                # The host may have begun to stop while the store answered.
-                self._set_holding(self._lease.holds() and not self.is_leaving)
-                if self._is_holding:
-                    await self._step()
-            await trio.sleep(STEP_S)
-
-    def _set_holding(self, holds: bool) -> None:
+        async with trio.open_nursery() as nursery:
+            tasks = BackgroundTasks(nursery)
+            while True:
+                await self._coordinate(tasks)
+                await trio.sleep(STEP_S)
+
+    async def _coordinate(self, tasks: BackgroundTasks) -> None:
+        """Take or keep the lease, and plan once while it is held."""
+        if self.is_leaving:
+            self._set_holding(False, tasks)
+            await self._lease.release()
+        elif self._is_holding or self._may_lead():
+            await self._lease.keep()
+            # The host may have begun to stop while the store answered.
+            self._set_holding(self._lease.holds() and not self.is_leaving, tasks)
+            if self._is_holding:
+                await self._step(tasks)
+
+    def _set_holding(self, holds: bool, tasks: BackgroundTasks) -> None:
         """Begin or end coordinating; what another coordinator may have changed is read anew."""
         if holds == self._is_holding:
             return
+        tasks.cancel_all()
         logger.info("coordinator changed", holds=holds, term=self._lease.term)
         self._is_holding = holds
         self._placement.forget()
         self._delivery.forget_sequences()
 
-    async def _step(self) -> None:
+    async def _step(self, tasks: BackgroundTasks) -> None:
         """Plan once and carry the plan out, for the first service of engines."""
         configuration = self._book.current
         if configuration is None or not self._directory.is_known:
@@ -105,10 +113,10 @@
             return
         self._demand.sample(self._running_by_model(), trio.current_time())
         if self._placement.current is not None:
-            await self._stalled_groups.look(self._placement.current.groups)
-        await self._step_service(services[0])
+            self._stalled_groups.look(self._placement.current.groups, tasks)
+        await self._step_service(services[0], tasks)
 
-    async def _step_service(self, service: Service) -> None:
+    async def _step_service(self, service: Service, tasks: BackgroundTasks) -> None:
         if self._placement.current is None and not await self._placement.read():
             return
         record = self._placement.current
@@ -120,7 +128,7 @@
             if not await self._write_placement(plan.record):
                 return
             orders = [*orders, *self._orders_to_form(planner, plan.record, record)]
-        await self._delivery.give(orders)
+        self._delivery.give(orders, tasks)
 
     def _planner(self, service: Service, engine: EngineProfile) -> ReplicaPlanner:
         return ReplicaPlanner(
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -1,10 +1,13 @@
 """The look at groups that may have lost a member: which of their members answer no more."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import partial
 
 import structlog
 import trio
 
+from yewloom.background import BackgroundTasks
 from yewloom.directory import EndpointDirectory
 from yewloom.ids import HostId
 from yewloom.plan_state import PlanState, key_of
@@ -18,11 +21,17 @@
 PROBE_AFTER_STALL_S = 2.0
 """Least pause between two looks at the members of a group that stands still."""
 
-
 PROBE_UNLISTED_S = 0.8
 """Pause between two questions to a member that the store no longer lists."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """Names the question to a member among the tasks that run, apart from its orders."""
+
+    member: HostId
+
+
 class StalledGroups:
     """Asks the members of groups that stand still, and those that are no longer listed."""
 
@@ -39,10 +48,13 @@
         self._state = state
         self._looked_s: dict[HostId, float] = {}
 
-    async def look(self, groups: Iterable[Group]) -> None:
-        """Look at the suspects again, then at groups that stand still or lack listed members."""
+    def look(self, groups: Iterable[Group], tasks: BackgroundTasks) -> None:
+        """Look at the suspects again, and at groups that stand still or lack listed members.
+
+        Nothing waits for members that may be dead: their answers, or silence, count later.
+        """
         now_s = trio.current_time()
-        await self._look_at_suspects(now_s)
+        self._look_at_suspects(now_s, tasks)
         stalled = self._stalls.suspected(now_s)
         for group in groups:
             if group.intent != GroupIntent.ACTIVE.value or not group.members:
@@ -50,26 +62,26 @@
             head = HostId(group.members[0].host_id)
             if head in stalled and self._may_look(head, now_s, PROBE_AFTER_STALL_S):
                 self._state.stood_still_s[key_of(group)] = now_s
-                await self._look_at_members(group)
-            await self._look_at_unlisted(group, now_s)
+                self._look_at_members(group, tasks)
+            self._look_at_unlisted(group, now_s, tasks)
 
-    async def _look_at_suspects(self, now_s: float) -> None:
+    def _look_at_suspects(self, now_s: float, tasks: BackgroundTasks) -> None:
         """Clear suspects that answer again or are no longer listed."""
         for suspect in list(self._state.suspects):
             endpoint = self._directory.by_id.get(suspect)
             if endpoint is None:
                 self._state.suspects.discard(suspect)
             elif self._may_look(suspect, now_s, PROBE_AFTER_STALL_S):
-                await self._probe(suspect, endpoint.address)
+                self._start_probe(suspect, endpoint.address, tasks)
 
-    async def _look_at_unlisted(self, group: Group, now_s: float) -> None:
+    def _look_at_unlisted(self, group: Group, now_s: float, tasks: BackgroundTasks) -> None:
         """Ask members that the store lists no more; one cut off from the store may still work."""
         for member in group.members[1:]:
             host = HostId(member.host_id)
             if host in self._directory.by_id:
                 self._state.unlisted_since_s.pop(host, None)
             elif self._may_look(host, now_s, PROBE_UNLISTED_S):
-                await self._ask_unlisted(host, member.address)
+                tasks.start(_Question(host), partial(self._ask_unlisted, host, member.address))
 
     async def _ask_unlisted(self, host: HostId, address: str) -> None:
         if await self._engine_orders.read_sequence(address) is not None:
@@ -82,11 +94,13 @@
         self._looked_s[host] = now_s
         return True
 
-    async def _look_at_members(self, group: Group) -> None:
+    def _look_at_members(self, group: Group, tasks: BackgroundTasks) -> None:
         logger.info("group stands still", group=str(key_of(group)))
-        async with trio.open_nursery() as nursery:
-            for member in group.members:
-                nursery.start_soon(self._probe, HostId(member.host_id), member.address)
+        for member in group.members:
+            self._start_probe(HostId(member.host_id), member.address, tasks)
+
+    def _start_probe(self, member: HostId, address: str, tasks: BackgroundTasks) -> None:
+        tasks.start(_Question(member), partial(self._probe, member, address))
 
     async def _probe(self, member: HostId, address: str) -> None:
         if await self._engine_orders.read_sequence(address) is None:
--- /dev/null
+++ b/yewloom/tests/test_slow_engines.py
@@ -0,0 +1,131 @@
+"""Tests of a coordinator whose engines answer late or never, on a clock that jumps.
+
+The pattern is a host lost every three seconds: the coordinator goes on asking those that are dead,
+each for as long as an answer may take, while the groups of others are to be repaired.
+"""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from yewloom.background import BackgroundTasks
+from yewloom.directory import EndpointDirectory, GroupKey
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.ids import GroupId, HostId
+from yewloom.order_delivery import OrderDelivery
+from yewloom.plan_state import PlannedOrder, PlanState
+from yewloom.replica_orders import EngineOrder, LeaveGroup, OpenGroup, OrderAnswer, StageModel
+from yewloom.schema.records_pb2 import Group, GroupMember
+from yewloom.stalled_groups import StalledGroups
+from yewloom.stalls import StallDetector
+from yewloom.states import GroupIntent
+from yewloom.tests.entry_support import SMALL
+
+ANSWER_S = 0.4
+"""Time after which an engine that is dead counts as silent."""
+
+KEY = GroupKey(GroupId("g"), 1)
+
+
+class Engines:
+    """Engines of which the one named ``dead`` never answers."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[HostId, EngineOrder]] = []
+        self.asked: list[str] = []
+
+    async def send(
+        self, engine: HostId, address: str, order: EngineOrder, expected_sequence: int | None
+    ) -> OrderAnswer:
+        """Take an order."""
+        self.orders.append((engine, order))
+        if engine == "dead":
+            await trio.sleep(ANSWER_S)
+            return OrderAnswer.UNREACHABLE
+        return OrderAnswer.BEGUN
+
+    async def read_sequence(self, address: str) -> int | None:
+        """Answer a question."""
+        self.asked.append(address)
+        if address == "dead":
+            await trio.sleep(ANSWER_S)
+            return None
+        return 1
+
+
+def _run(test: Callable[[BackgroundTasks], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await test(BackgroundTasks(nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _order(engine: str, order: EngineOrder) -> PlannedOrder:
+    return PlannedOrder(HostId(engine), engine, order)
+
+
+class TestOrders(unittest.TestCase):
+    """Orders to engines that do not answer."""
+
+    def setUp(self) -> None:
+        self.engines, self.state = Engines(), PlanState()
+        self.delivery = OrderDelivery(self.engines, self.state, ForwardMetrics())
+
+    def test_a_dead_engine_holds_up_no_order_to_another_one(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            self.delivery.give([_order("dead", LeaveGroup(KEY))], tasks)
+            self.delivery.give([_order("a", OpenGroup(KEY))], tasks)
+            began_s = trio.current_time()
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(trio.current_time(), began_s)
+            self.assertIn(("a", OpenGroup(KEY)), self.engines.orders)
+            await trio.sleep(ANSWER_S * 2)
+            self.assertIn(HostId("dead"), self.state.unreachable_since_s)
+
+        _run(test)
+
+    def test_an_engine_gets_one_order_at_a_time_and_the_rest_are_planned_again(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            staging = _order("dead", StageModel(SMALL))
+            self.delivery.give([_order("dead", LeaveGroup(KEY))], tasks)
+            self.assertTrue(self.state.may_order(staging, 0.0))
+            self.delivery.give([staging], tasks)
+            self.assertTrue(self.state.may_order(staging, 0.0))
+            await trio.sleep(ANSWER_S * 2)
+            self.assertEqual(len(self.engines.orders), 1)
+
+        _run(test)
+
+    def test_a_coordinator_that_lost_its_lease_gives_no_order_any_more(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            self.delivery.give([_order("a", StageModel(SMALL))], tasks)
+            tasks.cancel_all()
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(self.engines.orders, [])
+
+        _run(test)
+
+
+class TestQuestions(unittest.TestCase):
+    """Questions to members that do not answer."""
+
+    def test_all_members_are_asked_at_once_and_a_dead_one_is_suspected(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            engines, state, stalls = Engines(), PlanState(), StallDetector()
+            group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+            for name in ("a", "dead", "b"):
+                group.members.append(GroupMember(host_id=name, address=name))
+            stalls.report(HostId("a"), trio.current_time())
+            groups = StalledGroups(EndpointDirectory(), stalls, engines, state)
+            groups.look([group], tasks)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(set(engines.asked), {"a", "dead", "b"})
+            self.assertEqual(state.suspects, set())
+            await trio.sleep(ANSWER_S * 2)
+            self.assertEqual(state.suspects, {"dead"})
+
+        _run(test)
