--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -24,7 +24,7 @@
 from yewloom.forward_request import ForwardRequest, WholeAnswer
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
-from yewloom.stalls import StallDetector
+from yewloom.stalls import AVOID_STALLED_S, StallDetector
 from yewloom.urgency import urgency
 
 logger = structlog.get_logger(__name__)
@@ -35,13 +35,6 @@
 AVOID_FULL_S = 0.15
 """Time for which an endpoint that said it is full gets nothing new: a few of its batches."""
 
-AVOID_STALLED_S = 2.0
-"""Longest time for which a group that stands still gets nothing new. The coordinator asks its
-members within half a second and gives the group up if one is silent; else it was only slow."""
-
-RECHECK_S = 0.1
-"""Pause between two looks for another group while a stream stands still."""
-
 SERVER_ERROR = 500
 """Lowest status that says a request failed at the endpoint."""
 
@@ -107,7 +100,7 @@
         match error.failure:
             case ExchangeFailure.NOT_CONNECTED:
                 self._reachability.on_failure(endpoint, now_s)
-                self._stalls.report(endpoint.id, now_s)
+                self._stalls.report_unreachable(endpoint.id, now_s)
             case ExchangeFailure.BROKEN:
                 self._avoid_and_report(endpoint, AVOID_BROKEN_S)
             case ExchangeFailure.UNREADABLE:
@@ -231,8 +224,8 @@
         if not request.route.may_repeat:
             return await step()
         while True:
-            due_s = self._stalls.due_s(endpoint.id)
-            with trio.move_on_at(max(due_s, trio.current_time() + RECHECK_S)):
+            look_s = self._stalls.next_look_s(endpoint.id, trio.current_time())
+            with trio.move_on_at(look_s):
                 return await step()
             is_stalled = self._stalls.is_stalled(endpoint.id, trio.current_time())
             if is_stalled and self._may_go_on(request):
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -59,6 +59,7 @@
         self._own_state = own_state
         self._intake = intake
         self._next_remote = 0
+        self._has_news = trio.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._is_bound = False
@@ -84,9 +85,15 @@
         for peer in self._near_peers():
             self._send_to(peer, data)
 
+    def tell_soon(self) -> None:
+        """Tell the peers at once what this host knows, since some of it is urgent news."""
+        self._has_news.set()
+
     async def _send(self) -> None:
         while True:
-            await trio.sleep(SEND_INTERVAL_S)
+            with trio.move_on_after(SEND_INTERVAL_S):
+                await self._has_news.wait()
+            self._has_news = trio.Event()
             now_s = trio.current_time()
             self._board.drop_silent(now_s)
             common = EntryMessage(state=self._own_state.next(now_s)).SerializeToString()
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -15,7 +15,7 @@
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
 from yewloom.early_listener import listen
-from yewloom.endpoint_attempts import AVOID_STALLED_S, EndpointAttempts
+from yewloom.endpoint_attempts import EndpointAttempts
 from yewloom.endpoint_probes import EndpointProbes
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
 from yewloom.entry_exchange import EntryExchange
@@ -25,11 +25,12 @@
 from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
-from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
 from yewloom.key_trust import KeyTrust
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_intake import PeerIntake
+from yewloom.peer_reports import PeerReports
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
@@ -71,7 +72,7 @@
         self._metrics = metrics
         self._book = ConfigurationBook()
         self._directory = EndpointDirectory()
-        self._stalls = StallDetector()
+        self._stalls = StallDetector(lambda: self._exchange.tell_soon())
         self._has_had_requests = False
         self._stop_plan = PlannedStop(settings.host.stop_grace_s)
         self._me = EntryIdentity(
@@ -183,7 +184,7 @@
             self._book,
             self._followed_endpoints,
             self._endpoint_intake.take_told,
-            self._avoid_stalled,
+            PeerReports(self._stalls, self._selector),
             self._configuration_follower.list_anew,
         )
         return EntryExchange(self._build_addresses(), self._board, self._duty, own_state, intake)
@@ -259,13 +260,6 @@
         is_answered = all(follower.is_answered for follower in followers)
         return Standing(is_answered and not self._stop_plan.is_begun, self._coordinator.is_holding)
 
-    def _avoid_stalled(self, head: HostId) -> None:
-        """Take in that a peer saw a group stand still."""
-        now_s = trio.current_time()
-        if head not in self._stalls.suspected(now_s):
-            self._selector.avoid(head, now_s + AVOID_STALLED_S)
-        self._stalls.report_by_peer(head, now_s)
-
     def _caller_limits(self) -> CallerLimits:
         configuration = self._book.current
         return configuration.limits if configuration is not None else CallerLimits()
--- a/yewloom/peer_intake.py
+++ b/yewloom/peer_intake.py
@@ -9,6 +9,7 @@
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import HostId
 from yewloom.listed_endpoints import ChangedEndpoints, decode_changes
+from yewloom.peer_reports import PeerReports
 from yewloom.schema.entry_pb2 import EndpointChanges, EntryMessage, EntryState
 
 logger = structlog.get_logger(__name__)
@@ -17,8 +18,7 @@
 class PeerIntake:
     """Hands on what a message tells, each part to where it is kept.
 
-    ``avoid_stalled`` gets the head of a group that a peer saw stand still; ``read_configuration``
-    is called once for each version that is newer than this host's.
+    ``read_configuration`` is called once for each version that is newer than this host's.
     """
 
     def __init__(
@@ -27,14 +27,14 @@
         book: ConfigurationBook,
         followed_endpoints: FollowedPosition,
         take_changes: Callable[[ChangedEndpoints], None],
-        avoid_stalled: Callable[[HostId], None],
+        reports: PeerReports,
         read_configuration: Callable[[], None],
     ) -> None:
         self._board = board
         self._book = book
         self._followed_endpoints = followed_endpoints
         self._take_changes = take_changes
-        self._avoid_stalled = avoid_stalled
+        self._reports = reports
         self._read_configuration = read_configuration
         self._asked_for_version = 0
 
@@ -53,7 +53,9 @@
         if words.listing is not None:
             self._followed_endpoints.on_word(words.listing.word, words.listing.confirmed_s, now_s)
         for head in state.stalled:
-            self._avoid_stalled(HostId(head))
+            self._reports.stands_still(HostId(head), now_s)
+        for head in state.unreachable:
+            self._reports.is_unreachable(HostId(head), now_s)
 
     def _take_configuration_word(self, word: ConfigurationWord) -> None:
         current = self._book.current
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -1,10 +1,13 @@
 """Signs that a group stands still: streams of it that should have moved and did not.
 
-A group moves only as a whole, so one event of any stream shows that all members work. Times are
+A group moves only as a whole, so one event of any stream shows that all members work. Streams that
+wait for their first event tell little by themselves, since an engine's queue may be long; together
+with the word of a peer whose streams had moved before and stopped they tell enough. Times are
 seconds of the caller's monotonic clock.
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from yewloom.ids import HostId
@@ -13,14 +16,27 @@
 """Silence of all streams of a group after which it counts as standing still. Batches on the trial
 days gave an event at least every 0.12 s; prompts of 6,000 tokens add 0.13 s."""
 
+AVOID_STALLED_S = 2.0
+"""Longest time for which a group that stands still gets nothing new. The coordinator asks its
+members within half a second and gives the group up if one is silent; else it was only slow."""
+
 REPORT_S = 1.0
 """Time for which a report that a group stands still counts."""
 
+TOLD_QUIET_S = 0.2
+"""Silence of this host's own streams after which the word of a peer that a group stands still is
+borne out: longer than an event or a long prompt takes alone."""
+
 FIRST_EVENT_S = 1.2
 """Silence after which a group with nothing but streams that wait for their first event counts as
 standing still."""
 
 
+LOOK_S = 0.1
+"""Pause between two looks at whether a group stands still: half of that between two words of a
+peer."""
+
+
 @dataclass
 class _Pace:
     streams: int = 0
@@ -33,13 +49,39 @@
         return QUIET_S if self.has_events else FIRST_EVENT_S
 
 
-class StallDetector:
-    """Follows the events of every group head that this host has streams at."""
+class _Reports:
+    """When which heads were reported; a report counts for a short time."""
 
     def __init__(self) -> None:
-        self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
         self._reported_s: dict[HostId, float] = {}
-        self._told_s: dict[HostId, float] = {}
+
+    def add(self, head: HostId, now_s: float) -> bool:
+        """Take in a report; tell whether it is news."""
+        is_news = not self.has(head, now_s)
+        self._reported_s[head] = now_s
+        return is_news
+
+    def has(self, head: HostId, now_s: float) -> bool:
+        """Tell whether a head was reported a short while ago."""
+        return now_s - self._reported_s.get(head, float("-inf")) < REPORT_S
+
+    def recent(self, now_s: float) -> list[HostId]:
+        """Return the heads that were reported a short while ago, and forget the others."""
+        self._reported_s = {h: s for h, s in self._reported_s.items() if now_s - s < REPORT_S}
+        return list(self._reported_s)
+
+
+class StallDetector:
+    """Follows the events of every group head that this host has streams at.
+
+    ``on_report`` is called when this host reports a group that it had not reported lately.
+    """
+
+    def __init__(self, on_report: Callable[[], None] = lambda: None) -> None:
+        self._on_report = on_report
+        self._paces: defaultdict[HostId, _Pace] = defaultdict(_Pace)
+        self._still, self._unreachable = _Reports(), _Reports()
+        self._still_by_peers, self._unreachable_by_peers = _Reports(), _Reports()
 
     def on_begin(self, head: HostId, now_s: float) -> None:
         """Take in that a stream was opened."""
@@ -61,41 +103,56 @@
             del self._paces[head]
 
     def report(self, head: HostId, now_s: float) -> None:
-        """Take in that a group stands still or can't be reached.
+        """Take in that a group stands still, or broke off.
 
         Streams that only wait for their first event may wait in a full engine's queue: that is no
         news for others.
         """
         pace = self._paces.get(head)
-        if pace is None or pace.has_events:
-            self._reported_s[head] = now_s
+        if (pace is None or pace.has_events) and self._still.add(head, now_s):
+            self._on_report()
+
+    def report_unreachable(self, head: HostId, now_s: float) -> None:
+        """Take in that no connection to a head came up; others may reach it."""
+        if self._unreachable.add(head, now_s):
+            self._on_report()
 
     def report_by_peer(self, head: HostId, now_s: float) -> None:
         """Take in that another entry host saw a group stand still."""
-        self._told_s[head] = now_s
+        self._still_by_peers.add(head, now_s)
+
+    def report_unreachable_by_peer(self, head: HostId, now_s: float) -> None:
+        """Take in that another entry host could not reach a head."""
+        self._unreachable_by_peers.add(head, now_s)
 
     def reported(self, now_s: float) -> list[HostId]:
-        """Return the heads of groups that this host itself reported a short while ago."""
-        self._reported_s = _recent(self._reported_s, now_s)
-        return list(self._reported_s)
+        """Return the heads whose groups this host itself saw stand still a short while ago."""
+        return self._still.recent(now_s)
+
+    def reported_unreachable(self, now_s: float) -> list[HostId]:
+        """Return the heads that this host itself could not reach a short while ago."""
+        return self._unreachable.recent(now_s)
 
     def suspected(self, now_s: float) -> set[HostId]:
         """Return the heads of groups that any entry host reported a short while ago."""
-        self._told_s = _recent(self._told_s, now_s)
-        return {*self.reported(now_s), *self._told_s}
+        own = {*self.reported(now_s), *self.reported_unreachable(now_s)}
+        by_peers = {*self._still_by_peers.recent(now_s), *self._unreachable_by_peers.recent(now_s)}
+        return own | by_peers
 
     def is_stalled(self, head: HostId, now_s: float) -> bool:
         """Tell whether a group stands still."""
         pace = self._paces.get(head)
         if pace is None:
             return False
-        return now_s - pace.moved_s >= pace.quiet_limit_s
-
-    def due_s(self, head: HostId) -> float:
-        """Return when a group will count as standing still if nothing moves."""
-        pace = self._paces[head]
-        return pace.moved_s + pace.quiet_limit_s
+        is_told = self._still_by_peers.has(head, now_s)
+        return now_s - pace.moved_s >= (TOLD_QUIET_S if is_told else pace.quiet_limit_s)
 
+    def next_look_s(self, head: HostId, now_s: float) -> float:
+        """Return when to ask again whether a group stands still, if nothing moves.
 
-def _recent(times_s: dict[HostId, float], now_s: float) -> dict[HostId, float]:
-    return {head: time_s for head, time_s in times_s.items() if now_s - time_s < REPORT_S}
+        A peer's word may come at any time for streams that wait for their first event.
+        """
+        pace = self._paces[head]
+        if not pace.has_events:
+            return now_s + LOOK_S
+        return max(pace.moved_s + pace.quiet_limit_s, now_s + LOOK_S)
--- a/yewloom/tests/test_stalls.py
+++ b/yewloom/tests/test_stalls.py
@@ -3,7 +3,7 @@
 import unittest
 
 from yewloom.ids import HostId
-from yewloom.stalls import FIRST_EVENT_S, QUIET_S, REPORT_S, StallDetector
+from yewloom.stalls import FIRST_EVENT_S, QUIET_S, REPORT_S, TOLD_QUIET_S, StallDetector
 
 HEAD = HostId("h")
 
@@ -49,3 +49,35 @@
         self.assertEqual(stalls.reported(0.1), [])
         self.assertEqual(stalls.suspected(0.1), {HEAD})
         self.assertEqual(stalls.suspected(REPORT_S), set())
+
+    def test_a_peer_who_saw_a_group_stop_speaks_for_streams_without_an_event(self) -> None:
+        """A head's group loses a member while requests of several hosts wait at it."""
+        stalls = StallDetector()
+        stalls.on_begin(HEAD, 0.0)
+        stalls.report_by_peer(HEAD, 0.1)
+        self.assertFalse(stalls.is_stalled(HEAD, 0.1))
+        self.assertTrue(stalls.is_stalled(HEAD, TOLD_QUIET_S))
+        self.assertLessEqual(stalls.next_look_s(HEAD, 0.1), TOLD_QUIET_S)
+
+    def test_a_peer_that_can_not_reach_a_head_says_nothing_of_its_streams_elsewhere(self) -> None:
+        stalls = StallDetector()
+        stalls.on_begin(HEAD, 0.0)
+        stalls.report_unreachable_by_peer(HEAD, 0.1)
+        self.assertFalse(stalls.is_stalled(HEAD, 0.5))
+        self.assertEqual(stalls.suspected(0.5), {HEAD})
+
+    def test_a_group_that_moves_on_is_not_left_for_a_peers_word(self) -> None:
+        stalls = StallDetector()
+        stalls.on_begin(HEAD, 0.0)
+        stalls.report_by_peer(HEAD, 0.3)
+        stalls.on_event(HEAD, 0.35)
+        self.assertFalse(stalls.is_stalled(HEAD, 0.35 + TOLD_QUIET_S - 0.01))
+
+    def test_only_the_first_of_several_reports_is_news(self) -> None:
+        news: list[None] = []
+        stalls = StallDetector(lambda: news.append(None))
+        for now_s in (0.0, 0.1, REPORT_S - 0.01):
+            stalls.report(HEAD, now_s)
+        self.assertEqual(len(news), 1)
+        stalls.report_unreachable(HEAD, 0.0)
+        self.assertEqual(len(news), 2)
