--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -146,7 +146,10 @@
                 event = self._connection.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._connection.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                if not data and self._connection.their_state is h11.SEND_RESPONSE:
+                    raise ExchangeError(ExchangeFailure.BROKEN, True, "closed before its answer")
+                self._connection.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(ExchangeFailure.UNREADABLE, True, str(error)) from error
             except trio.BrokenResourceError as error:
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -135,6 +135,19 @@
 
         run(test)
 
+    def test_an_endpoint_that_closes_before_its_answer_gets_nothing_more_for_a_time(self) -> None:
+        async def test(fixture: Fixture) -> None:
+            broken, sound = Endpoint(close_without_answer), Endpoint(answer_ok)
+            await fixture.add_plain("broken", broken)
+            while not broken.requests:
+                await fixture.ask("/u/1")
+            await fixture.add_plain("sound", sound)
+            for _ in range(6):
+                self.assertEqual((await fixture.ask("/u/1")).status, 200)
+            self.assertEqual((len(broken.requests), len(sound.requests)), (1, 6))
+
+        run(test)
+
 
 class TestAdmission(unittest.TestCase):
     """Routes, keys and configurations that may be out of date."""
