--- a/yewloom/caller_headers.py
+++ b/yewloom/caller_headers.py
@@ -38,16 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Sending:
-    """What this system adds to a request on its way to an endpoint.
-
-    ``urgency`` is that of a request for an engine, as in ``urgency``; None for other endpoints.
-    """
+    """What this system adds to a request on its way to an endpoint."""
 
     endpoint: HostId
     customer: CustomerId | None
     deadline_ms: int
     last_event_id: int | None
-    urgency: int | None = None
 
 
 class HeaderCodec(Protocol):
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -25,7 +25,6 @@
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
 from yewloom.stalls import AVOID_STALLED_S, StallDetector
-from yewloom.urgency import urgency
 
 logger = structlog.get_logger(__name__)
 
@@ -132,15 +131,14 @@
                 self._stalls.on_end(endpoint.id)
 
     def _outgoing(self, request: ForwardRequest, endpoint: Endpoint) -> OutgoingRequest:
-        now_s, source, route = trio.current_time(), request.source, request.route
         resumes = request.cursor.has_events or request.marks.last_event_id > 0
         sending = Sending(
             endpoint=endpoint.id,
             customer=request.customer,
-            deadline_ms=max(1, request.left_ms(now_s)),
+            deadline_ms=max(1, request.left_ms(trio.current_time())),
             last_event_id=request.cursor.last_event_id if resumes else None,
-            urgency=None,
         )
+        source = request.source
         headers = self._codec.outgoing_headers(source.headers, sending)
         if source.body or source.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers.append((b"content-length", str(len(source.body)).encode()))
--- a/yewloom/platform/headers.py
+++ b/yewloom/platform/headers.py
@@ -11,7 +11,6 @@
 _EXPECTED_ENDPOINT = b"yewloom-expect-instance"
 _CUSTOMER = b"yewloom-tenant"
 _MODEL = b"yewloom-model"
-_URGENCY = b"yewloom-request-priority"
 _NOT_RUN = b"yewloom-not-executed"
 _LAST_EVENT_ID = b"last-event-id"
 _KEY_SCHEME = b"Token "
@@ -27,16 +26,7 @@
         b"upgrade",
     }
 )
-_OURS = frozenset(
-    {
-        b"authorization",
-        _DEADLINE,
-        _EXPECTED_ENDPOINT,
-        _CUSTOMER,
-        _URGENCY,
-        b"content-length",
-    }
-)
+_OURS = frozenset({b"authorization", _DEADLINE, _EXPECTED_ENDPOINT, _CUSTOMER, b"content-length"})
 _MISDIRECTED_STATUS = 421
 
 
@@ -67,8 +57,6 @@
         passed.append((_EXPECTED_ENDPOINT, sending.endpoint.encode()))
         if sending.customer is not None:
             passed.append((_CUSTOMER, sending.customer.encode()))
-        if sending.urgency is not None:
-            passed.append((_URGENCY, str(sending.urgency).encode()))
         if sending.last_event_id is not None:
             passed.append((_LAST_EVENT_ID, str(sending.last_event_id).encode()))
         return passed
