--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -83,12 +83,13 @@
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self._confirmed_s = float("-inf")
-        self._newest_version = 0
+        self.newest_version = 0
+        """The newest version that is known to exist, whether or not this host has it."""
 
     @property
     def is_outdated(self) -> bool:
         """Tell whether a version newer than the current one is known to exist."""
-        return self.current is not None and self._newest_version > self.current.version
+        return self.current is not None and self.newest_version > self.current.version
 
     def apply(self, configuration: Configuration, proved_s: float) -> bool:
         """Take in a configuration read after ``proved_s``; tell whether it is a newer one."""
@@ -105,7 +106,7 @@
 
     def note_version(self, version: int) -> None:
         """Take in that a version exists, whether or not this host can read it."""
-        self._newest_version = max(self._newest_version, version)
+        self.newest_version = max(self.newest_version, version)
 
     def age_s(self, now_s: float) -> float:
         """Return the time for which a newer version may have gone unseen; infinite at first."""
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -85,6 +85,17 @@
         for peer in self._near_peers():
             self._send_to(peer, data)
 
+    def addresses_knowing(self, version: int) -> list[str]:
+        """Return the addresses of peers that have a configuration's version, near ones first."""
+        knowing = {
+            EntryHostId(state.host_id)
+            for state in self._board.states()
+            if state.configuration_version >= version
+        }
+        near = self._near_peers()
+        in_order = [*near, *(peer for peer in self._addresses.by_peer if peer not in near)]
+        return [self._addresses.by_peer[peer].address for peer in in_order if peer in knowing]
+
     def tell_soon(self) -> None:
         """Tell the peers at once what this host knows, since some of it is urgent news."""
         self._has_news.set()
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -29,6 +29,7 @@
 from yewloom.intake import ConfigurationIntake, EndpointIntake
 from yewloom.key_trust import KeyTrust
 from yewloom.own_state import EntryIdentity, OwnState
+from yewloom.peer_configurations import PeerConfigurations
 from yewloom.peer_intake import PeerIntake
 from yewloom.peer_reports import PeerReports
 from yewloom.planned_stop import PlannedStop
@@ -102,9 +103,14 @@
             self._followed_endpoints,
             lambda changes: self._exchange.tell_changes(changes),
         )
+        self._configuration_intake = ConfigurationIntake(parts.records, self._book)
         self._configuration_follower = self._build_configuration_follower()
         self._endpoint_follower = self._build_endpoint_follower()
         self._exchange = self._build_exchange()
+        self._peer_configurations = PeerConfigurations(
+            self._book, self._configuration_intake, self._exchange.addresses_knowing
+        )
+        self._peer_server = CallerServer(Handlers(self._peer_configurations.answer), CallerLimits)
 
     def _build_forwarder(self) -> Forwarder:
         parts, bounds = self._parts, self._settings.bounds
@@ -145,7 +151,7 @@
         return Follower(
             parts.configuration,
             parts.records.configuration_kind,
-            ConfigurationIntake(parts.records, self._book).take,
+            self._configuration_intake.take,
             FollowedPosition(),
             self._follow_pace(lambda: 0.0, self._book.age_s),
         )
@@ -221,6 +227,7 @@
         listener = self._listener or _listen(host.caller_address)
         nursery.start_soon(self._serve_callers, listener)
         await nursery.start(self._readiness.serve, _listen(host.readiness_address))
+        await nursery.start(self._peer_server.serve, _listen(host.peer_address))
         if host.metrics_port:
             ip, _ = split_address(host.caller_address)
             metrics_listener = listen(ip, host.metrics_port)
@@ -230,6 +237,7 @@
             self._endpoint_follower.run,
             self._endpoint_intake.drop_lapsed,
             EndpointProbes(self._reachability).run,
+            self._peer_configurations.run,
             self._exchange.run,
             self._coordinator.run,
         ]
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -11,6 +11,7 @@
 from yewloom.followers import Update
 from yewloom.listed_endpoints import ChangedEndpoints
 from yewloom.platform_parts import PlatformRecords
+from yewloom.platforms import StoredObject
 from yewloom.selection import Selector
 from yewloom.writes import RecordError
 
@@ -26,20 +27,30 @@
     def __init__(self, records: PlatformRecords, book: ConfigurationBook) -> None:
         self._records = records
         self._book = book
+        self.latest: StoredObject | None = None
+        """The current configuration as the store gave it; None at first."""
 
     def take(self, update: Update) -> None:
         """Take in configurations that were read, and that an unchanged one is still current."""
         for stored in update.listing.objects:
-            try:
-                configuration = self._records.decode_configuration(stored)
-            except RecordError as error:
-                logger.error("object unreadable", reason=str(error), revision=stored.version)
-                continue
-            if configuration is not None and self._book.apply(configuration, update.proved_s):
-                logger.info("configuration applied", version=configuration.version)
+            self._take_stored(stored, update.proved_s, "store")
         if self._book.current is not None:
             self._book.confirm(update.proved_s)
 
+    def take_from_peer(self, stored: StoredObject) -> None:
+        """Take in a configuration that a peer had read; it proves no time of its own."""
+        self._take_stored(stored, float("-inf"), "peer")
+
+    def _take_stored(self, stored: StoredObject, proved_s: float, source: str) -> None:
+        try:
+            configuration = self._records.decode_configuration(stored)
+        except RecordError as error:
+            logger.error("object unreadable", reason=str(error), revision=stored.version)
+            return
+        if configuration is not None and self._book.apply(configuration, proved_s):
+            self.latest = stored
+            logger.info("configuration applied", version=configuration.version, source=source)
+
 
 class EndpointIntake:
     """Brings the endpoints that the store lists into the directory.
--- /dev/null
+++ b/yewloom/tests/test_peer_configurations.py
@@ -0,0 +1,152 @@
+"""Tests of a host that the store turns away while the operator takes a key away.
+
+The pattern is a store that refuses the hosts of one data centre for 8 s and serves all others.
+"""
+
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from yewloom.addresses import split_address
+from yewloom.caller_messages import Handlers
+from yewloom.caller_server import CallerServer
+from yewloom.configuration import CallerLimits, ConfigurationBook
+from yewloom.early_listener import listen
+from yewloom.followers import Update
+from yewloom.intake import ConfigurationIntake
+from yewloom.key_trust import KeyTrust
+from yewloom.peer_configurations import PeerConfigurations
+from yewloom.platform.records import StoreRecords
+from yewloom.platforms import Listing, StoredObject
+from yewloom.tests.free_ports import free_address
+
+LIMIT_S = 10.0
+OUTAGE_S = 8.0
+ROUTE: dict[str, Any] = {
+    "name": "r",
+    "host": "x.example",
+    "pathPrefix": "/a/",
+    "type": "idempotent",
+    "timeoutMs": 1000,
+    "service": "plain",
+    "anonymous": False,
+}
+
+
+def _stored(version: int, *keys: str) -> StoredObject:
+    fields = {
+        "version": version,
+        "routes": [ROUTE],
+        "services": [{"name": "plain"}],
+        "tenants": [{"name": "hotel", "apiKeys": list(keys)}],
+    }
+    return StoredObject("config/main", version, json.dumps(fields))
+
+
+class Host:
+    """A host's configuration, and how it shares it."""
+
+    def __init__(self, *peers: "Host") -> None:
+        self.book = ConfigurationBook()
+        self.intake = ConfigurationIntake(StoreRecords(), self.book)
+        self.address = free_address()
+        self._peers = peers
+        self.sharing = PeerConfigurations(self.book, self.intake, self._addresses_knowing)
+
+    def _addresses_knowing(self, version: int) -> list[str]:
+        return [peer.address for peer in self._peers]
+
+    def read(self, stored: StoredObject) -> None:
+        """Read a configuration from the store."""
+        self.intake.take(
+            Update(Listing([stored], stored.version), None, trio.current_time(), False)
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Answer peers and ask them."""
+        server = CallerServer(Handlers(self.sharing.answer), CallerLimits)
+        await nursery.start(server.serve, listen(*split_address(self.address)))
+        nursery.start_soon(self.sharing.run)
+
+    @property
+    def _version(self) -> int:
+        return self.book.current.version if self.book.current is not None else 0
+
+    async def wait_for(self, version: int) -> None:
+        """Wait until a version is in force."""
+        while self._version < version:  # noqa: ASYNC110 - set by a task of the product
+            await trio.sleep(0.01)
+
+
+def _run(test: Callable[[trio.Nursery], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            with trio.fail_after(LIMIT_S):
+                await test(nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class TestTurnedAway(unittest.TestCase):
+    """A host that hears of a configuration which it can't read."""
+
+    def test_it_takes_the_configuration_from_a_peer_and_serves_the_keys_that_are_left(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            peer = Host()
+            host = Host(peer)
+            for each in (peer, host):
+                await each.start(nursery)
+                each.read(_stored(1, "k1", "k2"))
+            peer.read(_stored(2, "k2"))
+            host.book.note_version(2)
+            trust = KeyTrust(host.book, 5.0, needs_proof=False)
+            self.assertFalse(trust.may_accept(trio.current_time() + OUTAGE_S))
+            await host.wait_for(2)
+            assert host.book.current is not None
+            self.assertEqual(set(host.book.current.customers), {"k2"})
+            self.assertTrue(trust.may_accept(trio.current_time() + OUTAGE_S))
+
+        _run(test)
+
+    def test_a_peers_configuration_proves_nothing_of_its_age(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            peer = Host()
+            host = Host(peer)
+            for each in (peer, host):
+                await each.start(nursery)
+                each.read(_stored(1, "k1"))
+            before_ms = host.book.stated_age_ms(trio.current_time())
+            peer.read(_stored(2, "k1"))
+            host.book.note_version(2)
+            await host.wait_for(2)
+            self.assertGreater(host.book.stated_age_ms(trio.current_time()), before_ms + 100)
+
+        _run(test)
+
+    def test_a_peer_that_is_gone_and_one_that_has_nothing_are_passed_over(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            gone, empty, peer = Host(), Host(), Host()
+            host = Host(gone, empty, peer)
+            for each in (empty, peer, host):
+                await each.start(nursery)
+            host.read(_stored(1, "k1"))
+            peer.read(_stored(2, "k1"))
+            host.book.note_version(2)
+            await host.wait_for(2)
+
+        _run(test)
+
+    def test_an_older_configuration_is_never_taken_back(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            host = Host()
+            host.read(_stored(3, "k1"))
+            host.intake.take_from_peer(_stored(2, "k1", "k2"))
+            assert host.book.current is not None
+            self.assertEqual(host.book.current.version, 3)
+            self.assertEqual(host.intake.latest, _stored(3, "k1"))
+
+        _run(test)
