--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -57,12 +57,6 @@
         "return model in self.staged or model in self.models",
         "return model in self.staged",
     ),
-    Removal(
-        "idle hosts of several domains form groups",
-        "replica_supply",
-        "return self._next_spread_group(free, need)",
-        "return None",
-    ),
     Removal(
         "peers pass configurations on",
         "peer_configurations",
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -137,17 +137,11 @@
         """Return the next group's model and hosts.
 
         Groups of one model are spread over the domains, so that each has hosts of small groups
-        that can take the place of a lost host of a large one. A host that is loading the weights
-        of a model which lacks replicas more is left to it.
+        that can take the place of a lost host of a large one.
         """
-        in_order = need.order()
-        for place, model in enumerate(in_order):
-            more_needed = {other.name for other in in_order[:place]}
+        for model in need.order():
             for domain in _domains_for(model, free, models):
-                not_promised = [
-                    e for e in free[domain] if self._loads.model_of(e) not in more_needed
-                ]
-                ready = [e for e in not_promised if self._can_join(e, model)]
+                ready = [e for e in free[domain] if self._can_join(e, model)]
                 if len(ready) >= model.group_size:
                     ready.sort(key=lambda e: (model.name not in e.models, e.id))
                     return model, ready[: model.group_size]
--- a/yewloom/weight_loads.py
+++ b/yewloom/weight_loads.py
@@ -4,7 +4,6 @@
 
 from yewloom.configuration import EngineProfile, ReplicaModel
 from yewloom.directory import Endpoint, EndpointDirectory
-from yewloom.ids import ModelName
 from yewloom.plan_state import PlannedOrder, PlanState, Staging
 from yewloom.replica_orders import StageModel
 
@@ -43,11 +42,6 @@
         """Tell whether weights are being loaded onto a host."""
         return endpoint.id in self._state.staging
 
-    def model_of(self, endpoint: Endpoint) -> ModelName | None:
-        """Return the model whose weights are being loaded onto a host; None if none are."""
-        staging = self._state.staging.get(endpoint.id)
-        return staging.model if staging is not None else None
-
     def load(self, endpoint: Endpoint, model: ReplicaModel, now_s: float) -> None:
         """Load weights onto a host, unless it is loading or too many loads began lately."""
         if self.is_loading(endpoint):
