--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -143,7 +143,7 @@
     ),
     Removal(
         "callers wait for the first configuration",
-        "entry_host",
+        "entry_servers",
         "FIRST_KNOWLEDGE_S = 0.5",
         "FIRST_KNOWLEDGE_S = 0.0",
     ),
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -7,18 +7,16 @@
 
 import structlog
 import trio
-from prometheus_client import generate_latest
 
-from yewloom.addresses import split_address
 from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
-from yewloom.early_listener import listen
 from yewloom.endpoint_attempts import EndpointAttempts
 from yewloom.endpoint_probes import EndpointProbes
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
 from yewloom.entry_exchange import EntryExchange
+from yewloom.entry_servers import EntryServers, HostStanding
 from yewloom.entry_states import PeerBoard
 from yewloom.follow_duty import FollowDuty, Standing
 from yewloom.followed_position import FollowedPosition
@@ -45,13 +43,6 @@
 
 logger = structlog.get_logger(__name__)
 
-FIRST_KNOWLEDGE_S = 0.5
-"""Longest time for which a host that has started lets callers wait for its first configuration: as
-long as it would tell them to stay away, which costs them a try."""
-
-FIRST_LOOK_S = 0.01
-"""Pause between two looks for it: the store answers two calls in some 10 ms."""
-
 TASK_PAUSE_S = 0.5
 """Pause before a task that failed is begun anew."""
 
@@ -92,8 +83,6 @@
         self._callers = CallerServer(
             Handlers(self._handle, self._forwarder.refuse), self._caller_limits
         )
-        self._readiness = CallerServer(Handlers(self._answer_readiness), CallerLimits)
-        self._metrics_server = CallerServer(Handlers(self._answer_metrics), CallerLimits)
         self._coordinator = self._build_coordinator()
         self._followed_endpoints = FollowedPosition()
         self._endpoint_intake = EndpointIntake(
@@ -110,7 +99,13 @@
         self._peer_configurations = PeerConfigurations(
             self._book, self._configuration_intake, self._exchange.addresses_knowing
         )
-        self._peer_server = CallerServer(Handlers(self._peer_configurations.answer), CallerLimits)
+        self._servers = EntryServers(
+            settings.host,
+            self._callers,
+            self._peer_configurations.answer,
+            metrics,
+            HostStanding(self._knows_all, self._is_ready),
+        )
 
     def _build_forwarder(self) -> Forwarder:
         parts, bounds = self._parts, self._settings.bounds
@@ -223,15 +218,7 @@
 
     async def _start(self, nursery: trio.Nursery) -> None:
         """Open the servers, then begin the tasks that go on beside them."""
-        host = self._settings.host
-        listener = self._listener or _listen(host.caller_address)
-        nursery.start_soon(self._serve_callers, listener)
-        await nursery.start(self._readiness.serve, _listen(host.readiness_address))
-        await nursery.start(self._peer_server.serve, _listen(host.peer_address))
-        if host.metrics_port:
-            ip, _ = split_address(host.caller_address)
-            metrics_listener = listen(ip, host.metrics_port)
-            await nursery.start(self._metrics_server.serve, metrics_listener)
+        await self._servers.start(nursery, self._listener)
         tasks = [
             self._configuration_follower.run,
             self._endpoint_follower.run,
@@ -244,18 +231,14 @@
         for task in tasks:
             nursery.start_soon(_keep_running, task)
 
-    async def _serve_callers(self, listener: socket.socket) -> None:
-        """Serve callers once this host knows whom to send them to, or soon in any case."""
-        with trio.move_on_after(FIRST_KNOWLEDGE_S):
-            while not self._knows_all:  # noqa: ASYNC110 - known by two parts
-                await trio.sleep(FIRST_LOOK_S)
-        await self._callers.serve(listener)
-
-    @property
     def _knows_all(self) -> bool:
         """Tell whether the configuration and the endpoints are known."""
         return self._book.current is not None and self._directory.is_known
 
+    def _is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self._knows_all() and not self._stop_plan.is_begun
+
     def _endpoint_pause_s(self) -> float:
         """Return how long changes of endpoints are gathered; a coordinator waits for them."""
         store = self._settings.store
@@ -281,18 +264,6 @@
         self._has_had_requests = True
         await self._forwarder.handle(request, reply)
 
-    async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
-        is_ready = self._knows_all and not self._stop_plan.is_begun
-        await reply.send_whole(200 if is_ready else 503, [], b"")
-
-    async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
-
-
-def _listen(address: str) -> socket.socket:
-    return listen(*split_address(address))
-
 
 async def _keep_running(task: Callable[[], Awaitable[None]]) -> None:
     """Run a task until cancelled; begin it anew after an error that nobody foresaw."""
--- /dev/null
+++ b/yewloom/entry_servers.py
@@ -0,0 +1,79 @@
+"""The servers of an entry host: for callers, the balancer's question, peers, and metrics."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from prometheus_client import generate_latest
+
+from yewloom.addresses import split_address
+from yewloom.caller_messages import CallerRequest, Handler, Handlers, Reply
+from yewloom.caller_server import CallerServer
+from yewloom.configuration import CallerLimits
+from yewloom.early_listener import listen
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.schema.entry_pb2 import EntryHost as HostSettings
+
+FIRST_KNOWLEDGE_S = 0.5
+"""Longest time for which a host that has started lets callers wait for its first configuration: as
+long as it would tell them to stay away, which costs them a try."""
+
+FIRST_LOOK_S = 0.01
+"""Pause between two looks for it: the store answers two calls in some 10 ms."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostStanding:
+    """What the servers ask of their host: whether it knows enough to serve, and is ready."""
+
+    knows_all: Callable[[], bool]
+    is_ready: Callable[[], bool]
+
+
+class EntryServers:
+    """Opens the servers of an entry host; ``callers`` is the one that a planned stop closes."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        callers: CallerServer,
+        answer_peers: Handler,
+        metrics: ForwardMetrics,
+        standing: HostStanding,
+    ) -> None:
+        self._settings = settings
+        self._callers = callers
+        self._metrics = metrics
+        self._standing = standing
+        self._readiness = CallerServer(Handlers(self._answer_readiness), CallerLimits)
+        self._metrics_server = CallerServer(Handlers(self._answer_metrics), CallerLimits)
+        self._peer_server = CallerServer(Handlers(answer_peers), CallerLimits)
+
+    async def start(self, nursery: trio.Nursery, early: socket.socket | None) -> None:
+        """Begin to serve; ``early`` is the socket for callers, if it is open already."""
+        settings = self._settings
+        nursery.start_soon(self._serve_callers, early or _listen(settings.caller_address))
+        await nursery.start(self._readiness.serve, _listen(settings.readiness_address))
+        await nursery.start(self._peer_server.serve, _listen(settings.peer_address))
+        if settings.metrics_port:
+            ip, _ = split_address(settings.caller_address)
+            await nursery.start(self._metrics_server.serve, listen(ip, settings.metrics_port))
+
+    async def _serve_callers(self, listener: socket.socket) -> None:
+        """Serve callers once the host knows whom to send them to, or soon in any case."""
+        with trio.move_on_after(FIRST_KNOWLEDGE_S):
+            while not self._standing.knows_all():  # noqa: ASYNC110 - known by two parts
+                await trio.sleep(FIRST_LOOK_S)
+        await self._callers.serve(listener)
+
+    async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
+        await reply.send_whole(200 if self._standing.is_ready() else 503, [], b"")
+
+    async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
+
+
+def _listen(address: str) -> socket.socket:
+    return listen(*split_address(address))
--- a/yewloom/tests/test_explanation.py
+++ b/yewloom/tests/test_explanation.py
@@ -7,7 +7,8 @@
 
 from typer.testing import CliRunner
 
-from yewloom.cli import EXIT_FAILED, EXIT_USAGE, app
+from yewloom.cli import app
+from yewloom.cli_calls import EXIT_FAILED, EXIT_USAGE
 from yewloom.explanation import CONTEXT_LINES, Story
 
 
