--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -6,7 +6,8 @@
 """
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import ExitStack
 
 import structlog
 import trio
@@ -27,23 +28,57 @@
         self._limits = limits
         self.activity = CallerActivity()
         self._accepting = trio.CancelScope()
+        self._listener: socket.socket | None = None
+        self._connections: trio.Nursery | None = None
 
     async def serve(
-        self, listener: socket.socket, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        self,
+        listener: socket.socket,
+        wait: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled; those that are open then are cancelled too."""
+        """Accept connections until cancelled; those that are open then are cancelled too.
+
+        None is accepted before ``wait`` has returned, unless the server stops meanwhile.
+        """
+        self._listener = listener
         listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
-        task_status.started()
-        async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as self._connections:
+            task_status.started()
             with self._accepting:
+                await wait()
                 await trio.serve_listeners(
-                    self._serve_connection, listeners, handler_nursery=connections
+                    self._serve_connection, listeners, handler_nursery=self._connections
                 )
+            await trio.aclose_forcefully(listeners[0])
 
     def stop_taking(self) -> None:
-        """Accept no connection and take no request any more; open requests go on."""
-        self.activity.stop_taking()
-        self._accepting.cancel()
+        """Accept no connection and take no request any more; open requests go on.
+
+        Connections that wait to be accepted were made while callers were sent here: what they ask
+        is refused, rather than reset with the socket.
+        """
+        if self.activity.takes_requests:
+            self.activity.stop_taking()
+            self._accepting.cancel()
+            for stream in self._waiting_connections():
+                is_closing = ExitStack()
+                is_closing.enter_context(self.activity.closing())
+                assert self._connections is not None
+                self._connections.start_soon(self._refuse_connection, stream, is_closing)
+
+    def _waiting_connections(self) -> Iterator[trio.SocketStream]:
+        while self._listener is not None:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return  # None waits any more.
+            connection.setblocking(False)
+            yield trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+
+    async def _refuse_connection(self, stream: trio.SocketStream, is_closing: ExitStack) -> None:
+        with is_closing:
+            await self._serve_connection(stream)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(self.activity, stream, self._handlers, self._limits())
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -53,19 +53,19 @@
     async def start(self, nursery: trio.Nursery, early: socket.socket | None) -> None:
         """Begin to serve; ``early`` is the socket for callers, if it is open already."""
         settings = self._settings
-        nursery.start_soon(self._serve_callers, early or _listen(settings.caller_address))
+        listener = early or _listen(settings.caller_address)
+        await nursery.start(self._callers.serve, listener, self._wait_for_knowledge)
         await nursery.start(self._readiness.serve, _listen(settings.readiness_address))
         await nursery.start(self._peer_server.serve, _listen(settings.peer_address))
         if settings.metrics_port:
             ip, _ = split_address(settings.caller_address)
             await nursery.start(self._metrics_server.serve, listen(ip, settings.metrics_port))
 
-    async def _serve_callers(self, listener: socket.socket) -> None:
-        """Serve callers once the host knows whom to send them to, or soon in any case."""
+    async def _wait_for_knowledge(self) -> None:
+        """Wait until the host knows whom to send callers to, for a short time at most."""
         with trio.move_on_after(FIRST_KNOWLEDGE_S):
             while not self._standing.knows_all():  # noqa: ASYNC110 - known by two parts
                 await trio.sleep(FIRST_LOOK_S)
-        await self._callers.serve(listener)
 
     async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
         await reply.send_whole(200 if self._standing.is_ready() else 503, [], b"")
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -1,26 +1,28 @@
 """Starts an entry host on the users' platform: ``python3 -m yewloom.platform``.
 
-The program's long imports come after SIGHUP is passed over: by its default action it would end a
-process that does not listen for it yet. They also come after callers may connect.
+Before the program's long imports it takes signals, whose default action would end the process, and
+lets callers connect.
 """
 
 import os
-import signal
 from pathlib import Path
 
 from yewloom.early_listener import open_early
+from yewloom.early_signals import EarlySignals
 
 SETTINGS_VARIABLE = "YEWLOOM_BOOT"
 """Environment variable that names the settings file; set by the platform."""
 
 
 def run() -> int:
-    """Let callers connect, then import the program and run it; return the exit code."""
+    """Take signals, let callers connect, import the program and run it; return the exit code."""
+    signals = EarlySignals()
+    signals.listen()
     settings = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     listener = open_early(settings)
     from yewloom.platform.program import main
 
-    return main(settings, listener, end)
+    return main(settings, signals, listener, end)
 
 
 def end(code: int) -> None:
@@ -29,6 +31,4 @@
 
 
 if __name__ == "__main__":
-    # Until the program listens. The settings are read later, so nothing is missed.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     end(run())
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -10,6 +10,7 @@
 import trio
 from result import Err, Ok
 
+from yewloom.early_signals import EarlySignals
 from yewloom.entry_host import EntryHost
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
@@ -49,12 +50,17 @@
     )
 
 
-def main(path: Path, listener: socket.socket | None, end: Callable[[int], None]) -> int:
+def main(
+    path: Path,
+    early: EarlySignals,
+    listener: socket.socket | None,
+    end: Callable[[int], None],
+) -> int:
     """Run an entry host with a settings file; ``listener`` is its socket for callers, if open.
 
     Return the exit code, unless a planned stop has called ``end`` with it.
     """
-    signals = ProcessSignals()
+    signals = ProcessSignals(early)
     signals.listen()
     metrics = ForwardMetrics()
     sink = LogSink(sys.stdout.fileno(), metrics.on_log_line_lost)
--- a/yewloom/process_signals.py
+++ b/yewloom/process_signals.py
@@ -7,8 +7,7 @@
 
 import trio
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-"""Signals that ask for a planned stop: of the platform, and of a terminal."""
+from yewloom.early_signals import STOP_SIGNALS, EarlySignals
 
 
 class ProcessSignals:
@@ -18,7 +17,8 @@
     the default action, which ends the process in the middle of its planned stop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, early: EarlySignals | None = None) -> None:
+        self._early = early
         self._asked_ns: int | None = None
         self._has_reload = False
         self._has_changed = trio.Event()
@@ -28,6 +28,8 @@
         """Take the signals from now on, to the end of the process."""
         for number in (*STOP_SIGNALS, signal.SIGHUP):
             signal.signal(number, self._note)
+        if self._early is not None and self._early.asked_ns is not None:
+            self._asked_ns = self._early.asked_ns
 
     async def wait_for_stop(self, reload: Callable[[], None]) -> float:
         """Return when a stop was first asked for, on trio's clock; call ``reload`` until then."""
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -47,3 +47,26 @@
                 head = await exchange.head()
                 self.assertEqual((head.status, await exchange.whole_body()), (200, b"done"))
             nursery.cancel_scope.cancel()
+
+    def test_connections_that_wait_when_the_server_closes_are_refused_and_not_reset(self) -> None:
+        """A host is stopped while it starts: nothing has been accepted, and callers have sent."""
+        trio.run(self._stop_before_anything_is_accepted)
+
+    async def _stop_before_anything_is_accepted(self) -> None:
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            self.fail("a request was begun")
+
+        server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
+        async with trio.open_nursery() as nursery:
+            listener = listen(*split_address(address))
+            await nursery.start(server.serve, listener, trio.sleep_forever)
+            async with open_exchange(address, 1.0) as first, open_exchange(address, 1.0) as second:
+                for exchange in (first, second):
+                    await exchange.send(REQUEST)
+                server.stop_taking()
+                server.stop_taking()
+                with trio.fail_after(2.0):
+                    await server.activity.wait_until_idle()
+                for exchange in (first, second):
+                    self.assertEqual((await exchange.head()).status, 503)
+            nursery.cancel_scope.cancel()
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -251,6 +251,32 @@
 
         run(test)
 
+    def test_a_stop_while_the_host_starts_answers_callers_that_wait(self) -> None:
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            await _start_anew(entry)
+            await _wait_until_it_listens(entry)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._ask_and_stop, world, entry)
+            await entry.wait_ended()
+            self._assert_ended_whole(entry, [])
+            self.assertEqual(world.fleet.ledger.check(), [])
+
+        run(test)
+
+    async def _ask_and_stop(self, world: World, entry: EntryProcess) -> None:
+        """Ask for a stop while requests wait at a process that is still starting."""
+        async with trio.open_nursery() as nursery:
+            sent: list[Sent] = []
+            for _ in range(5):
+                nursery.start_soon(self._ask_into, world, entry, sent)
+            await trio.sleep(LOOK_S)
+            entry.signal(signal.SIGTERM)
+        self.assertEqual([s for s in sent if s.status is None], [])
+
+    async def _ask_into(self, world: World, entry: EntryProcess, sent: list[Sent]) -> None:
+        sent.append(await world.ask(entry))
+
     def test_more_signals_beside_a_stop_change_nothing(self) -> None:
         hang_up, stop = signal.SIGHUP, signal.SIGTERM
         series = [(stop, stop), (stop, hang_up), (hang_up, stop), (stop, hang_up, stop, hang_up)]
--- a/yewloom/tests/test_process_signals.py
+++ b/yewloom/tests/test_process_signals.py
@@ -8,7 +8,8 @@
 import trio
 import trio.testing
 
-from yewloom.process_signals import STOP_SIGNALS, ProcessSignals
+from yewloom.early_signals import STOP_SIGNALS, EarlySignals
+from yewloom.process_signals import ProcessSignals
 
 HELD_UP_S = 0.2
 """Time for which the loop is held up in the tests."""
@@ -52,6 +53,17 @@
         time.sleep(HELD_UP_S)
         self.assertGreaterEqual(self._run(trio.lowlevel.checkpoint), HELD_UP_S)
 
+    def test_a_stop_that_was_asked_for_while_the_program_was_imported_counts(self) -> None:
+        early = EarlySignals()
+        early.listen()
+        signal.raise_signal(signal.SIGHUP)
+        signal.raise_signal(signal.SIGTERM)
+        time.sleep(HELD_UP_S)
+        self.signals = ProcessSignals(early)
+        self.signals.listen()
+        self.assertGreaterEqual(self._run(trio.lowlevel.checkpoint), HELD_UP_S)
+        self.assertEqual(self.reloads, 0)
+
     def test_a_reload_is_called_for_and_asks_for_no_stop(self) -> None:
         async def act() -> None:
             for _ in range(2):
