--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -403,8 +403,8 @@
     ),
     Mutation(
         "planned stop: what would be cut off is not begun",
-        "forwarding",
-        "if not self._has_time_before_stop(request):",
+        "endpoint_choice",
+        "if not self.has_time_before_stop(request):",
         "if False:",
         "test_forwarding_stop",
     ),
@@ -604,6 +604,13 @@
         "with trio.CancelScope():",
         "test_shutdown",
     ),
+    Mutation(
+        "streams: one that can't go on elsewhere is not left",
+        "endpoint_choice",
+        "return self._retries.may_repeat(request.wanted.service, trio.current_time())",
+        "return True",
+        "test_forwarding",
+    ),
 )
 
 
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -19,6 +19,7 @@
     OutgoingRequest,
     open_exchange,
 )
+from yewloom.endpoint_choice import EndpointChoice
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, WholeAnswer
@@ -54,9 +55,11 @@
         stalls: StallDetector,
         metrics: ForwardMetrics,
         reachability: Reachability,
+        choice: EndpointChoice,
     ) -> None:
         self._codec = codec
         self._reachability = reachability
+        self._choice = choice
         self._selector = selector
         self._stalls = stalls
         self._metrics = metrics
@@ -163,7 +166,7 @@
             return False, f"not run: status {head.status}"
         self._check_answer(request, head)
         body = await exchange.whole_body()
-        if head.status >= SERVER_ERROR and self._may_go_on(request):
+        if head.status >= SERVER_ERROR and self._choice.has_another(request):
             return False, f"failed: status {head.status}"
         request.record.note(endpoint.id, AttemptState.ANSWERED)
         if request.reply.is_started:
@@ -171,16 +174,6 @@
         request.answer = WholeAnswer(head.status, self._codec.returned_headers(head), body)
         return True, "answered"
 
-    def _may_go_on(self, request: ForwardRequest) -> bool:
-        """Tell whether another endpoint could still get the request after a failure."""
-        if not request.record.may_try_another:
-            return False
-        now_s = trio.current_time()
-        another = self._selector.choose(
-            request.wanted, request.configuration, request.record.states, now_s
-        )
-        return another is not None
-
     async def _pass_events(
         self,
         request: ForwardRequest,
@@ -226,5 +219,5 @@
             with trio.move_on_at(look_s):
                 return await step()
             is_stalled = self._stalls.is_stalled(endpoint.id, trio.current_time())
-            if is_stalled and self._may_go_on(request):
+            if is_stalled and self._choice.has_another(request):
                 raise _Stalled
--- /dev/null
+++ b/yewloom/endpoint_choice.py
@@ -0,0 +1,60 @@
+"""Which endpoint a request may be sent to next, within all bounds: the route's, retries', a stop's.
+
+An answer that comes slowly is left only if the request can go on elsewhere; else it is worth more
+than a cut.
+"""
+
+import trio
+
+from yewloom.directory import Endpoint
+from yewloom.forward_request import ForwardRequest
+from yewloom.planned_stop import PlannedStop
+from yewloom.retry_window import RetryWindow
+from yewloom.route_durations import RouteDurations
+from yewloom.selection import Selector
+
+
+class EndpointChoice:
+    """Chooses the next endpoint of a request, and tells whether there is one.
+
+    ``durations`` are those of answered requests, which tell what still fits before a stop.
+    """
+
+    def __init__(self, selector: Selector, retries: RetryWindow, stop: PlannedStop) -> None:
+        self._selector = selector
+        self._retries = retries
+        self._stop = stop
+        self.durations = RouteDurations()
+
+    def next(self, request: ForwardRequest) -> Endpoint | None:
+        """Return the endpoint that gets a request next, and count the sending; None if none may."""
+        endpoint = self._best(request)
+        if endpoint is None:
+            return None
+        service, now_s = request.wanted.service, trio.current_time()
+        if request.record.is_repeat() and not self._retries.try_repeat(service, now_s):
+            return None
+        return endpoint
+
+    def has_another(self, request: ForwardRequest) -> bool:
+        """Tell whether a request that was sent could be sent once more; nothing is counted."""
+        if self._best(request) is None:
+            return False
+        return self._retries.may_repeat(request.wanted.service, trio.current_time())
+
+    def has_time_before_stop(self, request: ForwardRequest) -> bool:
+        """Tell whether a planned stop leaves the time that half of the latest on a route took."""
+        if not self._stop.is_begun:
+            return True
+        usual_s = self.durations.usual_s(request.route.name)
+        return self._stop.has_time_for(usual_s, trio.current_time())
+
+    def _best(self, request: ForwardRequest) -> Endpoint | None:
+        record = request.record
+        if record.states and not record.may_try_another:
+            return None
+        if not self.has_time_before_stop(request):
+            return None
+        return self._selector.choose(
+            request.wanted, request.configuration, record.states, trio.current_time()
+        )
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -13,6 +13,7 @@
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import EndpointAttempts
+from yewloom.endpoint_choice import EndpointChoice
 from yewloom.endpoint_probes import EndpointProbes
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
 from yewloom.entry_exchange import EntryExchange
@@ -114,18 +115,19 @@
             bounds.retry_window_s,
             lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
         )
+        choice = EndpointChoice(self._selector, retries, self._stop_plan)
         return Forwarder(
             self._book,
             parts.codec,
             self._selector,
             retries,
             EndpointAttempts(
-                parts.codec, self._selector, self._stalls, self._metrics, self._reachability
+                parts.codec, self._selector, self._stalls, self._metrics, self._reachability, choice
             ),
             self._metrics,
             KeyTrust(self._book, bounds.key_revocation_ms / 1000, bounds.keys_need_proof),
             lambda: self._directory.is_known,
-            self._stop_plan,
+            choice,
         )
 
     def _build_coordinator(self) -> ReplicaCoordinator:
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -15,13 +15,12 @@
 from yewloom.configuration import ConfigurationBook
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
+from yewloom.endpoint_choice import EndpointChoice
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.key_trust import KeyTrust
-from yewloom.planned_stop import PlannedStop
 from yewloom.request_admission import RequestAdmission
 from yewloom.retry_window import RetryWindow
-from yewloom.route_durations import RouteDurations
 from yewloom.selection import Selector
 
 logger = structlog.get_logger(__name__)
@@ -64,15 +63,14 @@
         metrics: ForwardMetrics,
         key_trust: KeyTrust,
         is_ready: Callable[[], bool],
-        stop: PlannedStop,
+        choice: EndpointChoice,
     ) -> None:
         self._book = book
         self._selector = selector
         self._retries = retries
         self._attempts = attempts
         self._metrics = metrics
-        self._stop = stop
-        self._durations = RouteDurations()
+        self._choice = choice
         self._timers: dict[trio.CancelScope, None] = {}  # In the order in which they began.
         self._admission = RequestAdmission(book, codec, selector, key_trust, is_ready)
 
@@ -113,13 +111,6 @@
             timer.cancel()
         return bool(ended)
 
-    def _has_time_before_stop(self, request: ForwardRequest) -> bool:
-        """Tell whether a planned stop leaves the time that half of the latest on a route took."""
-        if not self._stop.is_begun:
-            return True
-        usual_s = self._durations.usual_s(request.route.name)
-        return self._stop.has_time_for(usual_s, trio.current_time())
-
     async def _forward(self, request: ForwardRequest) -> str:
         """Try endpoints until one answers; return what became of the request."""
         with self._time_limit(request):
@@ -135,7 +126,7 @@
     async def _try_endpoints(self, request: ForwardRequest) -> None:
         """Send a request to one endpoint after the other until one answers or none may get it."""
         while True:
-            endpoint = self._next_endpoint(request)
+            endpoint = self._choice.next(request)
             if endpoint is None or await self._attempt(request, endpoint):
                 return
 
@@ -149,23 +140,6 @@
             finally:
                 del self._timers[timer]
 
-    def _next_endpoint(self, request: ForwardRequest) -> Endpoint | None:
-        """Return the endpoint that gets the request next, within all bounds; None if none may."""
-        record, service = request.record, request.wanted.service
-        if record.states and not record.may_try_another:
-            return None
-        if not self._has_time_before_stop(request):
-            return None
-        now_s = trio.current_time()
-        endpoint = self._selector.choose(
-            request.wanted, request.configuration, record.states, now_s
-        )
-        if endpoint is None:
-            return None
-        if record.is_repeat() and not self._retries.try_repeat(service, now_s):
-            return None
-        return endpoint
-
     async def _attempt(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         request.record.begin(endpoint.id)
         self._selector.begin(endpoint.id)
@@ -193,7 +167,7 @@
 
     def _refusal(self, request: ForwardRequest) -> Refusal:
         """Return why a request that has not run is refused, and when it may come back."""
-        if self._has_time_before_stop(request):
+        if self._choice.has_time_before_stop(request):
             return Refusal(503, "no endpoint free", RETRY_AFTER_S)
         return Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
 
@@ -215,7 +189,7 @@
         now_s = trio.current_time()
         took_ms = round((now_s - source.arrived_s) * 1000)
         if request is not None and outcome == ANSWERED:
-            self._durations.note(request.route.name, now_s - source.arrived_s)
+            self._choice.durations.note(request.route.name, now_s - source.arrived_s)
         kind = request.route.kind.value if request is not None else "none"
         self._metrics.on_request(kind, reply.status, outcome, took_ms / 1000)
         logger.info(
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -13,6 +13,7 @@
 from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import EndpointAttempts
+from yewloom.endpoint_choice import EndpointChoice
 from yewloom.entry_states import PeerBoard
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
@@ -140,16 +141,19 @@
         self.selector = Selector(self.directory, HALL, board, random.Random(1), reachability)
         codec, metrics = WireHeaders(), ForwardMetrics()
         self.stop, self.metrics = PlannedStop(GRACE_S), metrics
+        self.retries_left = 10.0
+        retries = RetryWindow(0.2, 10.0, lambda: self.retries_left)
+        choice = self.choice = EndpointChoice(self.selector, retries, self.stop)
         self.forwarder = Forwarder(
             self.book,
             codec,
             self.selector,
-            RetryWindow(0.2, 10.0, lambda: 10.0),
-            EndpointAttempts(codec, self.selector, StallDetector(), metrics, reachability),
+            retries,
+            EndpointAttempts(codec, self.selector, StallDetector(), metrics, reachability, choice),
             metrics,
             KeyTrust(self.book, 5.0, needs_proof=True),
             lambda: True,
-            self.stop,
+            choice,
         )
         handlers = Handlers(self.forwarder.handle, self.forwarder.refuse)
         self.server = CallerServer(handlers, lambda: LIMITS)
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -1,15 +1,19 @@
 """Tests of forwarding over real connections: what endpoints see and what callers are told."""
 
 import unittest
+from collections.abc import Callable
 
 import h11
 import trio
 
 from yewloom.ids import HostId
-from yewloom.tests.entry_support import (
-    make_plain,
-)
+from yewloom.planned_stop import STOP_MARGIN_S
+from yewloom.route_durations import LEAST
+from yewloom.stalls import QUIET_S
+from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
+    GRACE_S,
+    STREAM_ROUTE,
     Endpoint,
     Fixture,
     answer_ok,
@@ -251,6 +255,45 @@
 
         run(test)
 
+    def test_a_slow_stream_that_can_not_go_on_elsewhere_is_not_left(self) -> None:
+        """A busy engine is silent for a second while retries are used up, or a stop is near."""
+
+        async def pause(endpoint: Endpoint, request: h11.Request) -> None:
+            await endpoint.start(200)
+            await endpoint.send(event(1))
+            await trio.sleep(QUIET_S * 2)
+            await endpoint.send(event(2))
+            await endpoint.finish()
+
+        def use_up_retries(fixture: Fixture) -> None:
+            fixture.retries_left = 0.0
+
+        def stop_soon(fixture: Fixture) -> None:
+            for _ in range(LEAST):
+                fixture.choice.durations.note(STREAM_ROUTE.name, 2.0)
+            ends_s = trio.current_time() + 1.9
+            fixture.stop.begin(ends_s - GRACE_S + STOP_MARGIN_S)
+
+        for hinder in (use_up_retries, stop_soon):
+
+            async def test(fixture: Fixture, hinder: Callable[[Fixture], None] = hinder) -> None:
+                other = Endpoint(answer_ok)
+                await fixture.add_engine("a", Endpoint(pause))
+                await fixture.add_engine("b", other)
+                fixture.selector.begin(HostId("b"))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._expect_two_events, fixture)
+                    await trio.sleep(QUIET_S / 2)
+                    hinder(fixture)
+                self.assertEqual(other.requests, [])
+
+            with self.subTest(hinder.__name__):
+                run(test)
+
+    async def _expect_two_events(self, fixture: Fixture) -> None:
+        answer = await fixture.ask("/s/1")
+        self.assertEqual((answer.body, answer.is_whole), (event(1) + event(2), True))
+
     def test_a_stream_that_may_not_be_resumed_is_cut_off_visibly(self) -> None:
         async def break_off(endpoint: Endpoint, request: h11.Request) -> None:
             await endpoint.start(200)
