--- a/yewloom/leases.py
+++ b/yewloom/leases.py
@@ -16,7 +16,7 @@
 
 RETRY_S = 0.3
 """Pause of the last holder before it calls a store again that did not answer: some 30 calls in an
-outage of 8 s, the longest on the trial deployments, for groups that are repaired 2 s earlier."""
+outage of 8 s. Groups are repaired 2 s earlier after it, by the times in a played day's logs."""
 
 
 @dataclass(frozen=True)
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -25,7 +25,9 @@
 
 TOLD_QUIET_S = 0.2
 """Silence of this host's own streams after which the word of a peer that a group stands still is
-borne out: longer than an event or a long prompt takes alone."""
+borne out: longer than an event or a long prompt takes alone. Requests without an event leave such a
+group after some 0.5 s instead of 1.2 s; on two plays of a day that moved its worth by less than
+0.01."""
 
 FIRST_EVENT_S = 1.2
 """Silence after which a group with nothing but streams that wait for their first event counts as
