--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -20,22 +20,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from removals import Removal, take_out
+
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("yewloom", "deploy", "docs", "journal", "target", ".gitignore")
+COPIED = ("yewloom", "deploy", "target", ".gitignore")
 WORTH = re.compile(r"^worth (-?[0-9.]+)", re.MULTILINE)
 PLAY_LIMIT_S = 900
 
 
-@dataclass(frozen=True)
-class Removal:
-    """A mechanism, and the text of a module whose replacement takes it out."""
-
-    mechanism: str
-    module: str
-    text: str
-    replacement: str
-
-
 WHOLE = "nothing"
 
 REMOVALS = (
@@ -170,11 +162,7 @@
             shutil.copy(source, folder / name)
     subprocess.run(["git", "init", "--quiet"], cwd=folder, check=True)
     if removal is not None:
-        path = folder / "yewloom" / f"{removal.module}.py"
-        text = path.read_text(encoding="utf-8")
-        if text.count(removal.text) != 1:
-            raise SystemExit(f"{removal.mechanism}: its text is not in {removal.module}.py once")
-        path.write_text(text.replace(removal.text, removal.replacement), encoding="utf-8")
+        take_out(removal, folder)
     return folder
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -11,19 +11,18 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from removals import Removal, take_out
+
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 240
 
 
 @dataclass(frozen=True)
-class Mutation:
-    """A mechanism to remove: a text of a module, what replaces it, and the tests to run."""
+class Mutation(Removal):
+    """A removal, the tests to run, and how many times its text stands in the module."""
 
-    mechanism: str
-    module: str
-    text: str
-    replacement: str
     tests: str
+    times: int = 1
 
 
 MUTATIONS = (
@@ -449,6 +448,7 @@
         "await trio.lowlevel.checkpoint_if_cancelled()",
         "pass",
         "test_caller_connection",
+        times=2,
     ),
     Mutation(
         "answers: one that is here when the time runs out is passed on",
@@ -501,9 +501,9 @@
     ),
     Mutation(
         "planned stop: it counts from the first signal",
-        "process_signals",
-        "elif self._asked_ns is None:",
-        "else:",
+        "early_signals",
+        "if self.asked_ns is None:",
+        "if True:",
         "test_process_signals",
     ),
     Mutation(
@@ -619,11 +619,7 @@
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder) / "tree"
         shutil.copytree(ROOT / "yewloom", copy / "yewloom", ignore=_ignored)
-        path = copy / "yewloom" / f"{mutation.module}.py"
-        text = path.read_text(encoding="utf-8")
-        if mutation.text not in text:
-            raise SystemExit(f"{mutation.mechanism}: its text is not in {mutation.module}.py")
-        path.write_text(text.replace(mutation.text, mutation.replacement), encoding="utf-8")
+        take_out(mutation, copy, mutation.times)
         return _first_failure(copy, mutation.tests)
 
 
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -68,11 +68,16 @@
                 self._connections.start_soon(self._refuse_connection, stream, is_closing)
 
     def _waiting_connections(self) -> Iterator[trio.SocketStream]:
-        while self._listener is not None:
+        if self._listener is None:
+            return
+        while True:
             try:
                 connection, _ = self._listener.accept()
-            except OSError:
+            except BlockingIOError:
                 return  # None waits any more.
+            except OSError as error:
+                logger.warning("waiting connections not accepted", reason=str(error))
+                return
             connection.setblocking(False)
             yield trio.SocketStream(trio.socket.from_stdlib_socket(connection))
 
--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -12,6 +12,9 @@
 import socket
 from pathlib import Path
 
+from yewloom.addresses import split_address
+from yewloom.ini_files import new_parser
+
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted; a full queue costs a caller seconds."""
 
@@ -25,17 +28,17 @@
     if address is None:
         return None
     try:
-        return listen(*address)
-    except OSError:
+        return listen(address)
+    except (OSError, ValueError):
         return None  # The program tries again, and tells why it can't.
 
 
-def listen(host: str, port: int) -> socket.socket:
-    """Open a socket that listens; raises OSError."""
+def listen(address: str) -> socket.socket:
+    """Open a socket that listens at ``ip:port``; raises OSError, and ValueError if it is none."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
+        listener.bind(split_address(address))
         listener.listen(LISTEN_BACKLOG)
     except OSError:
         listener.close()
@@ -43,11 +46,10 @@
     return listener
 
 
-def _caller_address(settings: Path) -> tuple[str, int] | None:
-    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=("#", ";"))
+def _caller_address(settings: Path) -> str | None:
+    parser = new_parser()
     try:
         parser.read_string(settings.read_text(encoding="utf-8"))
-        host, _, port = parser.get("host", "caller_address").rpartition(":")
-        return host, int(port)
+        return parser.get("host", "caller_address")
     except (OSError, ValueError, configparser.Error):
         return None  # As above.
--- a/yewloom/early_signals.py
+++ b/yewloom/early_signals.py
@@ -13,7 +13,7 @@
 
 
 class EarlySignals:
-    """Notes when a stop was first asked for, until ``ProcessSignals`` listens."""
+    """Keeps when a stop was first asked for; takes the signals until ``ProcessSignals`` does."""
 
     def __init__(self) -> None:
         self.asked_ns: int | None = None
@@ -22,8 +22,9 @@
         """Take the signals from now on."""
         signal.signal(signal.SIGHUP, signal.SIG_IGN)  # The settings are read later.
         for number in STOP_SIGNALS:
-            signal.signal(number, self._note)
+            signal.signal(number, self.note_stop)
 
-    def _note(self, number: int, frame: FrameType | None) -> None:
+    def note_stop(self, number: int, frame: FrameType | None) -> None:
+        """Take in a signal that asks for a stop; the first of several counts."""
         if self.asked_ns is None:
             self.asked_ns = time.perf_counter_ns()
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -53,13 +53,13 @@
     async def start(self, nursery: trio.Nursery, early: socket.socket | None) -> None:
         """Begin to serve; ``early`` is the socket for callers, if it is open already."""
         settings = self._settings
-        listener = early or _listen(settings.caller_address)
+        listener = early or listen(settings.caller_address)
         await nursery.start(self._callers.serve, listener, self._wait_for_knowledge)
-        await nursery.start(self._readiness.serve, _listen(settings.readiness_address))
-        await nursery.start(self._peer_server.serve, _listen(settings.peer_address))
+        await nursery.start(self._readiness.serve, listen(settings.readiness_address))
+        await nursery.start(self._peer_server.serve, listen(settings.peer_address))
         if settings.metrics_port:
             ip, _ = split_address(settings.caller_address)
-            await nursery.start(self._metrics_server.serve, listen(ip, settings.metrics_port))
+            await nursery.start(self._metrics_server.serve, listen(f"{ip}:{settings.metrics_port}"))
 
     async def _wait_for_knowledge(self) -> None:
         """Wait until the host knows whom to send callers to, for a short time at most."""
@@ -73,7 +73,3 @@
     async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
-
-
-def _listen(address: str) -> socket.socket:
-    return listen(*split_address(address))
--- a/yewloom/process_signals.py
+++ b/yewloom/process_signals.py
@@ -18,8 +18,7 @@
     """
 
     def __init__(self, early: EarlySignals | None = None) -> None:
-        self._early = early
-        self._asked_ns: int | None = None
+        self._stops = early or EarlySignals()
         self._has_reload = False
         self._has_changed = trio.Event()
         self._token: trio.lowlevel.TrioToken | None = None
@@ -28,13 +27,11 @@
         """Take the signals from now on, to the end of the process."""
         for number in (*STOP_SIGNALS, signal.SIGHUP):
             signal.signal(number, self._note)
-        if self._early is not None and self._early.asked_ns is not None:
-            self._asked_ns = self._early.asked_ns
 
     async def wait_for_stop(self, reload: Callable[[], None]) -> float:
         """Return when a stop was first asked for, on trio's clock; call ``reload`` until then."""
         self._token = trio.lowlevel.current_trio_token()
-        while self._asked_ns is None:
+        while (asked_ns := self._stops.asked_ns) is None:
             if self._has_reload:
                 self._has_reload = False
                 reload()
@@ -42,13 +39,13 @@
             self._has_changed = trio.Event()
             # A signal that came just now has run ``_note`` with the token, so this wakes up.
             await self._has_changed.wait()
-        return trio.current_time() - (time.perf_counter_ns() - self._asked_ns) / 1e9
+        return trio.current_time() - (time.perf_counter_ns() - asked_ns) / 1e9
 
     def _note(self, number: int, frame: FrameType | None) -> None:
         if number == signal.SIGHUP:
             self._has_reload = True
-        elif self._asked_ns is None:
-            self._asked_ns = time.perf_counter_ns()
+        else:
+            self._stops.note_stop(number, frame)
         if self._token is None:
             return
         try:
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -87,6 +87,8 @@
 
     def take_due_probes(self, now_s: float) -> list[Endpoint]:
         """Return the endpoints to probe now; they count as probed."""
+        if not self._lost and not self._cut:
+            return []
         self._drop_unlisted()
         due: dict[HostId, Endpoint] = {}
         for lost in self._lost.values():
@@ -123,6 +125,8 @@
         """Forget what is no longer listed; the list decides about it."""
         for host in [host for host in self._lost if host not in self._directory.by_id]:
             del self._lost[host]
+        if not self._cut:
+            return
         listed = {endpoint.data_centre for endpoint in self._directory.by_id.values()}
         for data_centre in [name for name in self._cut if name not in listed]:
             del self._cut[data_centre]
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -48,10 +48,10 @@
         data_centre: DataCentreId,
         peers: PeerBoard,
         rng: random.Random,
-        reachability: Reachability | None = None,
+        reachability: Reachability,
     ) -> None:
         self._directory = directory
-        self._reachability = reachability or Reachability(directory)
+        self._reachability = reachability
         self._peers = peers
         self._data_centre = data_centre
         self._rng = rng
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -13,6 +13,7 @@
 from google.protobuf.message import Message
 from result import Err, Ok, Result
 
+from yewloom.ini_files import new_parser
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.settings_pb2 import LeaseSettings, Settings
 from yewloom.validation import allowed_text, apply_defaults, fields_of, parse_value, rule_of
@@ -54,7 +55,7 @@
 
 def parse_sections(text: str, source: str, settings: SettingsT) -> Result[SettingsT, SettingsError]:
     """Fill an empty message from an INI file with one section for each of its fields."""
-    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=("#", ";"))
+    parser = new_parser()
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -33,7 +33,6 @@
 """Silence after which a group with nothing but streams that wait for their first event counts as
 standing still."""
 
-
 LOOK_S = 0.1
 """Pause between two looks at whether a group stands still: half of that between two words of a
 peer."""
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -5,7 +5,6 @@
 import trio
 import trio.testing
 
-from yewloom.addresses import split_address
 from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
@@ -33,7 +32,7 @@
 
         server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
         async with trio.open_nursery() as nursery:
-            await nursery.start(server.serve, listen(*split_address(address)))
+            await nursery.start(server.serve, listen(address))
             async with open_exchange(address, 1.0) as exchange:
                 await exchange.send(REQUEST)
                 await asked.wait()
@@ -58,7 +57,7 @@
 
         server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
         async with trio.open_nursery() as nursery:
-            listener = listen(*split_address(address))
+            listener = listen(address)
             await nursery.start(server.serve, listener, trio.sleep_forever)
             async with open_exchange(address, 1.0) as first, open_exchange(address, 1.0) as second:
                 for exchange in (first, second):
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -15,6 +15,7 @@
 from yewloom.listed_endpoints import ChangedEndpoints, decode_endpoint, encode_endpoint
 from yewloom.platform.records import StoreRecords
 from yewloom.platforms import Listing, StoredObject
+from yewloom.reachability import Reachability
 from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
 from yewloom.selection import Selector
 from yewloom.tests.entry_support import HALL, LARGE, SMALL, make_engine, make_plain
@@ -33,7 +34,9 @@
         self.followed = FollowedPosition()
         self.told: list[ChangedEndpoints] = []
         board = PeerBoard(EntryHostId("me"), HALL)
-        selector = Selector(self.directory, HALL, board, random.Random(1))
+        selector = Selector(
+            self.directory, HALL, board, random.Random(1), Reachability(self.directory)
+        )
         self.intake = EndpointIntake(
             StoreRecords(), self.directory, selector, self.followed, self.told.append
         )
--- a/yewloom/tests/test_key_trust.py
+++ b/yewloom/tests/test_key_trust.py
@@ -19,6 +19,7 @@
 from yewloom.ids import EntryHostId
 from yewloom.key_trust import PROOF_SHARE, KeyTrust
 from yewloom.platform.headers import WireHeaders
+from yewloom.reachability import Reachability
 from yewloom.request_admission import RequestAdmission
 from yewloom.routes import RouteKind
 from yewloom.selection import Selector
@@ -39,7 +40,8 @@
             self.book.apply(make_configuration(route), 0.0)
         trust = KeyTrust(self.book, REVOCATION_S, needs_proof)
         board = PeerBoard(EntryHostId("me"), HALL)
-        selector = Selector(EndpointDirectory(), HALL, board, Random(1))
+        directory = EndpointDirectory()
+        selector = Selector(directory, HALL, board, Random(1), Reachability(directory))
         self._admission = RequestAdmission(self.book, WireHeaders(), selector, trust, lambda: True)
 
     def status(self, at_s: float, key: str = "k1", path: str = "/s/1") -> int:
--- a/yewloom/tests/test_peer_configurations.py
+++ b/yewloom/tests/test_peer_configurations.py
@@ -10,7 +10,6 @@
 
 import trio
 
-from yewloom.addresses import split_address
 from yewloom.caller_messages import Handlers
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
@@ -68,7 +67,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Answer peers and ask them."""
         server = CallerServer(Handlers(self.sharing.answer), CallerLimits)
-        await nursery.start(server.serve, listen(*split_address(self.address)))
+        await nursery.start(server.serve, listen(self.address))
         nursery.start_soon(self.sharing.run)
 
     @property
@@ -91,16 +90,22 @@
     trio.run(main)
 
 
+async def _start_two(nursery: trio.Nursery, stored: StoredObject) -> tuple[Host, Host]:
+    """Start a peer and a host that asks it, which have both read a configuration."""
+    peer = Host()
+    host = Host(peer)
+    for each in (peer, host):
+        await each.start(nursery)
+        each.read(stored)
+    return peer, host
+
+
 class TestTurnedAway(unittest.TestCase):
     """A host that hears of a configuration which it can't read."""
 
     def test_it_takes_the_configuration_from_a_peer_and_serves_the_keys_that_are_left(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            peer = Host()
-            host = Host(peer)
-            for each in (peer, host):
-                await each.start(nursery)
-                each.read(_stored(1, "k1", "k2"))
+            peer, host = await _start_two(nursery, _stored(1, "k1", "k2"))
             peer.read(_stored(2, "k2"))
             host.book.note_version(2)
             trust = KeyTrust(host.book, 5.0, needs_proof=False)
@@ -114,11 +119,7 @@
 
     def test_a_peers_configuration_proves_nothing_of_its_age(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            peer = Host()
-            host = Host(peer)
-            for each in (peer, host):
-                await each.start(nursery)
-                each.read(_stored(1, "k1"))
+            peer, host = await _start_two(nursery, _stored(1, "k1"))
             before_ms = host.book.stated_age_ms(trio.current_time())
             peer.read(_stored(2, "k1"))
             host.book.note_version(2)
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -9,6 +9,7 @@
 from yewloom.directory import EndpointDirectory, MemberState
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.reachability import Reachability
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
 from yewloom.selection import Selector, Wanted
 from yewloom.tests.entry_support import (
@@ -32,7 +33,9 @@
     def setUp(self) -> None:
         self.directory = EndpointDirectory()
         self.board = PeerBoard(EntryHostId("me"), HALL)
-        self.selector = Selector(self.directory, HALL, self.board, random.Random(1))
+        self.selector = Selector(
+            self.directory, HALL, self.board, random.Random(1), Reachability(self.directory)
+        )
 
     def choose(self, *tried: str) -> str | None:
         """Choose a leader of the small model."""
@@ -107,7 +110,9 @@
 
     @given(st.lists(st.sampled_from("abc"), max_size=30))
     def test_counts_return_to_nothing(self, names: list[str]) -> None:
-        selector = Selector(self.directory, HALL, self.board, random.Random(1))
+        selector = Selector(
+            self.directory, HALL, self.board, random.Random(1), Reachability(self.directory)
+        )
         for name in names:
             selector.begin(HostId(name))
         for name in names:
