--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -597,6 +597,27 @@
         "ENDED_AT_ONCE = 10000",
         "test_shutdown",
     ),
+    Mutation(
+        "stop: a loop that is held up does not make the end later",
+        "shutdown",
+        "self._alarm.start(self._plan.exits_s - trio.current_time())",
+        "pass",
+        "test_shutdown",
+    ),
+    Mutation(
+        "stop: the timer interrupts the loop",
+        "exit_timer",
+        "signal.setitimer(signal.ITIMER_REAL, max(delay_s, LEAST_DELAY_S))",
+        "pass",
+        "test_exit_timer",
+    ),
+    Mutation(
+        "start: signals are taken before the imports",
+        "platform/__main__",
+        "    signals.listen()\n    from pathlib import Path\n",
+        "    import socket\n\n    signals.listen()\n    from pathlib import Path\n",
+        "test_program_start",
+    ),
     Mutation(
         "stop: the process ends before its grace, whatever is open",
         "shutdown",
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -19,6 +19,7 @@
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_servers import EntryServers, HostStanding
 from yewloom.entry_states import PeerBoard
+from yewloom.exit_timer import ExitTimer
 from yewloom.follow_duty import FollowDuty, Standing
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, FollowPace
@@ -212,12 +213,21 @@
             await self._start(nursery)
             logger.info("started", data_centre=self._settings.host.data_centre)
             asked_s = await signals.wait_for_stop(reload)
-            self._coordinator.is_leaving = True
-            cut_off = await Shutdown(self._stop_plan, self._callers, self._forwarder).run(asked_s)
-            logger.info("stopped", cut_off=cut_off)
-            end_process()
+            await self._stop(asked_s, end_process)
             nursery.cancel_scope.cancel()
 
+    async def _stop(self, asked_s: float, end_process: Callable[[], None]) -> None:
+        """Stop as planned; a loop that is held up does not make the end later."""
+
+        def end() -> None:
+            logger.info("stopped", cut_off=self._callers.activity.open_requests)
+            end_process()
+
+        self._coordinator.is_leaving = True
+        shutdown = Shutdown(self._stop_plan, self._callers, self._forwarder, ExitTimer(end))
+        await shutdown.run(asked_s)
+        end()
+
     async def _start(self, nursery: trio.Nursery) -> None:
         """Open the servers, then begin the tasks that go on beside them."""
         await self._servers.start(nursery, self._listener)
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -1,13 +1,11 @@
 """Starts an entry host on the users' platform: ``python3 -m yewloom.platform``.
 
 Before the program's long imports it takes signals, whose default action would end the process, and
-lets callers connect.
+lets callers connect. The imports that this needs take milliseconds too, so signals come first.
 """
 
 import os
-from pathlib import Path
 
-from yewloom.early_listener import open_early
 from yewloom.early_signals import EarlySignals
 
 SETTINGS_VARIABLE = "YEWLOOM_BOOT"
@@ -18,6 +16,10 @@
     """Take signals, let callers connect, import the program and run it; return the exit code."""
     signals = EarlySignals()
     signals.listen()
+    from pathlib import Path
+
+    from yewloom.early_listener import open_early
+
     settings = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     listener = open_early(settings)
     from yewloom.platform.program import main
--- a/yewloom/shutdown.py
+++ b/yewloom/shutdown.py
@@ -33,32 +33,44 @@
         ...
 
 
+class ExitAlarm(Protocol):
+    """What ends the process at a time, whatever its loop does."""
+
+    def start(self, delay_s: float) -> None:
+        """Set the time, in seconds from now."""
+        ...
+
+
 class Shutdown:
     """Stops a host without cutting requests off, within the time that the platform allows.
 
     How long it takes to end a request depends on the share of a core that the host gets. So the
     last ones are ended a few at a time, and what is left when the time is up ends with the process:
-    its callers see a closed connection, as they would if the platform killed the process.
+    its callers see a closed connection, as they would if the platform killed the process. The alarm
+    is for a loop that is in the middle of a pass by then.
     """
 
-    def __init__(self, plan: PlannedStop, callers: Listener, requests: OpenRequests) -> None:
+    def __init__(
+        self, plan: PlannedStop, callers: Listener, requests: OpenRequests, alarm: ExitAlarm
+    ) -> None:
         self._plan = plan
         self._callers = callers
         self._activity = callers.activity
         self._requests = requests
+        self._alarm = alarm
 
-    async def run(self, asked_s: float) -> int:
-        """Stop, as asked for at some time; return how many requests are still open."""
+    async def run(self, asked_s: float) -> None:
+        """Stop, as asked for at some time; requests may still be open at the end."""
         late_ms = round((trio.current_time() - asked_s) * 1000)
         logger.info("stopping", open_requests=self._activity.open_requests, late_ms=late_ms)
         self._plan.begin(asked_s)
+        self._alarm.start(self._plan.exits_s - trio.current_time())
         self._activity.start_leaving()
         await trio.sleep_until(self._plan.closes_s)
         self._callers.stop_taking()
         await self._wait_for_open_requests()
         with trio.move_on_at(self._plan.exits_s):
             await self._end_open_requests()
-        return self._activity.open_requests
 
     async def _wait_for_open_requests(self) -> None:
         """Wait until no request is open, or until the rest must be cut off."""
--- a/yewloom/tests/test_shutdown.py
+++ b/yewloom/tests/test_shutdown.py
@@ -44,9 +44,22 @@
         return bool(cut_off)
 
 
+class Alarm:
+    """An alarm that notes its time."""
+
+    delay_s = 0.0
+
+    def start(self, delay_s: float) -> None:
+        """Note the time."""
+        self.delay_s = delay_s
+
+
 class TestShutdown(unittest.TestCase):
     """A stop ends in time on a host of any pace."""
 
+    def setUp(self) -> None:
+        self.alarm = Alarm()
+
     def _stop(self, count: int, end_s: float) -> tuple[Requests, int, float]:
         """Stop a host; return its requests, how many were left open and when it ended."""
         clock = trio.testing.MockClock(autojump_threshold=0)
@@ -54,8 +67,9 @@
 
         async def stop() -> tuple[int, float]:
             began_s = trio.current_time()
-            left = await Shutdown(PlannedStop(GRACE_S), requests, requests).run(began_s)
-            return left, trio.current_time() - began_s
+            shutdown = Shutdown(PlannedStop(GRACE_S), requests, requests, self.alarm)
+            await shutdown.run(began_s)
+            return requests.activity.open_requests, trio.current_time() - began_s
 
         return requests, *trio.run(stop, clock=clock)
 
@@ -64,6 +78,10 @@
         self.assertEqual(left, 0)
         self.assertLess(took_s, GRACE_S / 2)
 
+    def test_the_alarm_is_set_for_the_time_at_which_the_process_must_end(self) -> None:
+        self._stop(0, 0.0)
+        self.assertAlmostEqual(self.alarm.delay_s, GRACE_S - EXIT_MARGIN_S)
+
     def test_a_fast_host_cuts_all_off_in_order_of_their_age(self) -> None:
         requests, left, took_s = self._stop(100, 0.001)
         self.assertEqual((left, requests.ended), (0, list(range(100))))
