--- a/yewloom/endpoint_probes.py
+++ b/yewloom/endpoint_probes.py
@@ -10,7 +10,7 @@
 logger = structlog.get_logger(__name__)
 
 LOOK_S = 0.05
-"""Pause between two looks for probes that are due."""
+"""Pause between two looks for probes that are due, while anything is lost."""
 
 
 class EndpointProbes:
@@ -18,11 +18,19 @@
 
     def __init__(self, reachability: Reachability) -> None:
         self._reachability = reachability
+        self._has_losses = trio.Event()
+
+    def wake(self) -> None:
+        """Take in that an endpoint can't be reached."""
+        self._has_losses.set()
 
     async def run(self) -> None:
         """Probe until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                if not self._reachability.has_losses:
+                    self._has_losses = trio.Event()
+                    await self._has_losses.wait()
                 for endpoint in self._reachability.take_due_probes(trio.current_time()):
                     nursery.start_soon(self._probe, endpoint)
                 await trio.sleep(LOOK_S)
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -1,14 +1,12 @@
 """Datagrams among the entry hosts, in which each tells its peers what it knows.
 
 Datagrams rather than calls: a message tells the whole of what its sender knows, the next one comes
-a fifth of a second later, and nobody waits for a peer that is cut off. The peers in the same data
-centre get every message; of those elsewhere, some get each one in turn, so that a host's work grows
-with its data centre alone.
+a fifth of a second later, and nobody waits for a peer that is cut off. Where there are many peers,
+some get each message in turn (``peer_turns``).
 """
 
 import socket
 from collections.abc import Iterable
-from itertools import islice
 
 import structlog
 import trio
@@ -22,17 +20,13 @@
 from yewloom.listed_endpoints import ChangedEndpoints, encode_changes
 from yewloom.own_state import OwnState
 from yewloom.peer_intake import PeerIntake
+from yewloom.peer_turns import PeerTurns
 from yewloom.schema.entry_pb2 import EntryMessage
 
 logger = structlog.get_logger(__name__)
 
 SEND_INTERVAL_S = 0.2
-"""Pause between two messages to each peer in the data centre; some 300 bytes each on the trial
-deployments."""
-
-REMOTE_PEERS_AT_ONCE = 12
-"""Peers in other data centres that get one message: all of them on the smaller trial deployments,
-each once a second on the largest."""
+"""Pause between two messages; some 300 bytes each on the trial deployments."""
 
 MAX_DATAGRAM_BYTES = 65507
 """Longest datagram of UDP over IPv4."""
@@ -58,7 +52,7 @@
         self._duty = duty
         self._own_state = own_state
         self._intake = intake
-        self._next_remote = 0
+        self._turns = PeerTurns()
         self._has_news = trio.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -102,17 +96,26 @@
 
     async def _send(self) -> None:
         while True:
-            with trio.move_on_after(SEND_INTERVAL_S):
+            with trio.move_on_after(SEND_INTERVAL_S) as pause:
                 await self._has_news.wait()
+            is_news = not pause.cancelled_caught
             self._has_news = trio.Event()
             now_s = trio.current_time()
             self._board.drop_silent(now_s)
             common = EntryMessage(state=self._own_state.next(now_s)).SerializeToString()
-            for peer in [*self._near_peers(), *self._remote_peers()]:
+            for peer in self._next_peers(is_news):
                 # Messages of protobuf that follow each other are read as one.
                 echo = self._board.echo_for(peer)
                 self._send_to(peer, common + EntryMessage(state=echo).SerializeToString())
 
+    def _next_peers(self, is_news: bool) -> list[EntryHostId]:
+        """Return who gets the next message; news and a follower's word go to all that are near."""
+        near = self._near_peers()
+        tells_all = is_news or self._duty.is_mine()
+        return self._turns.next(
+            near, self._remote_peers(), near if tells_all else self._duty.near_followers()
+        )
+
     def _near_peers(self) -> list[EntryHostId]:
         """Return the peers in this data centre."""
         here = self._addresses.own.data_centre
@@ -120,12 +123,8 @@
         return [peer for peer, address in known if address.data_centre == here]
 
     def _remote_peers(self) -> list[EntryHostId]:
-        """Return those peers in other data centres whose turn it is."""
-        remote = sorted(self._addresses.by_peer.keys() - set(self._near_peers()))
-        count = min(REMOTE_PEERS_AT_ONCE, len(remote))
-        first = self._next_remote % max(1, len(remote))
-        self._next_remote = first + count
-        return list(islice([*remote, *remote], first, first + count))
+        """Return the peers in other data centres."""
+        return sorted(self._addresses.by_peer.keys() - set(self._near_peers()))
 
     def _send_to(self, peer: EntryHostId, data: bytes) -> None:
         try:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -77,7 +77,8 @@
         host_id, data_centre = self._me.host_id, self._me.data_centre
         self._board = PeerBoard(host_id, data_centre, self._me.started_unix_ms)
         self._duty = FollowDuty(host_id, data_centre, self._board, self._standing, rng.random())
-        self._reachability = Reachability(self._directory)
+        self._reachability = Reachability(self._directory, lambda: self._probes.wake())
+        self._probes = EndpointProbes(self._reachability)
         self._selector = Selector(
             self._directory, data_centre, self._board, rng, self._reachability
         )
@@ -235,7 +236,7 @@
             self._configuration_follower.run,
             self._endpoint_follower.run,
             self._endpoint_intake.drop_lapsed,
-            EndpointProbes(self._reachability).run,
+            self._probes.run,
             self._peer_configurations.run,
             self._exchange.run,
             self._coordinator.run,
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -14,11 +14,12 @@
 from yewloom.schema.entry_pb2 import EntryState, ListingWord
 
 FRESH_S = 1.0
-"""Age up to which the word of a peer in the same data centre counts: five of its messages."""
+"""Age up to which the word of a peer in the same data centre counts: five of its messages where all
+of them get each one, and nearly two on the largest trial deployment."""
 
 REMOTE_FRESH_S = 3.0
 """The same for a peer in another data centre, which is told in turn with the others there: every
-second on the largest trial deployment."""
+1.5 s on the largest trial deployment."""
 
 LEAST_HOSTS = 12
 """Entry hosts among which a bound for all is divided at least: nine and three spare ones on the
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -69,6 +69,15 @@
         places = FOLLOWERS - min(coordinators, FOLLOWERS - 1)
         return len(ranked) < places or hash64(self._me) < ranked[places - 1]
 
+    def near_followers(self) -> set[EntryHostId]:
+        """Return the peers that may be followers of this data centre: a few, as seen from here."""
+        near = [state for state in self._board.states() if state.data_centre == self._data_centre]
+        ranked = sorted((EntryHostId(state.host_id) for state in near), key=hash64)
+        coordinators = {EntryHostId(state.host_id) for state in near if state.is_coordinator}
+        able = {EntryHostId(state.host_id) for state in near if state.can_follow}
+        first_able = [host for host in ranked if host in able][:FOLLOWERS]
+        return coordinators | set(first_able) | set(ranked[:FOLLOWERS])
+
     def must_ask(self, age_s: float) -> bool:
         """Tell whether this host asks the store, given the age of what it knows."""
         return self.is_mine() or age_s > self._patience_s
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -15,8 +15,8 @@
 
 logger = structlog.get_logger(__name__)
 
-REST_S = 0.1
-"""Pause between two looks whether this host must ask the platform: half of a peer's interval."""
+REST_S = 0.2
+"""Pause between two looks whether this host must ask the platform: a peer's interval."""
 
 IDLE_RETRY_FACTOR = 5.0
 """How much longer a host that rests otherwise waits after a failed call: all of them ask at once
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -15,7 +15,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from yewloom.directory import Endpoint, EndpointDirectory
@@ -58,8 +58,12 @@
 class Reachability:
     """Keeps what this host found out by its connections to endpoints."""
 
-    def __init__(self, directory: EndpointDirectory) -> None:
+    def __init__(
+        self, directory: EndpointDirectory, on_lost: Callable[[], None] = lambda: None
+    ) -> None:
+        """Take ``on_lost``, which is called when an endpoint can't be reached."""
         self._directory = directory
+        self._on_lost = on_lost
         self._lost: dict[HostId, _Lost] = {}
         self._cut: dict[DataCentreId, _Cut] = {}
         self._reached_s: defaultdict[DataCentreId, float] = defaultdict(lambda: float("-inf"))
@@ -78,6 +82,12 @@
         data_centre = endpoint.data_centre
         if data_centre not in self._cut and self._looks_cut_off(data_centre, now_s):
             self._cut[data_centre] = _Cut(now_s)
+        self._on_lost()
+
+    @property
+    def has_losses(self) -> bool:
+        """Tell whether anything is to be probed, now or later."""
+        return bool(self._lost or self._cut)
 
     def on_connected(self, endpoint: Endpoint, now_s: float) -> None:
         """Take in that a connection to an endpoint came up."""
@@ -87,7 +97,7 @@
 
     def take_due_probes(self, now_s: float) -> list[Endpoint]:
         """Return the endpoints to probe now; they count as probed."""
-        if not self._lost and not self._cut:
+        if not self.has_losses:
             return []
         self._drop_unlisted()
         due: dict[HostId, Endpoint] = {}
--- a/yewloom/tests/test_follow_duty.py
+++ b/yewloom/tests/test_follow_duty.py
@@ -57,6 +57,18 @@
         if coordinator is not None:
             self.assertIn(coordinator, followers)
 
+    @given(st.sets(st.sampled_from(NAMES)), st.one_of(st.none(), st.sampled_from(NAMES)))
+    def test_each_host_knows_those_near_it_that_follow_and_reach_the_store(
+        self, cut_off: set[str], coordinator: str | None
+    ) -> None:
+        states = [_state(name, name not in cut_off, name == coordinator) for name in NAMES]
+        duties = {name: _duty(name, states, name == coordinator) for name in NAMES}
+        able = set(NAMES) - cut_off
+        followers = {name for name in able if duties[name].is_mine()}
+        for name, duty in duties.items():
+            self.assertLessEqual(followers - {name}, set(duty.near_followers()))
+            self.assertLessEqual(len(duty.near_followers()), 2 * FOLLOWERS + 1)
+
     def test_a_few_go_on_asking_while_the_store_answers_nobody(self) -> None:
         states = [_state(name, can_follow=False) for name in NAMES]
         followers = [name for name in NAMES if _duty(name, states).is_mine()]
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -36,6 +36,7 @@
     "own_state",
     "peer_intake",
     "peer_reports",
+    "peer_turns",
     "placement",
     "plan_state",
     "planned_stop",
