--- a/yewloom/admission.py
+++ b/yewloom/admission.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from yewloom.ids import CustomerId, RequestId
+from yewloom.values import value_class
 
 DEFAULT_PACE_S = 0.005
 """Assumed seconds for one unit of cost before any request has ended."""
@@ -24,7 +25,7 @@
 _LEAST_RETRY_AFTER_S = 1.0
 
 
-@dataclass(frozen=True)
+@value_class
 class Arrival:
     """A request that asks for a place.
 
@@ -42,14 +43,14 @@
     start_by_s: float = math.inf
 
 
-@dataclass(frozen=True)
+@value_class
 class Admitted:
     """The request may start."""
 
     request_id: RequestId
 
 
-@dataclass(frozen=True)
+@value_class
 class Queued:
     """The request waits for a place."""
 
@@ -66,7 +67,7 @@
     STOPPING = "this entry host stops before it could end"
 
 
-@dataclass(frozen=True)
+@value_class
 class Shed:
     """The request is turned away; the caller should come back after ``retry_after_s``."""
 
--- a/yewloom/caller_headers.py
+++ b/yewloom/caller_headers.py
@@ -1,18 +1,18 @@
 """What the headers of requests and answers say, whatever names they have on the wire."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
 from yewloom.endpoint_calls import AnswerHead, Header
 from yewloom.ids import CustomerId, HostId, ModelName, RequestId
+from yewloom.values import value_class
 
 
 class HeaderError(Exception):
     """A header of a request can't be understood; the text says which."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RequestMarks:
     """What a caller says of its request; ``deadline_ms`` is None when it names no time."""
 
@@ -24,7 +24,7 @@
     last_event_id: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AnswerMarks:
     """What an endpoint says of its answer.
 
@@ -36,7 +36,7 @@
     is_not_run: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Sending:
     """What this system adds to a request on its way to an endpoint."""
 
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -1,12 +1,12 @@
 """A caller's request as it was read whole, and the reply to it."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
 
 import h11
 import trio
 
 from yewloom.endpoint_calls import Header
+from yewloom.values import value_class
 
 SEND_LIMIT_S = 10.0
 """Longest time for a whole answer to go out; then the caller counts as gone. Longer than the
@@ -14,7 +14,7 @@
 parts of a stream go out within the time of its request."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CallerRequest:
     """A whole request of a caller; header names are in lower case.
 
@@ -123,7 +123,7 @@
     await reply.send_whole(503, [], b"")
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Handlers:
     """Who answers requests: while the server takes them, and once it takes none any more."""
 
--- a/yewloom/claim_writer.py
+++ b/yewloom/claim_writer.py
@@ -18,6 +18,7 @@
 from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.records_pb2 import ClaimShard
 from yewloom.states import ClaimState
+from yewloom.values import value_class
 from yewloom.work import TaskStarter
 from yewloom.writes import (
     RecordError,
@@ -38,7 +39,7 @@
 """Pause before results that could not be stored are tried again."""
 
 
-@dataclass(frozen=True)
+@value_class
 class ClaimUnavailable:
     """The platform could not take a claim, so its request must not run."""
 
--- a/yewloom/claims.py
+++ b/yewloom/claims.py
@@ -11,13 +11,14 @@
 Times here are Unix milliseconds, since the records outlive every process.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import Enum
 
 from yewloom.hashing import hash64
 from yewloom.ids import AttemptId, EntryHostId, IdempotencyKey
 from yewloom.schema.records_pb2 import Claim, ClaimShard
 from yewloom.states import ClaimState
+from yewloom.values import value_class
 
 MAX_STORED_BODY_BYTES = 2048
 """Largest answer that is kept with its claim."""
@@ -38,7 +39,7 @@
     FULL = "full"
 
 
-@dataclass(frozen=True)
+@value_class
 class ClaimRequest:
     """A wish to run an unsafe request."""
 
@@ -47,7 +48,7 @@
     holder: EntryHostId
 
 
-@dataclass(frozen=True)
+@value_class
 class ClaimResult:
     """The answer kept with a claim, so that a repeated request gets it again."""
 
@@ -63,7 +64,7 @@
         return replace(self, body=b"", content_type="")
 
 
-@dataclass(frozen=True)
+@value_class
 class ClaimAnswer:
     """The verdict on a claim, with the earlier claim where there is one."""
 
--- a/yewloom/comparison.py
+++ b/yewloom/comparison.py
@@ -7,10 +7,10 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from yewloom.experiments import ExperimentRecord, Observation, Side
 from yewloom.states import Outcome
+from yewloom.values import value_class
 
 ERROR_RATE = 0.05
 """Share of comparisons of equal policies that may find a difference."""
@@ -30,7 +30,7 @@
 }
 
 
-@dataclass(frozen=True)
+@value_class
 class MetricComparison:
     """One metric: the 95th percentile of each side, and the interval of B less A, in ms."""
 
@@ -49,7 +49,7 @@
         return "B is slower" if self.low_ms > 0 else "B is faster"
 
 
-@dataclass(frozen=True)
+@value_class
 class Comparison:
     """Both sides: requests by outcome, sessions sampled, balance of the split, and the metrics."""
 
--- a/yewloom/completions.py
+++ b/yewloom/completions.py
@@ -3,12 +3,12 @@
 import json
 import time
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 from yewloom.ids import ModelName, RequestId
 from yewloom.problems import bad_request
+from yewloom.values import value_class
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS = 131072
@@ -21,7 +21,7 @@
     TEXT = "text"
 
 
-@dataclass(frozen=True)
+@value_class
 class CompletionRequest:
     """The parts of a request's body that the system reads; others are passed over."""
 
--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -6,16 +6,17 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from yewloom.ids import CustomerId, ModelName, ServiceName
 from yewloom.routes import RouteTable
+from yewloom.values import value_class
 
 MAX_STATED_AGE_S = 1e6
 """Greatest age of a configuration that is told to peers and logs, in place of an infinite one."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CallerLimits:
     """What a caller may send, and for how long it may take or stay idle."""
 
@@ -25,7 +26,7 @@
     idle_timeout_ms: int = 15000
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ReplicaModel:
     """A model whose replicas span several hosts.
 
@@ -40,7 +41,7 @@
     warm_up_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineProfile:
     """What the endpoints of a service of model engines can do."""
 
@@ -49,7 +50,7 @@
     loads_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Service:
     """A service; ``engine`` is None for a plain one."""
 
@@ -57,7 +58,7 @@
     engine: EngineProfile | None = None
 
 
-@dataclass(frozen=True)
+@value_class
 class Configuration:
     """One version of the operator's configuration; ``customers`` is by API key."""
 
--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -2,10 +2,10 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from enum import Enum
 
 from yewloom.ids import DataCentreId, GroupId, HostId, ModelName, ServiceName
+from yewloom.values import value_class
 
 LAPSE_GRACE_S = 2.5
 """Time after the store's return for which endpoints that it had dropped stay listed: it lists
@@ -22,7 +22,7 @@
     BROKEN = "broken"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class GroupKey:
     """One formation of a group; a new formation has a higher generation."""
 
@@ -30,7 +30,7 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Membership:
     """An endpoint's place in a group; rank 0 leads and takes the requests."""
 
@@ -39,7 +39,7 @@
     state: MemberState
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Endpoint:
     """An endpoint as the platform lists it.
 
--- a/yewloom/drafts.py
+++ b/yewloom/drafts.py
@@ -2,13 +2,13 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from enum import Enum
 
 from yewloom.ids import AttemptId, EntryHostId, GroupId, HostId, PolicyName
 from yewloom.schema.records_pb2 import Group, GroupMember, Host, Placement, ServiceEndpoint
 from yewloom.schema.table_pb2 import PolicyRow
 from yewloom.states import GroupIntent
+from yewloom.values import value_class
 
 
 class PlacementChange(Enum):
@@ -22,7 +22,7 @@
     SERVICES = "services"
 
 
-@dataclass(frozen=True)
+@value_class
 class PlacementDecision:
     """One decision with its reason, for the log."""
 
@@ -33,7 +33,7 @@
     hosts: tuple[HostId, ...] = ()
 
 
-@dataclass(frozen=True)
+@value_class
 class Plan:
     """A proposed placement and the decisions in it; ``placement`` is None if nothing changes."""
 
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -7,13 +7,13 @@
 
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from enum import Enum
 
 import h11
 import trio
 
 from yewloom.addresses import split_address
+from yewloom.values import value_class
 
 Header = tuple[bytes, bytes]
 
@@ -48,7 +48,7 @@
         self.is_sent = is_sent
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OutgoingRequest:
     """A request as an endpoint gets it, with all its headers."""
 
@@ -58,7 +58,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AnswerHead:
     """Status and headers of an endpoint's answer; header names are in lower case."""
 
--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -7,7 +7,6 @@
 import json
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import trio
@@ -19,6 +18,7 @@
 from yewloom.retries import CallFailure
 from yewloom.schema.records_pb2 import HostReport, Order
 from yewloom.streams import StreamPiece
+from yewloom.values import value_class
 from yewloom.writes import to_json
 
 REFUSAL_STATUSES = {409, 429, 503}
@@ -39,7 +39,7 @@
         self.failure = failure
 
 
-@dataclass(frozen=True)
+@value_class
 class GenerateCall:
     """A request for tokens.
 
@@ -59,7 +59,7 @@
     delivered: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True)
+@value_class
 class ServiceCall:
     """A call of a plain service, passed on as it came."""
 
--- a/yewloom/entry_addresses.py
+++ b/yewloom/entry_addresses.py
@@ -1,7 +1,5 @@
 """The addresses by which the entry hosts find each other: one object for each in the store."""
 
-from dataclasses import dataclass
-
 import structlog
 import trio
 from result import Err, Ok
@@ -10,6 +8,7 @@
 from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.platforms import Platform, PlatformFailure, StoredObject
 from yewloom.schema.entry_pb2 import EntryAddress
+from yewloom.values import value_class
 from yewloom.writes import RecordError, parse_record, to_json
 
 logger = structlog.get_logger(__name__)
@@ -23,7 +22,7 @@
 """Pause before the addresses are read again while none is known, or after a failure."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PeerAddress:
     """Where a peer reads datagrams, as ip:port, and its data centre."""
 
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -2,7 +2,6 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
 from prometheus_client import generate_latest
@@ -14,6 +13,7 @@
 from yewloom.early_listener import listen
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.schema.entry_pb2 import EntryHost as HostSettings
+from yewloom.values import value_class
 
 FIRST_KNOWLEDGE_S = 0.5
 """Longest time for which a host that has started lets callers wait for its first configuration: as
@@ -23,7 +23,7 @@
 """Pause between two looks for it: the store answers two calls in some 10 ms."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HostStanding:
     """What the servers ask of their host: whether it knows enough to serve, and is ready."""
 
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -8,10 +8,10 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.schema.entry_pb2 import EntryState, ListingWord
+from yewloom.values import value_class
 
 FRESH_S = 1.0
 """Age up to which the word of a peer in the same data centre counts: five of its messages where all
@@ -26,7 +26,7 @@
 larger trial deployment, of which some may not be known yet."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ConfigurationWord:
     """A peer's word that a version was current at ``confirmed_s`` of this host's clock."""
 
@@ -34,7 +34,7 @@
     confirmed_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ConfirmedListing:
     """A peer's word that it knew the endpoints so far at ``confirmed_s`` of this host's clock."""
 
@@ -42,7 +42,7 @@
     confirmed_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PeerWords:
     """What a message of a peer proves, if anything."""
 
@@ -50,7 +50,7 @@
     listing: ConfirmedListing | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Heard:
     state: EntryState
     heard_s: float
--- a/yewloom/event_stream.py
+++ b/yewloom/event_stream.py
@@ -5,7 +5,8 @@
 """
 
 import re
-from dataclasses import dataclass
+
+from yewloom.values import value_class
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?:\n|$)")
@@ -18,7 +19,7 @@
     """An event is missing, or one is too long."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StreamEvent:
     """One whole event as sent, its blank line included; ``event_id`` is None if it has none."""
 
--- a/yewloom/experiments.py
+++ b/yewloom/experiments.py
@@ -16,6 +16,7 @@
 from yewloom.ids import PolicyName
 from yewloom.schema.table_pb2 import ExperimentRow
 from yewloom.states import Outcome
+from yewloom.values import value_class
 
 MAX_SESSIONS = 1000
 """Sessions whose single observations an entry host keeps for one experiment."""
@@ -39,7 +40,7 @@
     return PolicyName(row.policy_b if side is Side.B else row.policy_a)
 
 
-@dataclass(frozen=True)
+@value_class
 class Observation:
     """One request; times in milliseconds, None where there was no token to take them from."""
 
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -7,11 +7,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from yewloom.entry_states import PeerBoard
 from yewloom.hashing import hash64
 from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.values import value_class
 
 FOLLOWERS = 2
 """Entry hosts of a data centre that follow the store: one may die or be cut off from it."""
@@ -25,7 +25,7 @@
 """Greatest further patience of a host, so that not all of them ask the store at once."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Standing:
     """Whether the store answers a host that is not about to stop, and whether it coordinates."""
 
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import structlog
 import trio
@@ -17,6 +16,7 @@
 
 from yewloom.followed_position import FollowedPosition
 from yewloom.platforms import Listing, Platform, PlatformError, PlatformFailure
+from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
 
@@ -28,7 +28,7 @@
 while the platform is away, and those with the duty tell when it is back."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Update:
     """What one call to the platform brought.
 
@@ -53,7 +53,7 @@
         return self.is_whole or bool(self.listing.objects or self.listing.removed)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FollowPace:
     """How a kind is followed.
 
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -13,9 +13,10 @@
 from yewloom.ids import CustomerId
 from yewloom.routes import Route
 from yewloom.selection import Wanted
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class WholeAnswer:
     """An endpoint's whole answer, as the caller gets it."""
 
--- a/yewloom/group_exchanges.py
+++ b/yewloom/group_exchanges.py
@@ -1,7 +1,6 @@
 """Giving up groups of a model that has replicas to spare for one group of another model."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 from yewloom.configuration import ReplicaModel
 from yewloom.directory import Endpoint, EndpointDirectory
@@ -9,9 +8,10 @@
 from yewloom.model_need import ModelNeed
 from yewloom.schema.records_pb2 import Group
 from yewloom.states import GroupIntent
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class GroupExchange:
     """Groups of one model that would be given up for one group of another."""
 
--- a/yewloom/groups.py
+++ b/yewloom/groups.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from yewloom.ids import GroupId, HostId
 from yewloom.schema.records_pb2 import Group, HostReport
 from yewloom.states import EngineState, GroupIntent, GroupState
+from yewloom.values import value_class
 
 NEVER_S = float("-inf")
 
@@ -19,7 +20,7 @@
 itself finds all its probes failed, which were sent within one probe's limit."""
 
 
-@dataclass(frozen=True)
+@value_class
 class HostObservation:
     """What one entry host knows of an endpoint from its own probes.
 
@@ -49,7 +50,7 @@
         return now_s - self.asked_s <= freshness_s
 
 
-@dataclass(frozen=True)
+@value_class
 class GroupObservation:
     """One observer's view of all members of a group in one generation.
 
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -5,13 +5,14 @@
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 import httpcore
 import trio
 
+from yewloom.values import value_class
+
 MAX_HOSTS = 4096
 """Hosts to which connections are kept."""
 
@@ -48,7 +49,7 @@
         self.failure = failure
 
 
-@dataclass(frozen=True)
+@value_class
 class HttpAnswer:
     """A whole answer; header names are in lower case."""
 
@@ -61,7 +62,7 @@
         return json.loads(self.body)
 
 
-@dataclass(frozen=True)
+@value_class
 class HttpStream:
     """An answer whose body is read as it comes."""
 
--- a/yewloom/idempotency.py
+++ b/yewloom/idempotency.py
@@ -1,7 +1,6 @@
 """Runs unsafe requests at most once, by a claim on the idempotency key before the first byte."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from result import Err, Ok
 
@@ -11,9 +10,10 @@
 from yewloom.problems import Problem, overloaded, unavailable
 from yewloom.schema.records_pb2 import Claim
 from yewloom.states import ClaimState, Outcome
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True)
+@value_class
 class KeptAnswer:
     """A whole answer that can be given again."""
 
--- a/yewloom/leases.py
+++ b/yewloom/leases.py
@@ -8,18 +8,17 @@
 first, whatever the delays and pauses.
 """
 
-from dataclasses import dataclass
-
 from yewloom.ids import AttemptId, EntryHostId
 from yewloom.schema.records_pb2 import Lease
 from yewloom.schema.settings_pb2 import LeaseSettings
+from yewloom.values import value_class
 
 RETRY_S = 0.3
 """Pause of the last holder before it calls a store again that did not answer: some 30 calls in an
 outage of 8 s. Groups are repaired 2 s earlier after it, by the times in a played day's logs."""
 
 
-@dataclass(frozen=True)
+@value_class
 class LeaseTiming:
     """Durations of the lease in seconds."""
 
@@ -35,12 +34,12 @@
     )
 
 
-@dataclass(frozen=True)
+@value_class
 class ReadLease:
     """Action: read the record."""
 
 
-@dataclass(frozen=True)
+@value_class
 class WriteLease:
     """Action: write the record if its version is still the expected one (0: absent)."""
 
--- a/yewloom/limits.py
+++ b/yewloom/limits.py
@@ -15,11 +15,11 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 
 from yewloom.ids import AttemptId, CustomerId, DataCentreId
 from yewloom.schema.peer_pb2 import CustomerDemand, Loan, ShareState
 from yewloom.schema.records_pb2 import CustomerShare, ShareHolder, Shares
+from yewloom.values import value_class
 
 LEAST_USABLE = 2
 """Requests of each customer that an entry host asks to be lent even before it needs them."""
@@ -36,7 +36,7 @@
     return whole + (data_centres.index(data_centre) < rest)
 
 
-@dataclass(frozen=True)
+@value_class
 class _Transfer:
     amount: int
     until_s: float
--- a/yewloom/listed_endpoints.py
+++ b/yewloom/listed_endpoints.py
@@ -1,14 +1,14 @@
 """Endpoints, and their changes, as messages between entry hosts."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from yewloom.directory import Endpoint, GroupKey, Membership, MemberState
 from yewloom.ids import DataCentreId, GroupId, HostId, ModelName, ServiceName
 from yewloom.schema.entry_pb2 import EndpointChanges, EndpointMembership, ListedEndpoint
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ChangedEndpoints:
     """All changes of endpoints between two positions of the store."""
 
--- a/yewloom/model_need.py
+++ b/yewloom/model_need.py
@@ -1,10 +1,10 @@
 """Which model needs another replica most, from the replicas of all data centres."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from yewloom.configuration import EngineProfile, ReplicaModel
 from yewloom.ids import ModelName
+from yewloom.values import value_class
 
 EVEN_REPLICAS = 0.5
 """Replicas by which models must differ to count as uneven; even ones go by size: of small groups,
@@ -17,7 +17,7 @@
 """Running requests that the configured shares weigh as much as."""
 
 
-@dataclass(frozen=True)
+@value_class
 class ModelNeed:
     """Replicas of each model against what is wanted of it.
 
--- a/yewloom/operations.py
+++ b/yewloom/operations.py
@@ -2,7 +2,6 @@
 
 import uuid
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from google.protobuf import json_format
@@ -13,13 +12,14 @@
 from yewloom.platforms import Platform, StoredObject
 from yewloom.schema.table_pb2 import Row, RowChange, VersionedRow
 from yewloom.tables import TABLE_PREFIX, TableError, contains_attempt, delete_row, edit_row
+from yewloom.values import value_class
 from yewloom.watchers import parse_row
 from yewloom.writes import RecordError, WriteConflict, WriteError, write_settled
 
 _WRITE_TIMEOUT_S = 10.0
 
 
-@dataclass(frozen=True)
+@value_class
 class OperationError:
     """Why an operation failed, in one sentence; ``is_conflict`` if another edit came first."""
 
@@ -30,7 +30,7 @@
         return self.sentence
 
 
-@dataclass(frozen=True)
+@value_class
 class Edit:
     """One edit of a row by an operator.
 
--- a/yewloom/orders.py
+++ b/yewloom/orders.py
@@ -6,15 +6,15 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 from yewloom.groups import GroupObservation, HostObservation
 from yewloom.ids import GroupId, HostId
 from yewloom.schema.records_pb2 import Group, Host, Order, Placement
 from yewloom.states import GroupIntent
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True)
+@value_class
 class DueOrder:
     """An order and the host that it goes to."""
 
--- a/yewloom/own_state.py
+++ b/yewloom/own_state.py
@@ -1,7 +1,6 @@
 """What an entry host tells its peers of itself."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from yewloom.configuration import ConfigurationBook
 from yewloom.follow_duty import Standing
@@ -10,9 +9,10 @@
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EntryIdentity:
     """One process of an entry host: two of the same host differ in when they started."""
 
--- a/yewloom/placement.py
+++ b/yewloom/placement.py
@@ -15,9 +15,10 @@
 from yewloom.schema.records_pb2 import Group, Host, Placement, ServiceEndpoint
 from yewloom.schema.table_pb2 import PolicyRow
 from yewloom.states import GroupIntent, HostState
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True)
+@value_class
 class PlacementTiming:
     """Durations of the group life cycle in seconds."""
 
@@ -26,7 +27,7 @@
     settle_s: float
 
 
-@dataclass(frozen=True)
+@value_class
 class FleetState:
     """What a placement is planned from: the platform's host list, observations and policies.
 
--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -6,13 +6,14 @@
 from yewloom.ids import GroupId, HostId, ModelName
 from yewloom.replica_orders import EngineOrder
 from yewloom.schema.records_pb2 import Group, Placement
+from yewloom.values import value_class
 
 ORDER_REPEAT_S = 1.5
 """Pause before an order whose effect has not shown is given again: a listing shows an effect
 within some hundred milliseconds."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlannedOrder:
     """An order to one engine."""
 
@@ -21,7 +22,7 @@
     order: EngineOrder
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OrderName:
     """An order as it is remembered: to whom, of which kind, for which group."""
 
@@ -30,7 +31,7 @@
     key: GroupKey | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Staging:
     """A model that is being loaded onto a host, and since when."""
 
--- a/yewloom/platform_parts.py
+++ b/yewloom/platform_parts.py
@@ -1,6 +1,5 @@
 """What an entry host needs of the platform that it runs on."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from yewloom.caller_headers import HeaderCodec
@@ -9,6 +8,7 @@
 from yewloom.ids import HostId
 from yewloom.platforms import Platform, StoredObject
 from yewloom.replica_orders import EngineOrders
+from yewloom.values import value_class
 
 
 class PlatformRecords(Protocol):
@@ -30,7 +30,7 @@
         ...
 
 
-@dataclass(frozen=True)
+@value_class
 class PlatformParts:
     """What an entry host needs of the platform that it runs on.
 
--- a/yewloom/platforms.py
+++ b/yewloom/platforms.py
@@ -7,7 +7,6 @@
 import json
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol, TypeVar
 from urllib.parse import quote, urlencode
@@ -18,6 +17,7 @@
 from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
 from yewloom.ids import DataCentreId
 from yewloom.schema.records_pb2 import Host, HostList
+from yewloom.values import value_class
 
 _WATCH_SLACK_S = 2.0
 
@@ -39,7 +39,7 @@
     """A watch asked for history that the platform no longer has."""
 
 
-@dataclass(frozen=True)
+@value_class
 class PlatformError:
     """A failed platform call."""
 
@@ -50,7 +50,7 @@
         return f"{self.failure.value}: {self.detail}"
 
 
-@dataclass(frozen=True)
+@value_class
 class StoredObject:
     """A key, its value as JSON text, and its version, which rises with each write from 1."""
 
@@ -59,7 +59,7 @@
     value: str
 
 
-@dataclass(frozen=True)
+@value_class
 class Listing:
     """Objects, and the point in the platform's history from which a watch goes on.
 
--- a/yewloom/replica_orders.py
+++ b/yewloom/replica_orders.py
@@ -1,15 +1,15 @@
 """Orders to model engines: what the coordinator asks of them, and what their answers mean."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 from yewloom.directory import GroupKey
 from yewloom.ids import HostId, ModelName
+from yewloom.values import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JoinGroup:
     """Take part in a group; the first member leads."""
 
@@ -18,28 +18,28 @@
     members: Sequence[HostId]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OpenGroup:
     """Take requests; for the leader of a group whose members are all ready."""
 
     key: GroupKey
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CloseGroup:
     """Take no more requests and finish those that run; for the leader."""
 
     key: GroupKey
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LeaveGroup:
     """Belong to the group no more, at once."""
 
     key: GroupKey
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StageModel:
     """Load a model's weights onto the host beside everything else."""
 
--- a/yewloom/requests.py
+++ b/yewloom/requests.py
@@ -1,19 +1,19 @@
 """Requests and answers as they pass between the caller interface and dispatch."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from yewloom.admission import Arrival
 from yewloom.endpoints import ServiceCall
 from yewloom.ids import CustomerId, ModelName, RequestId
 from yewloom.schema.table_pb2 import CustomerRow
 from yewloom.streams import StreamPosition
+from yewloom.values import value_class
 
 ShareOf = Callable[[CustomerId, CustomerRow], int]
 """Returns this entry host's part of a customer's limit."""
 
 
-@dataclass(frozen=True)
+@value_class
 class ModelRequest:
     """A request for tokens; ``deadline_s`` is on the runtime's clock."""
 
@@ -28,7 +28,7 @@
     is_unsafe: bool = False
 
 
-@dataclass(frozen=True)
+@value_class
 class ServiceRequest:
     """A call of a plain service."""
 
@@ -41,7 +41,7 @@
     is_unsafe: bool = False
 
 
-@dataclass(frozen=True)
+@value_class
 class Tokens:
     """Tokens in order, with the caller's place after them; the last ones end the answer."""
 
--- a/yewloom/routes.py
+++ b/yewloom/routes.py
@@ -5,10 +5,10 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import Enum
 
 from yewloom.ids import RouteName, ServiceName
+from yewloom.values import value_class
 
 
 class RouteKind(Enum):
@@ -19,7 +19,7 @@
     STREAM = "stream"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ServiceWeight:
     """A service that gets a part of a route's requests, by weight."""
 
@@ -27,7 +27,7 @@
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Route:
     """A route. ``max_endpoints`` bounds the endpoints that one request may be sent to.
 
--- a/yewloom/routing.py
+++ b/yewloom/routing.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 from functools import singledispatch
 
 from google.protobuf.message import Message
@@ -16,6 +15,7 @@
 from yewloom.prefixes import BLOCK_CHARACTERS
 from yewloom.schema.table_pb2 import LeastLoadRouting, RoundRobinRouting, ScoreRouting
 from yewloom.validation import apply_defaults
+from yewloom.values import value_class
 
 CHARACTERS_A_TOKEN = 4
 BUSY_S = 0.03
@@ -28,7 +28,7 @@
 """Penalty in seconds for a group in another data centre, before its weight."""
 
 
-@dataclass(frozen=True)
+@value_class
 class RouteRequest:
     """What routing needs to know of a request.
 
@@ -42,7 +42,7 @@
     entry_hosts: int = 1
 
 
-@dataclass(frozen=True)
+@value_class
 class Candidate:
     """An open group as seen by one entry host.
 
@@ -62,7 +62,7 @@
         return self.reported + self.own_unreported * entry_hosts
 
 
-@dataclass(frozen=True)
+@value_class
 class Route:
     """The chosen group and why, for the log."""
 
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -3,7 +3,6 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Container, Iterator, Mapping
-from dataclasses import dataclass
 
 from yewloom.configuration import Configuration, EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
@@ -11,6 +10,7 @@
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.reachability import Reachability
 from yewloom.routes import Route
+from yewloom.values import value_class
 
 REMOTE_PENALTY = 0.25
 """Load that another data centre's endpoint must be below a near one to be preferred, as a part of
@@ -31,7 +31,7 @@
 """Requests at once that a plain service's endpoint is taken to bear."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Wanted:
     """What a request needs: an endpoint of ``service``, leading a group with ``model`` if given."""
 
--- a/yewloom/settings.py
+++ b/yewloom/settings.py
@@ -5,7 +5,6 @@
 
 import configparser
 import os
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TypeVar
 
@@ -17,11 +16,12 @@
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.schema.settings_pb2 import LeaseSettings, Settings
 from yewloom.validation import allowed_text, apply_defaults, fields_of, parse_value, rule_of
+from yewloom.values import value_class
 
 SettingsT = TypeVar("SettingsT", bound=Message)
 
 
-@dataclass(frozen=True)
+@value_class
 class SettingsError:
     """Why a settings file can't be used, in one sentence with the remedy."""
 
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -1,7 +1,6 @@
 """The look at groups that may have lost a member: which of their members answer no more."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from functools import partial
 
 import structlog
@@ -15,6 +14,7 @@
 from yewloom.schema.records_pb2 import Group
 from yewloom.stalls import StallDetector
 from yewloom.states import GroupIntent
+from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
 
@@ -25,7 +25,7 @@
 """Pause between two questions to a member that the store no longer lists."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Question:
     """Names the question to a member among the tasks that run, apart from its orders."""
 
--- a/yewloom/streams.py
+++ b/yewloom/streams.py
@@ -4,15 +4,14 @@
 of tokens, so a broken stream can't pass as a whole one.
 """
 
-from dataclasses import dataclass
-
 from yewloom.ids import GroupId, RequestId
+from yewloom.values import value_class
 
 MAX_HELD_PIECES = 1024
 """Pieces that may wait for an earlier one before the stream counts as broken."""
 
 
-@dataclass(frozen=True)
+@value_class
 class StreamPiece:
     """Tokens of one answer.
 
@@ -88,7 +87,7 @@
             self._next = max(self._next, offset + len(piece.tokens))
 
 
-@dataclass(frozen=True)
+@value_class
 class StreamPosition:
     """A caller's place in a stream, as it stands in the SSE event id."""
 
--- a/yewloom/tables.py
+++ b/yewloom/tables.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
 
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
@@ -25,6 +24,7 @@
 )
 from yewloom.states import RowKind
 from yewloom.validation import apply_defaults, check_message, fields_of, parse_value
+from yewloom.values import value_class
 
 HISTORY_LENGTH = 16
 """Edits that a row remembers, so that an editor whose answer was lost can find its own."""
@@ -36,7 +36,7 @@
 """Prefix of the platform keys that hold rows."""
 
 
-@dataclass(frozen=True)
+@value_class
 class TableError:
     """Why an edit can't be accepted, in one sentence with the remedy."""
 
--- a/yewloom/tests/test_followers.py
+++ b/yewloom/tests/test_followers.py
@@ -204,7 +204,7 @@
 
 
 class TestCheapReads(unittest.TestCase):
-    """Reads that may be old go ahead of listings: the patterns are an outage and many resting hosts."""
+    """Reads that may be old go ahead of listings: in an outage, and where many hosts rest."""
 
     def test_in_an_outage_only_cheap_questions_are_asked(self) -> None:
         platform = _ScriptedPlatform(LOST, Listing([STORED], 9), pause_s=0.0)
--- a/yewloom/validation.py
+++ b/yewloom/validation.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import cast
 
 from google.protobuf.descriptor import FieldDescriptor
@@ -12,6 +11,7 @@
 from result import Err, Ok, Result
 
 from yewloom.schema.options_pb2 import Rule, rule
+from yewloom.values import value_class
 
 FieldValue = str | int | float | bool
 
@@ -20,7 +20,7 @@
 _FALSE_WORDS = {"false", "no", "off", "0"}
 
 
-@dataclass(frozen=True)
+@value_class
 class FieldError:
     """A value that breaks the rule of its field."""
 
--- a/yewloom/weight_loads.py
+++ b/yewloom/weight_loads.py
@@ -1,11 +1,10 @@
 """Loads of models' weights onto hosts, within the rate that the weight store bears."""
 
-from dataclasses import dataclass
-
 from yewloom.configuration import EngineProfile, ReplicaModel
 from yewloom.directory import Endpoint, EndpointDirectory
 from yewloom.plan_state import PlannedOrder, PlanState, Staging
 from yewloom.replica_orders import StageModel
+from yewloom.values import value_class
 
 LOADS_WINDOW_S = 5.0
 """Window over which loads from the weight store are counted, as the platform counts them."""
@@ -14,7 +13,7 @@
 """Loading that takes this many times its usual time is begun anew."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SupplyBounds:
     """``loads_are_free`` before the first request; else at most ``max_loads`` in a window."""
 
--- a/yewloom/writes.py
+++ b/yewloom/writes.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TypeVar
 
 import trio
@@ -15,13 +14,14 @@
 from result import Err, Ok, Result
 
 from yewloom.platforms import Platform, PlatformFailure, StoredObject
+from yewloom.values import value_class
 
 _PAUSE_S = 0.1
 
 MessageT = TypeVar("MessageT", bound=Message)
 
 
-@dataclass(frozen=True)
+@value_class
 class WriteConflict:
     """Another write came first; ``current`` is what stands now, if it could be read."""
 
@@ -31,14 +31,14 @@
         return "another write came first"
 
 
-@dataclass(frozen=True)
+@value_class
 class WriteNotApplied:
     """The write is known to have had no effect."""
 
     detail: str
 
 
-@dataclass(frozen=True)
+@value_class
 class WriteUnsettled:
     """The write may have had an effect or may still have one."""
 
