--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -183,11 +183,16 @@
     ) -> tuple[bool, str]:
         """Pass on events as they come; the answer begins with its first event."""
         splitter = EventSplitter()
+        last_s: float | None = None
         while True:
             chunk = await self._unless_stalled(request, endpoint, exchange.next_chunk)
             if chunk is None:
                 break
-            self._stalls.on_event(endpoint.id, trio.current_time())
+            now_s = trio.current_time()
+            self._stalls.on_event(endpoint.id, now_s)
+            if last_s is not None:
+                self._selector.paces.note(endpoint.id, now_s - last_s, now_s)
+            last_s = now_s
             data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
             if data:
                 await self._pass_data(request, head, data)
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -7,6 +7,7 @@
 from yewloom.configuration import Configuration, EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
 from yewloom.entry_states import PeerBoard
+from yewloom.event_paces import EventPaces
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.reachability import Reachability
 from yewloom.routes import Route
@@ -23,6 +24,10 @@
 LEAVING_PENALTY = 0.3
 """Added for a group with a leaving member: it may stop taking requests at any moment."""
 
+SLOW_PENALTY = 0.6
+"""Added for a group that has turned slow: it gets a request only where the others have more than
+half of their places taken, and then still before those that are avoided."""
+
 AVOIDED_PENALTY = 5.0
 """Added for an endpoint that is avoided for a time: chosen only if all are, since a request that
 is sent may still be answered and one that is refused is not."""
@@ -57,6 +62,7 @@
         self._rng = rng
         self._running: defaultdict[HostId, int] = defaultdict(int)
         self._avoid_until_s: dict[HostId, float] = {}
+        self.paces = EventPaces()
 
     def service_of(self, route: Route) -> ServiceName:
         """Return the service for one request of a route, drawn by weight."""
@@ -76,9 +82,13 @@
         service = configuration.services.get(wanted.service)
         engine = service.engine if service is not None else None
         best, best_score = None, float("inf")
-        for endpoint, penalty in self._candidates(wanted, engine):
+        candidates = list(self._candidates(wanted, engine))
+        slow = self.paces.slow_among((endpoint.id for endpoint, _ in candidates), now_s)
+        for endpoint, penalty in candidates:
             if endpoint.id in tried:
                 continue
+            if endpoint.id in slow:
+                penalty += SLOW_PENALTY
             if self._is_avoided(endpoint, now_s):
                 penalty += AVOIDED_PENALTY
             score = penalty + self._load(endpoint, engine) + self._rng.random() * 0.01
@@ -103,6 +113,7 @@
     def forget(self, endpoint: HostId) -> None:
         """Drop what is known of an endpoint that is no longer listed."""
         self._avoid_until_s.pop(endpoint, None)
+        self.paces.forget(endpoint)
 
     def running(self) -> Mapping[HostId, int]:
         """Return how many requests of this host run at each endpoint."""
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -18,6 +18,7 @@
     "directory",
     "drafts",
     "entry_states",
+    "event_paces",
     "event_stream",
     "experiments",
     "fleet",
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -64,6 +64,18 @@
         )
         self.assertIsNone(self.choose())
 
+    def test_a_group_that_turned_slow_gets_a_request_only_beside_busy_ones(self) -> None:
+        put_group(self.directory, "g1", SMALL, ["a", "b"])
+        put_group(self.directory, "g2", SMALL, ["c", "d"])
+        for _ in range(10):
+            self.selector.paces.note(HostId("a"), 0.5, 0.0)
+            self.selector.paces.note(HostId("c"), 0.05, 0.0)
+        self.selector.begin(HostId("c"))
+        self.assertEqual(self.choose(), "c")
+        for _ in range(20):
+            self.selector.begin(HostId("c"))
+        self.assertEqual(self.choose(), "a")
+
     def test_a_whole_group_goes_before_one_that_lacks_a_member(self) -> None:
         put_group(self.directory, "g1", SMALL, ["a", "b"])
         put_group(self.directory, "g2", SMALL, ["c", "d"])
--- a/yewloom/values.py
+++ b/yewloom/values.py
@@ -23,11 +23,10 @@
     names = [field.name for field in fields(made)]  # type: ignore[arg-type]
     values = _reader(names)
 
-    def equals(self: object, other: object) -> bool:
+    def equals(self: object, other: object) -> Any:
         if other.__class__ is not self.__class__:
             return NotImplemented
-        is_equal: bool = values(self) == values(other)
-        return is_equal
+        return values(self) == values(other)
 
     def hash_of(self: object) -> int:
         return hash(values(self))
