--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -149,7 +149,6 @@
         parts = self._parts
         return Follower(
             parts.configuration,
-            parts.stale_store,
             parts.records.configuration_kind,
             self._configuration_intake.take,
             FollowedPosition(),
@@ -160,7 +159,6 @@
         parts = self._parts
         return Follower(
             parts.endpoints,
-            parts.stale_store,
             parts.records.endpoint_kind,
             self._endpoint_intake.take,
             self._followed_endpoints,
@@ -175,7 +173,6 @@
             must_ask=lambda: self._duty.must_ask(age_s(trio.current_time())),
             pause_s=pause_s,
             retry_pause_s=self._settings.store.retry_pause_ms / 1000,
-            is_behind=lambda: self._book.is_outdated,
         )
 
     def _build_exchange(self) -> EntryExchange:
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -1,18 +1,13 @@
 """Following the platform's objects of one kind: a listing, then watches from there on.
 
 A host that need not ask the platform itself rests, and learns of changes from its peers.
-
-Reads that may be some seconds old cost a tenth of the others, and nothing of the rate. One of them
-goes ahead of a listing where it may do by itself: while the platform has failed it tells whether it
-answers again, and where a peer has told of a change it often brings that change. It proves nothing
-about the present: the peers' words do, or the watch from its position on.
 """
 
 from collections.abc import Callable
 
 import structlog
 import trio
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from yewloom.followed_position import FollowedPosition
 from yewloom.platforms import Listing, Platform, PlatformError, PlatformFailure
@@ -58,40 +53,32 @@
     """How a kind is followed.
 
     ``has_duty`` tells whether this host follows for others too; ``must_ask`` tells whether it asks
-    the platform at all. ``pause_s`` is the time for which changes are gathered. ``is_behind`` tells
-    whether peers know of a change that this host lacks.
+    the platform at all. ``pause_s`` is the time for which changes are gathered.
     """
 
     has_duty: Callable[[], bool]
     must_ask: Callable[[], bool]
     pause_s: Callable[[], float]
     retry_pause_s: float
-    is_behind: Callable[[], bool] = lambda: False
 
 
 class Follower:
-    """Follows one kind and hands each update on.
-
-    ``stale_platform`` answers listings that may be some seconds old.
-    """
+    """Follows one kind and hands each update on."""
 
     def __init__(
         self,
         platform: Platform,
-        stale_platform: Platform,
         kind: str,
         take: Callable[[Update], None],
         followed: FollowedPosition,
         pace: FollowPace,
     ) -> None:
         self._platform = platform
-        self._stale_platform = stale_platform
         self._kind = kind
         self._take = take
         self._followed = followed
         self._pace = pace
         self._failures = 0
-        self._is_told = False
         self._watch_scope: trio.CancelScope | None = None
 
     @property
@@ -108,8 +95,7 @@
                 await trio.sleep(REST_S)
 
     def list_anew(self) -> None:
-        """End a watch that has missed a change that a peer told of, and list."""
-        self._is_told = True
+        """End a watch that has missed a change, and list."""
         self._followed.forget()
         if self._watch_scope is not None:
             self._watch_scope.cancel()
@@ -125,9 +111,7 @@
         asked_s = trio.current_time()
         base = None if self._must_list() else self._followed.position
         if base is None:
-            if await self._has_read_news():
-                return
-            found = await self._list()
+            found = await self._platform.list(self._kind)
         else:
             with trio.CancelScope() as self._watch_scope:
                 found = await self._platform.watch(self._kind, base)
@@ -143,30 +127,6 @@
             case Err(error):
                 await self._on_error(error)
 
-    async def _has_read_news(self) -> bool:
-        """Tell whether a cheap listing brought the change that a peer told of."""
-        is_told, self._is_told = self._is_told, False
-        if not is_told or self._failures or self._pace.has_duty():
-            return False
-        match await self._stale_platform.list(self._kind):
-            case Ok(listing):
-                self._take(Update(listing, None, float("-inf"), after_outage=False))
-            case Err(error):
-                logger.info("cheap listing failed", kind=self._kind, reason=str(error))
-                return False
-        if self._pace.is_behind():
-            return False
-        self._followed.take_listing(listing.position, float("-inf"))
-        return True
-
-    async def _list(self) -> Result[Listing, PlatformError]:
-        """List; while the platform has failed, only once it answers a cheaper question."""
-        if self._failures:
-            answer = await self._stale_platform.list(self._kind)
-            if answer.is_err():
-                return answer
-        return await self._platform.list(self._kind)
-
     def _take_in(self, update: Update) -> None:
         if self._failures and update.is_whole:
             logger.info("platform regained", kind=self._kind, failures=self._failures)
