--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -109,6 +109,12 @@
         "LEAVING_PENALTY = 0.3",
         "LEAVING_PENALTY = 0.0",
     ),
+    Removal(
+        "slow groups get little",
+        "selection",
+        "SLOW_PENALTY = 0.6",
+        "SLOW_PENALTY = 0.0",
+    ),
     Removal(
         "full endpoints are avoided",
         "endpoint_attempts",
