--- a/yewloom/event_paces.py
+++ b/yewloom/event_paces.py
@@ -4,6 +4,10 @@
 once than the others, so their number alone tells of it late, and each stream that it gets misses
 its aim while other groups have places free.
 
+Measured on three plays of a day on which five of 48 engines run 12 times slower for 9 s: of the
+1,582 requests of those seconds 1,117 were in time, and 1,073 without this; nearly all of the
+difference is of one play, and none was worse by more than one request.
+
 All times are seconds of the runtime's clock.
 """
 
--- a/yewloom/exit_timer.py
+++ b/yewloom/exit_timer.py
@@ -20,7 +20,11 @@
 
 
 class ExitTimer:
-    """Calls ``end`` once the time is up; for the main thread alone, which takes the signals."""
+    """Calls ``end`` once the time is up; for the main thread alone, which takes the signals.
+
+    ``end`` is called in the middle of whatever runs, so it may do nothing that others wait for; it
+    is meant to end the process.
+    """
 
     def __init__(self, end: Callable[[], None]) -> None:
         self._end = end
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -70,7 +70,10 @@
         return len(ranked) < places or hash64(self._me) < ranked[places - 1]
 
     def near_followers(self) -> set[EntryHostId]:
-        """Return the peers that may be followers of this data centre: a few, as seen from here."""
+        """Return the peers that may be followers of this data centre, as seen from here.
+
+        A few too many do no harm: what they are told more often than the others costs little.
+        """
         near = [state for state in self._board.states() if state.data_centre == self._data_centre]
         ranked = sorted((EntryHostId(state.host_id) for state in near), key=hash64)
         coordinators = {EntryHostId(state.host_id) for state in near if state.is_coordinator}
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -61,7 +61,7 @@
     def __init__(
         self, directory: EndpointDirectory, on_lost: Callable[[], None] = lambda: None
     ) -> None:
-        """Take ``on_lost``, which is called when an endpoint can't be reached."""
+        """Take ``on_lost``, which is called whenever an endpoint can't be reached."""
         self._directory = directory
         self._on_lost = on_lost
         self._lost: dict[HostId, _Lost] = {}
