--- a/yewloom/event_paces.py
+++ b/yewloom/event_paces.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from yewloom.ids import HostId
+from yewloom.medians import median_low
 
 NEWEST_WEIGHT = 0.3
 """Part that the newest pause has in the average: some three pauses decide."""
@@ -62,15 +63,9 @@
         }
         if len(recent) < 2:  # Nothing to compare with.
             return set()
-        limit_s = max(LEAST_SLOW_S, SLOW_FACTOR * _middle(recent.values()))
+        limit_s = max(LEAST_SLOW_S, SLOW_FACTOR * median_low(recent.values()))
         return {head for head, average_s in recent.items() if average_s > limit_s}
 
     def forget(self, head: HostId) -> None:
         """Drop what is known of an endpoint that is no longer listed, or leads another group."""
         self._paces.pop(head, None)
-
-
-def _middle(values: Iterable[float]) -> float:
-    """Return the median, of an even number the lower one; a module for it costs a start 4 ms."""
-    in_order = sorted(values)
-    return in_order[(len(in_order) - 1) // 2]
--- a/yewloom/route_durations.py
+++ b/yewloom/route_durations.py
@@ -1,9 +1,9 @@
 """How long answered requests of each route usually take."""
 
 from collections import defaultdict, deque
-from statistics import median
 
 from yewloom.ids import RouteName
+from yewloom.medians import median
 
 KEPT = 16
 """Durations that are kept of a route: enough for a median that one odd request does not move, and
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -31,6 +31,7 @@
     "key_trust",
     "leases",
     "listed_endpoints",
+    "medians",
     "membership",
     "model_need",
     "orders",
