--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Sequence
 from functools import singledispatch
+from typing import Any
 
 import trio
 
@@ -16,6 +17,8 @@
     LoseEngine,
     PauseEntry,
     ReloadEntry,
+    SilenceStore,
+    SpoilEntries,
     StopEntry,
     StopStartingEntry,
     StoreFault,
@@ -31,6 +34,14 @@
 PAUSE_SLACK_S = 0.5
 """Time until a process that stood still is at work again."""
 
+SPOILT_ENTRIES: dict[str, Any] = {
+    "spoilt-empty": {},
+    "spoilt-text": "no entry",
+    "spoilt-types": {"service": 7, "address": None, "zone": [], "state": {"a": 1}, "group": 3},
+    "spoilt-unknown": {"service": "nobody's", "address": "x", "zone": "y", "state": "asleep"},
+}
+"""Entries that name no endpoint."""
+
 PLANNED = (StopEntry, StopStartingEntry, ReloadEntry, ChangeConfiguration)
 """Faults that are planned work and disturb nothing."""
 
@@ -62,7 +73,8 @@
 async def _(fault: KillEntry, fleet: Fleet, ledger: Ledger) -> None:
     entry = fleet.entries[fault.entry]
     entry.signal(signal.SIGKILL)
-    await _start_again(entry, fault.for_s)
+    with ledger.disturbing([entry.name]):
+        await _start_again(entry, fault.for_s)
 
 
 @happen.register
@@ -111,8 +123,9 @@
     life, begin_s = entry.life, trio.current_time()
     entry.signal(signal.SIGSTOP)
     ledger.pauses[life].append(Disturbance(begin_s, begin_s + fault.for_s + PAUSE_SLACK_S))
-    await trio.sleep(fault.for_s)
-    entry.signal(signal.SIGCONT)
+    with ledger.disturbing([entry.name]):
+        await trio.sleep(fault.for_s)
+        entry.signal(signal.SIGCONT)
 
 
 @happen.register
@@ -126,12 +139,30 @@
 
 @happen.register
 async def _(fault: DisturbStore, fleet: Fleet, ledger: Ledger) -> None:
-    links = [fleet.entries[number].store_link for number in fault.entries]
-    for link in links:
-        link.fault = fault.how
+    entries = [fleet.entries[number] for number in fault.entries]
+    for entry in entries:
+        entry.store_link.fault = fault.how
+    with ledger.disturbing([entry.name for entry in entries]):
+        await trio.sleep(fault.for_s)
+    for entry in entries:
+        entry.store_link.fault = LinkFault.NONE
+
+
+@happen.register
+async def _(fault: SilenceStore, fleet: Fleet, ledger: Ledger) -> None:
+    entries = [fleet.entries[number] for number in fault.entries]
+    with ledger.disturbing([entry.name for entry in entries]):
+        for entry in entries:
+            entry.store_link.silence_open()
+
+
+@happen.register
+async def _(fault: SpoilEntries, fleet: Fleet, ledger: Ledger) -> None:
+    for name, spec in SPOILT_ENTRIES.items():
+        fleet.store.put("servers", name, spec)
     await trio.sleep(fault.for_s)
-    for link in links:
-        link.fault = LinkFault.NONE
+    for name in SPOILT_ENTRIES:
+        fleet.store.remove("servers", name)
 
 
 @happen.register
@@ -147,11 +178,13 @@
 async def _(fault: FailStore, fleet: Fleet, ledger: Ledger) -> None:
     store = fleet.store
     if fault.how is StoreFault.FORGET:
-        store.forget_history()
+        with ledger.disturbing([entry.name for entry in fleet.entries]):
+            store.forget_history()
         return
     store.faults.status = 503 if fault.how is StoreFault.REFUSE else 0
     store.faults.loses_answers = fault.how is StoreFault.LOSE_ANSWERS
-    await trio.sleep(fault.for_s)
+    with ledger.disturbing([entry.name for entry in fleet.entries]):
+        await trio.sleep(fault.for_s)
     store.faults.status, store.faults.loses_answers = 0, False
 
 
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -78,6 +78,18 @@
     how: LinkFault
 
 
+@dataclass(frozen=True)
+class SilenceStore(Fault):
+    """Open connections of some entry hosts to the store fall silent for good; new ones work."""
+
+    entries: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class SpoilEntries(Fault):
+    """Another writer puts entries beside those of the endpoints that name none."""
+
+
 @dataclass(frozen=True)
 class DisturbEndpoint(Fault):
     """The link to an endpoint is disturbed."""
@@ -174,3 +186,32 @@
 def _stop_starting(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
     entry, start_s = rng.randrange(entries), rng.uniform(0.0, 3.0)
     return [StopStartingEntry(at_s, rng.uniform(0.3, 2.0), entry, start_s)]
+
+
+def draw_store_faults(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return faults of the ways from the store to the entry hosts, often several hosts at once."""
+    faults: list[Fault] = []
+    at_s = 2.0
+    while at_s < duration_s:
+        faults += _draw_store_faults(rng, at_s, entries)
+        at_s += rng.choice([0.2, 1.0, 3.0, 6.0]) * rng.uniform(0.5, 1.5)
+    return faults
+
+
+def _draw_store_faults(rng: random.Random, at_s: float, entries: int) -> list[Fault]:
+    for_s = rng.uniform(0.5, 5.0)
+    some = tuple(rng.sample(range(entries), rng.randint(1, entries)))
+    few = some[:3]
+    store_fault = rng.choice([StoreFault.REFUSE, StoreFault.FORGET])
+    link_fault = rng.choice(_LINK_FAULTS)
+    return rng.choice(
+        [
+            [KillEntry(at_s, for_s, entry) for entry in few],
+            [PauseEntry(at_s, for_s, entry) for entry in few],
+            [DisturbStore(at_s, for_s, some, link_fault)],
+            [SilenceStore(at_s, 0.0, some)],
+            [SilenceStore(at_s, 0.0, tuple(range(entries)))],
+            [FailStore(at_s, for_s, store_fault)],
+            [SpoilEntries(at_s, for_s)],
+        ]
+    )
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -22,7 +23,7 @@
 from yewloom.tests.soak.ledger import Ledger
 from yewloom.tests.soak.proxy import Link
 
-ENGINES, PLAIN, MODEL = "engines", "plain", "plates"
+ENGINES, PLAIN, OTHER, MODEL = "engines", "plain", "other", "plates"
 HOST = "soak.example"
 
 EVENT_S = 0.1
@@ -43,7 +44,7 @@
 ENTRY_SETTINGS = """
 [host]
 id = {name}
-data_centre = hall-a
+data_centre = {data_centre}
 caller_address = 127.0.0.1:{caller_port}
 readiness_address = 127.0.0.1:{readiness_port}
 peer_address = 127.0.0.1:{peer_port}
@@ -61,7 +62,7 @@
     return f"key-{version}"
 
 
-def configuration(version: int) -> dict[str, Any]:
+def configuration(version: int, extra_routes: Sequence[dict[str, Any]] = ()) -> dict[str, Any]:
     """Return a version; it keeps the key of the one before, and drops older ones."""
     kinds = {"stream": ENGINES, "idempotent": PLAIN, "non_idempotent": PLAIN}
     routes = [
@@ -83,8 +84,8 @@
     keys = [key_of(version), key_of(version - 1)]
     return {
         "version": version,
-        "routes": routes,
-        "services": [{"name": ENGINES, "engine": engine}, {"name": PLAIN}],
+        "routes": [*routes, *extra_routes],
+        "services": [{"name": ENGINES, "engine": engine}, {"name": PLAIN}, {"name": OTHER}],
         "tenants": [{"name": "customer", "apiKeys": keys}],
     }
 
@@ -172,19 +173,26 @@
     engines: list[SoakEngine] = field(default_factory=list)
     plain_links: list[Link] = field(default_factory=list)
     version: int = 1
+    data_centres: tuple[str, ...] = ("hall-a",)
     _known_engines: list[StandinEngine] = field(default_factory=list)
 
-    async def start(self, entries: int, engines: int, plain: int) -> None:
-        """Start everything; entry hosts need some seconds until they serve."""
+    async def start(self, entries: int, engines: int, plain: int, other: int = 0) -> None:
+        """Start everything; entry hosts need some seconds until they serve.
+
+        ``plain`` and ``other`` are the endpoints of the two plain services.
+        """
         self.store.put("config", "main", configuration(self.version))
         store_address = await self._serve(self.store.application())
         for _ in range(engines):
             await self.add_engine()
         for number in range(plain):
-            await self._add_plain(f"plain-{number}")
+            await self._add_plain(f"{PLAIN}-{number}", PLAIN)
+        for number in range(other):
+            await self._add_plain(f"{OTHER}-{number}", OTHER)
         for number in range(entries):
             link = await self._open_link(store_address)
-            self.entries.append(self._entry(f"entry-{number}", link))
+            data_centre = self.data_centres[number % len(self.data_centres)]
+            self.entries.append(self._entry(f"entry-{number}", data_centre, link))
         for entry in self.entries:
             entry.start()
 
@@ -218,8 +226,8 @@
             if entry.process is not None:
                 entry.process.wait()
 
-    async def _add_plain(self, name: str) -> None:
-        endpoint = PlainEndpoint(name, PLAIN, self.store, self.ledger, self.rng)
+    async def _add_plain(self, name: str, service: str) -> None:
+        endpoint = PlainEndpoint(name, service, self.store, self.ledger, self.rng)
         link = await self._open_link(await self._serve(endpoint.application()))
         self.plain_links.append(link)
         endpoint.publish(link.address)
@@ -243,10 +251,11 @@
             except OSError:
                 await trio.sleep(SERVER_CHECK_S)
 
-    def _entry(self, name: str, store_link: Link) -> EntryProcess:
+    def _entry(self, name: str, data_centre: str, store_link: Link) -> EntryProcess:
         caller_port, readiness_port = free_port(), free_port()
         text = ENTRY_SETTINGS.format(
             name=name,
+            data_centre=data_centre,
             caller_port=caller_port,
             readiness_port=readiness_port,
             peer_port=free_port(),
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -5,10 +5,13 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 
+import trio
+
 REVOCATION_S = 5.0
 """Time after which a key that was taken away must not be accepted."""
 
@@ -123,6 +126,21 @@
     planned_stops: dict[str, float] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     pauses: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    by_host: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+
+    @contextmanager
+    def disturbing(self, hosts: Iterable[str]) -> Iterator[None]:
+        """Take in that these entry hosts are disturbed from now on until the end of the block."""
+        begin_s = trio.current_time()
+        begun = {host: Disturbance(begin_s, math.inf) for host in hosts}
+        for host, span in begun.items():
+            self.by_host[host].append(span)
+        try:
+            yield
+        finally:
+            ended = Disturbance(begin_s, trio.current_time())
+            for host, span in begun.items():
+                self.by_host[host][self.by_host[host].index(span)] = ended
 
     def note_broken(self, promise: str, request_id: str, detail: str) -> None:
         """Take in that a promise was broken; ``request_id`` is empty if by no one request."""
--- a/yewloom/tests/soak/proxy.py
+++ b/yewloom/tests/soak/proxy.py
@@ -1,6 +1,6 @@
 """A TCP proxy on the loopback that delays, resets, silences or cuts what goes through it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import trio
@@ -37,6 +37,11 @@
     target: str
     address: str = ""
     fault: LinkFault = LinkFault.NONE
+    _silenced: int = field(default=0, init=False)
+
+    def silence_open(self) -> None:
+        """Carry nothing more on the connections that are open now; new ones are carried."""
+        self._silenced += 1
 
     async def open(self, nursery: trio.Nursery) -> None:
         """Listen on a free port, ``address``, and serve until the nursery is cancelled."""
@@ -46,6 +51,7 @@
 
     async def _carry(self, caller: trio.SocketStream) -> None:
         """Carry one connection; a fault or an end of either side ends both."""
+        opened = self._silenced
         try:
             if self.fault is LinkFault.RESET:
                 return
@@ -53,19 +59,20 @@
                 server = await trio.open_tcp_stream(*split_address(self.target))
             async with server, trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_for_reset, nursery.cancel_scope)
-                nursery.start_soon(self._pump, caller, server, LinkFault.SILENT)
-                await self._pump(server, caller, LinkFault.CUT_BACK)
+                nursery.start_soon(self._pump, caller, server, LinkFault.SILENT, opened)
+                await self._pump(server, caller, LinkFault.CUT_BACK, opened)
                 nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.TooSlowError):
             pass  # A side that ends, ends the connection; callers and checks see it there.
 
     async def _pump(
-        self, source: trio.SocketStream, sink: trio.SocketStream, cut: LinkFault
+        self, source: trio.SocketStream, sink: trio.SocketStream, cut: LinkFault, opened: int
     ) -> None:
         while data := await source.receive_some(READ_BYTES):
             if self.fault is LinkFault.DELAY:
                 await trio.sleep(DELAY_S)
-            if self.fault not in (cut, LinkFault.SILENT):
+            is_silenced = opened != self._silenced
+            if not is_silenced and self.fault not in (cut, LinkFault.SILENT):
                 await sink.send_all(data)
         await sink.send_eof()
 
--- /dev/null
+++ b/yewloom/tests/soak/route_checks.py
@@ -0,0 +1,132 @@
+"""Whether the answers on added routes fit the versions of the configuration that may be in force.
+
+An answer shows which versions allow it: those that send its route to the service that answered, or
+that lack the route if it was refused as unknown. Other answers show nothing.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from yewloom.tests.soak.ledger import REGRESSION_S, Broken, Disturbance
+from yewloom.tests.soak.operator import Written
+
+APPLY_S = 2.0
+"""Time after the store's answer within which a version is in force; from the platform's pages."""
+
+CONTACT_S = 3.0
+"""Time after a host's own disturbance from which it must keep that; from the platform's pages."""
+
+LEAST_ASKED = 20
+"""Requests in calm times from which it is judged whether added routes are served as the first
+ones are; from the platform's pages."""
+
+LEAST_SERVED_SHARE = 0.25
+"""Least part of the share served on the first routes that added ones must reach; from the
+platform's pages."""
+
+
+@dataclass(frozen=True)
+class Asked:
+    """One request on an added route, and what came of it; ``service`` is the one that answered."""
+
+    host: str
+    life: str
+    route: str
+    sent_s: float
+    ended_s: float
+    status: int | None
+    service: str = ""
+
+    @property
+    def shows_version(self) -> bool:
+        """Tell whether the answer depends on the version that was in force."""
+        return self.status == 404 or (self.status == 200 and bool(self.service))
+
+
+class RouteChecks:
+    """Judges answers by the versions written; ``written`` is in order."""
+
+    def __init__(
+        self,
+        written: Sequence[Written],
+        asked: Sequence[Asked],
+        disturbances: dict[str, list[Disturbance]],
+    ) -> None:
+        self._written = written
+        self._asked = [one for one in asked if one.shows_version]
+        self._all = asked
+        self._disturbances = disturbances
+
+    def check(self) -> list[Broken]:
+        """Return all promises that were broken."""
+        return [*self._check_in_force(), *self._check_regressions(), *self._check_served()]
+
+    def _check_in_force(self) -> Iterable[Broken]:
+        """No host in calm times answers as only an outdated version, or none, allows."""
+        for asked in self._asked:
+            may_be = self._may_be_in_force(asked)
+            if any(_allows(self._written[number], asked) for number in may_be):
+                continue
+            if self._is_calm(asked.host, asked.sent_s) or not self._allowing(asked):
+                yield Broken("not in force", asked.route, self._describe(asked))
+
+    def _check_regressions(self) -> Iterable[Broken]:
+        """No process that showed a version later answers as only older ones allow."""
+        by_life: defaultdict[str, list[Asked]] = defaultdict(list)
+        for asked in self._asked:
+            by_life[asked.life].append(asked)
+        for asks in by_life.values():
+            shown = sorted((a.ended_s, min(self._allowing(a), default=0)) for a in asks)
+            for asked in asks:
+                before = (n for at_s, n in shown if at_s + REGRESSION_S < asked.sent_s)
+                if max(self._allowing(asked), default=0) < max(before, default=0):
+                    yield Broken("regressed", asked.route, self._describe(asked))
+
+    def _check_served(self) -> Iterable[Broken]:
+        """Added routes that exist all the time of a request are served about as often as any."""
+        counts: Counter[int | None] = Counter(
+            asked.status
+            for asked in self._all
+            if self._is_calm(asked.host, asked.sent_s)
+            and all(asked.route in self._written[n].services for n in self._may_be_in_force(asked))
+        )
+        if counts.total() >= LEAST_ASKED and counts[200] < LEAST_SERVED_SHARE * counts.total():
+            yield Broken("not served", "", f"added routes: {dict(counts)}")
+
+    def _may_be_in_force(self, asked: Asked) -> list[int]:
+        """Return the places of the versions that an undisturbed host may act on."""
+        old = [n for n, one in enumerate(self._written) if one.at_s + APPLY_S <= asked.sent_s]
+        new = [n for n, one in enumerate(self._written) if one.at_s <= asked.ended_s]
+        return list(range(max(old, default=0), max(new, default=0) + 1))
+
+    def _allowing(self, asked: Asked) -> list[int]:
+        """Return the places of the versions that allow an answer, of those written by its end."""
+        return [
+            number
+            for number, written in enumerate(self._written)
+            if written.at_s <= asked.ended_s and _allows(written, asked)
+        ]
+
+    def _is_calm(self, host: str, at_s: float) -> bool:
+        return not any(
+            span.begin_s <= at_s < span.end_s + CONTACT_S
+            for span in self._disturbances.get(host, [])
+        )
+
+    def _describe(self, asked: Asked) -> str:
+        allowing = max(self._allowing(asked), default=0)
+        older = self._written[min(allowing + 1, len(self._written) - 1)]
+        return (
+            f"{asked.life} answered {asked.status} {asked.service} at {asked.sent_s:.2f} s, which "
+            f"version {self._written[allowing].version} allows; version {older.version} is "
+            f"{asked.sent_s - older.at_s:.2f} s old"
+        )
+
+
+def _allows(written: Written, asked: Asked) -> bool:
+    """Tell whether a version allows an answer."""
+    services = written.services.get(asked.route)
+    if asked.status == 404:
+        return services is None
+    return services is not None and asked.service in services
--- /dev/null
+++ b/yewloom/tests/soak/route_probes.py
@@ -0,0 +1,83 @@
+"""Callers that ask each entry host for added, dropped and unknown routes, on new connections."""
+
+import itertools
+import random
+
+import httpcore
+import trio
+
+from yewloom.tests.soak.fleet import HOST, EntryProcess, Fleet, key_of
+from yewloom.tests.soak.ledger import Kind, Sent
+from yewloom.tests.soak.operator import Operator
+from yewloom.tests.soak.route_checks import Asked
+
+PERIOD_S = 0.04
+"""Mean pause between two questions to one host."""
+
+TIMEOUT_S = 2.0
+"""Longest wait for an answer; a host that stands still is asked again meanwhile."""
+
+LATEST_VERSIONS = 4
+"""Versions whose routes are asked for: routes that were dropped lately are among them."""
+
+UNKNOWN_ROUTE = "never-added"
+
+
+class RouteProbes:
+    """Asks the entry hosts and keeps what they answer."""
+
+    def __init__(self, fleet: Fleet, operator: Operator, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._operator = operator
+        self._rng = rng
+        self._numbers = itertools.count()
+        self.asked: list[Asked] = []
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for entry in self._fleet.entries:
+                nursery.start_soon(self._ask_often, entry)
+
+    async def _ask_often(self, entry: EntryProcess) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self._rng.expovariate(1 / PERIOD_S))
+                nursery.start_soon(self._ask, entry, self._rng.choice(self._routes()))
+
+    def _routes(self) -> list[str]:
+        latest = self._operator.written[-LATEST_VERSIONS:]
+        return sorted({name for written in latest for name in written.services} | {UNKNOWN_ROUTE})
+
+    async def _ask(self, entry: EntryProcess, route: str) -> None:
+        request_id = f"probe-{next(self._numbers)}"
+        life, sent_s = entry.life, trio.current_time()
+        path = f"/{route}/{request_id}"
+        # The endpoints look every request up here; one that no caller sent is a fault.
+        self._fleet.ledger.sent[request_id] = Sent(
+            request_id, Kind.SAFE, path, b"", self._fleet.version, life, sent_s
+        )
+        status, stamp = None, ""
+        with trio.move_on_after(TIMEOUT_S):
+            status, stamp = await self._get(entry, path, request_id)
+        service = stamp.rpartition("-")[0]
+        self.asked.append(
+            Asked(entry.name, life, route, sent_s, trio.current_time(), status, service)
+        )
+
+    async def _get(self, entry: EntryProcess, path: str, request_id: str) -> tuple[int | None, str]:
+        """Return the status of the answer, None without one, and the name of who answered."""
+        headers: dict[bytes | str, bytes | str] = {
+            "host": HOST,
+            "yewloom-request-id": request_id,
+            "yewloom-deadline-ms": str(round(TIMEOUT_S * 1000)),
+            "authorization": f"Token {key_of(self._fleet.version)}",
+        }
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{entry.caller_address}{path}"
+                answer = await pool.request("GET", url, headers=headers)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return None, ""
+        stamps = [value for name, value in answer.headers if name == b"yewloom-server-stamp"]
+        return answer.status, stamps[0].decode() if stamps else ""
