--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -70,6 +70,23 @@
     chunks: AsyncIterator[bytes]
 
 
+class _Way:
+    """Whether a call went over a kept connection, for the log: one that is silent looks like a
+    server that is.
+    """
+
+    def __init__(self, is_kept: bool) -> None:
+        self._is_kept = is_kept
+
+    async def note(self, event: str, info: object) -> None:
+        """Take in what ``httpcore`` tells of a call."""
+        if event == "connection.connect_tcp.started":
+            self._is_kept = False
+
+    def __str__(self) -> str:
+        return "kept" if self._is_kept else "new"
+
+
 class HttpCaller:
     """Pools of connections, one for each host.
 
@@ -83,7 +100,10 @@
         connect_timeout_s: float,
         max_connections: int = 2048,
         tls: ssl.SSLContext | None = None,
+        network: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
+        """Take ``network`` in place of the system's sockets, if given."""
+        self._network = network
         self._connect_timeout_s = connect_timeout_s
         self._max_connections = max_connections
         self._pools: OrderedDict[str, httpcore.AsyncConnectionPool] = OrderedDict()
@@ -99,6 +119,7 @@
         fresh: bool = False,
     ) -> HttpAnswer:
         """Send a request and return its whole answer, or raise HttpCallError."""
+        way = _Way(is_kept=not fresh)
         with trio.move_on_after(timeout_s):
             if fresh:
                 return await self._call_fresh(method, url, body, headers)
@@ -109,10 +130,11 @@
                     url,
                     headers=_header_list(headers),
                     content=body,
-                    extensions=self._extensions(),
+                    extensions=self._extensions() | {"trace": way.note},
                 )
                 return _answer(response)
-        raise HttpCallError(HttpFailure.TIMED_OUT, f"{method} {url} after {timeout_s:g} s")
+        detail = f"{method} {url} after {timeout_s:g} s over a {way} connection"
+        raise HttpCallError(HttpFailure.TIMED_OUT, detail)
 
     @asynccontextmanager
     async def stream(
@@ -144,6 +166,7 @@
                 max_connections=self._max_connections,
                 max_keepalive_connections=MAX_IDLE_A_HOST,
                 keepalive_expiry=KEEP_ALIVE_S,
+                network_backend=self._network,
             )
         self._pools.move_to_end(origin)
         if len(self._pools) > MAX_HOSTS:
@@ -155,7 +178,9 @@
     ) -> HttpAnswer:
         all_headers = [*_header_list(headers), (b"connection", b"close")]
         with _turned_errors():
-            async with httpcore.AsyncConnectionPool(ssl_context=self._tls) as pool:
+            async with httpcore.AsyncConnectionPool(
+                ssl_context=self._tls, network_backend=self._network
+            ) as pool:
                 response = await pool.request(
                     method, url, headers=all_headers, content=body, extensions=self._extensions()
                 )
--- /dev/null
+++ b/yewloom/tests/silent_network.py
@@ -0,0 +1,117 @@
+"""A network in memory whose open connections can fall silent, with a store at its other end."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import httpcore
+import trio
+
+HEAD_END = b"\r\n\r\n"
+
+
+class MemoryStore:
+    """Answers listings and watches of one object, ``config/main``."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._spec: dict[str, Any] = {}
+        self._changed = trio.Event()
+        self.write(1)
+
+    def write(self, version: int) -> None:
+        """Write a version."""
+        self.revision += 1
+        self._spec = {"version": version, "routes": [], "services": []}
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def answer(self, target: str) -> bytes:
+        """Return the answer to a request for a target."""
+        query = parse_qs(urlsplit(target).query)
+        metadata = {"name": "main", "revision": self.revision}
+        if "watch" not in query:
+            item = {"metadata": metadata, "spec": self._spec}
+            return _response({"items": [item], "storeRevision": self.revision})
+        position = int(query["watch"][0])
+        with trio.move_on_after(int(query["waitMs"][0]) / 1000):
+            while self.revision <= position:
+                await self._changed.wait()
+        item = {"metadata": {"name": "main", "revision": self.revision}, "spec": self._spec}
+        events = [{"object": item, "tombstone": False}] if self.revision > position else []
+        return _response({"events": events, "storeRevision": self.revision})
+
+
+def _response(fields: dict[str, Any]) -> bytes:
+    body = json.dumps(fields).encode()
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class SilentNetwork(httpcore.AsyncNetworkBackend):
+    """Opens connections to a store; ``silence_open`` lets all that are open say nothing more."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.opened: list[Connection] = []
+
+    def silence_open(self) -> None:
+        """Let the connections that are open now fall silent for good, without a reset."""
+        for connection in self.opened:
+            connection.is_silent = True
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        connection = Connection(self._store)
+        self.opened.append(connection)
+        return connection
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait before a connection is tried again."""
+        await trio.sleep(seconds)
+
+
+class Connection(httpcore.AsyncNetworkStream):
+    """One connection to the store; ``requests`` are the targets that were asked for on it."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self._received = b""
+        self._answer = b""
+        self.is_silent = False
+        self.is_closed = False
+        self.requests: list[str] = []
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Take a part of a request."""
+        await trio.lowlevel.checkpoint()
+        self._received += buffer
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return a part of the answer, or nothing ever once silent."""
+        if HEAD_END in self._received:
+            target = self._received.split(b" ", 2)[1].decode()
+            self._received = b""
+            self.requests.append(target)
+            self._answer = await self._store.answer(target)
+        await trio.lowlevel.checkpoint()
+        if self.is_silent:
+            await trio.sleep_forever()
+        part, self._answer = self._answer[:max_bytes], self._answer[max_bytes:]
+        return part
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.is_closed = True
+        await trio.lowlevel.checkpoint()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Say that nothing is waiting to be read: a silent connection shows nothing."""
+        return False if info == "is_readable" else None
