--- /dev/null
+++ b/yewloom/tests/test_silent_connections.py
@@ -0,0 +1,130 @@
+"""Tests of a configuration that comes late because open connections have fallen silent.
+
+What was seen: a change that the store had confirmed was not in force in time. For up to 2.5 s a
+host refused a route that had been added, though its peers had told it of the newer version.
+How it came about: the open connections from the entry hosts to the store fell silent, without a
+reset, while new ones worked. A host that rests heard of the newer version and listed, over an idle
+connection that was silent too; that took the whole time-out of a call, and then its pause after a
+failed call. A host that follows waits for its watch first, and then likewise.
+Cause: the answer that did not come was taken to be of the one call, not of all connections that
+had been open; each cost a wait of its own, one after the other.
+What proved it: a soak of real processes, seed 6 of ``test_route_soak``, in whose logs the host is
+told of five versions while its listing has no answer.
+"""
+
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from yewloom.configuration import ConfigurationBook
+from yewloom.followed_position import FollowedPosition
+from yewloom.followers import Follower, FollowPace
+from yewloom.http_calls import HttpCaller
+from yewloom.intake import ConfigurationIntake
+from yewloom.key_trust import KeyTrust
+from yewloom.platform.records import StoreRecords
+from yewloom.platform.store import ObjectStore
+from yewloom.tests.entry_support import make_configuration
+from yewloom.tests.silent_network import MemoryStore, SilentNetwork
+from yewloom.tests.support import run_on_mock_clock
+
+TIMEOUT_S, WATCH_S, RETRY_PAUSE_S = 1.5, 1.5, 0.2
+"""As shipped."""
+
+IN_FORCE_S = 2.0
+"""Time within which a confirmed change is in force; from the platform's pages."""
+
+AT_ONCE_S = 0.1
+"""Time in which a call over a connection that works is answered."""
+
+IDLE = 3
+"""Idle connections to the store: those of addresses, lease and endpoints."""
+
+LIMIT_S = 20.0
+LOOK_S = 0.01
+
+
+@dataclass
+class Host:
+    """An entry host's way to the configuration."""
+
+    has_duty: bool
+    store: MemoryStore = field(default_factory=MemoryStore)
+    book: ConfigurationBook = field(default_factory=ConfigurationBook)
+
+    def __post_init__(self) -> None:
+        self.network = SilentNetwork(self.store)
+        self.caller = HttpCaller(0.5, network=self.network)
+        self.platform = ObjectStore(
+            self.caller, "store:1", TIMEOUT_S, random.Random(1), watch_s=WATCH_S
+        )
+        pace = FollowPace(lambda: self.has_duty, lambda: self.has_duty, lambda: 0.0, RETRY_PAUSE_S)
+        intake = ConfigurationIntake(StoreRecords(), self.book)
+        self.follower = Follower(self.platform, "config", intake.take, FollowedPosition(), pace)
+
+    async def leave_idle(self, count: int) -> None:
+        """Leave idle connections behind, as calls at the same time do."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(self.platform.watch, "config", self.store.revision)
+            await trio.sleep(WATCH_S)
+
+    async def time_to(self, version: int) -> float:
+        """Return the time until a version is in force."""
+        began_s = trio.current_time()
+        with trio.fail_after(LIMIT_S):
+            while self.book.current is None or self.book.current.version < version:  # noqa: ASYNC110
+                await trio.sleep(LOOK_S)
+        return trio.current_time() - began_s
+
+
+def _with_host(has_duty: bool, test: Callable[[Host], Awaitable[None]]) -> None:
+    """Run a test beside a host's follower, which has read the first version."""
+
+    async def main() -> None:
+        host = Host(has_duty)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(host.follower.run)
+            await host.time_to(1)
+            await test(host)
+            nursery.cancel_scope.cancel()
+
+    run_on_mock_clock(main)
+
+
+class TestSilentConnections(unittest.TestCase):
+    """Open connections to the store fall silent, and new ones work."""
+
+    def test_a_host_that_rests_reads_what_a_peer_tells_of_at_once(self) -> None:
+        async def test(host: Host) -> None:
+            await host.leave_idle(IDLE)
+            host.network.silence_open()
+            host.store.write(2)
+            host.follower.list_anew()  # A peer has told of the version.
+            took_s = await host.time_to(2)
+            # Its pause between two looks whether it must ask comes on top.
+            self.assertLess(took_s, 0.2 + AT_ONCE_S)
+
+        _with_host(False, test)
+
+    def test_a_silent_watch_costs_a_follower_one_wait(self) -> None:
+        async def test(host: Host) -> None:
+            await host.leave_idle(IDLE)
+            for version in (2, 3, 4):
+                host.network.silence_open()
+                host.store.write(version)
+                self.assertLess(await host.time_to(version), IN_FORCE_S)
+
+        _with_host(True, test)
+
+    def test_a_host_that_knows_of_a_newer_version_refuses_nothing_for_good(self) -> None:
+        book = ConfigurationBook()
+        book.apply(make_configuration(version=4), proved_s=10.0)
+        trust = KeyTrust(book, 5.0, needs_proof=True)
+        self.assertTrue(trust.may_refuse(10.1))
+        book.note_version(5)
+        self.assertFalse(trust.may_refuse(10.1))
+        self.assertTrue(trust.may_accept(10.1))
