--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -793,6 +793,62 @@
         "False and",
         "test_route_soak.TestRouteChecks",
     ),
+    Mutation(
+        "restart: a group with a member that started again is given up",
+        "replica_lifecycle",
+        "if _has_restarted(group, members) or any(",
+        "if any(",
+        "test_replica_plan",
+    ),
+    Mutation(
+        "restart: an order to join names the process that was planned with",
+        "replica_lifecycle",
+        "PlannedOrder(endpoint.id, endpoint.address, order, member.started_unix_ms)",
+        "PlannedOrder(endpoint.id, endpoint.address, order)",
+        "test_replica_plan",
+    ),
+    Mutation(
+        "restart: what a coordinator remembers of the old process is forgotten",
+        "replica_plan",
+        "            self._state.note_life(endpoint.id, endpoint.started_unix_ms)\n",
+        "            pass\n",
+        "test_replica_plan",
+    ),
+    Mutation(
+        "restart: an order for the old process is not given to the new one",
+        "order_delivery",
+        "if not is_same_process(planned.started_unix_ms, report.started_unix_ms):",
+        "if False:",
+        "test_slow_engines",
+    ),
+    Mutation(
+        "restart: the new process does not answer for the old one",
+        "stalled_groups",
+        "if report is not None and is_same_process(report.started_unix_ms, asked.started_unix_ms):",
+        "if report is not None:",
+        "test_slow_engines",
+    ),
+    Mutation(
+        "restart: what a host remembers of the old process is forgotten",
+        "intake",
+        "        self._selector.forget(endpoint.id)\n        self._on_start(endpoint.id)\n",
+        "",
+        "test_intake",
+    ),
+    Mutation(
+        "restart: reports of the old process count no more",
+        "stalls",
+        "            reports.drop(head)\n",
+        "            pass\n",
+        "test_stalls",
+    ),
+    Mutation(
+        "replica plan: a listing older than a group does not show that its leader left",
+        "replica_lifecycle",
+        "return is_elsewhere and key in self._state.seen_joined",
+        "return is_elsewhere",
+        "test_replica_plan",
+    ),
 )
 
 
--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -44,7 +44,9 @@
     """An endpoint as the platform lists it.
 
     ``models`` are those that it serves, or served in its last group; ``staged`` are the models
-    whose weights its host keeps.
+    whose weights its host keeps. ``started_unix_ms`` tells the processes apart that run one after
+    the other under the same id, and not which came first, since clocks are set back; it is 0 if
+    the endpoint does not say.
     """
 
     id: HostId
@@ -56,6 +58,7 @@
     models: frozenset[ModelName] = frozenset()
     staged: frozenset[ModelName] = frozenset()
     membership: Membership | None = None
+    started_unix_ms: int = 0
 
     def is_prepared_for(self, model: ModelName) -> bool:
         """Tell whether it can join a group of a model without a load.
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -26,7 +26,7 @@
 from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
-from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
 from yewloom.key_trust import KeyTrust
 from yewloom.own_state import EntryIdentity, OwnState
@@ -95,6 +95,7 @@
             self._selector,
             self._followed_endpoints,
             lambda changes: self._exchange.tell_changes(changes),
+            self._forget_endpoint,
         )
         self._configuration_intake = ConfigurationIntake(parts.records, self._book)
         self._configuration_follower = self._build_configuration_follower()
@@ -258,6 +259,11 @@
         for task in tasks:
             nursery.start_soon(_keep_running, task)
 
+    def _forget_endpoint(self, endpoint_id: HostId) -> None:
+        """Drop what was seen of an earlier process of an endpoint."""
+        self._stalls.forget(endpoint_id)
+        self._reachability.forget(endpoint_id)
+
     def _knows_all(self) -> bool:
         """Tell whether the configuration and the endpoints are known."""
         return self._book.current is not None and self._directory.is_known
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -56,7 +56,8 @@
 class EndpointIntake:
     """Brings the endpoints that the store lists into the directory.
 
-    ``tell`` gets the changes that this host's own watches bring.
+    ``tell`` gets the changes that this host's own watches bring, and ``on_start`` the endpoints of
+    which another process runs now than before.
     """
 
     def __init__(
@@ -66,7 +67,9 @@
         selector: Selector,
         followed: FollowedPosition,
         tell: Callable[[ChangedEndpoints], None],
+        on_start: Callable[[HostId], None] = lambda endpoint_id: None,
     ) -> None:
+        self._on_start = on_start
         self._records = records
         self._directory = directory
         self._selector = selector
@@ -82,6 +85,8 @@
         endpoints, unreadable = self._decode(update)
         if update.base is None:
             self._drop_unreadable(unreadable)
+            for endpoint in endpoints:
+                self._note_start(endpoint)
             self._directory.replace_all(endpoints, trio.current_time(), update.after_outage)
             logger.info("endpoints listed", count=len(endpoints))
             return
@@ -144,11 +149,26 @@
 
     def _put(self, endpoint: Endpoint) -> None:
         self._log_change(endpoint)
+        self._note_start(endpoint)
         known = self._directory.by_id.get(endpoint.id)
         if known is not None and known.membership != endpoint.membership:
             self._selector.forget(endpoint.id)
         self._directory.put(endpoint)
 
+    def _note_start(self, endpoint: Endpoint) -> None:
+        """Forget what is known of an endpoint if another process runs under its id now."""
+        known = self._directory.by_id.get(endpoint.id)
+        if known is None or known.started_unix_ms == endpoint.started_unix_ms:
+            return
+        logger.info(
+            "endpoint started again",
+            endpoint=endpoint.id,
+            started_unix_ms=endpoint.started_unix_ms,
+            before_unix_ms=known.started_unix_ms,
+        )
+        self._selector.forget(endpoint.id)
+        self._on_start(endpoint.id)
+
     def _log_change(self, endpoint: Endpoint) -> None:
         known = self._directory.by_id.get(endpoint.id)
         if known is not None and known.is_leaving == endpoint.is_leaving:
--- a/yewloom/listed_endpoints.py
+++ b/yewloom/listed_endpoints.py
@@ -48,6 +48,7 @@
         models=sorted(endpoint.models),
         staged=sorted(endpoint.staged),
         membership=_encode_membership(member) if member is not None else None,
+        started_unix_ms=endpoint.started_unix_ms,
     )
 
 
@@ -65,6 +66,7 @@
         membership=(
             _decode_membership(message.membership) if message.HasField("membership") else None
         ),
+        started_unix_ms=message.started_unix_ms,
     )
 
 
--- a/yewloom/order_delivery.py
+++ b/yewloom/order_delivery.py
@@ -10,7 +10,9 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import HostId
 from yewloom.plan_state import PlannedOrder, PlanState, order_name
+from yewloom.process_starts import is_same_process
 from yewloom.replica_orders import EngineOrders, JoinGroup, LeaveGroup, OrderAnswer, StageModel
+from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
 
@@ -19,6 +21,22 @@
 """Answers after which an engine told to leave a group belongs to it no more."""
 
 
+class _StartedAgainError(Exception):
+    """The process that an order is meant for has ended, and another one runs under its id."""
+
+
+@value_class
+class _Process:
+    """One process of an engine."""
+
+    engine: HostId
+    started_unix_ms: int
+
+
+def _process_of(planned: PlannedOrder) -> _Process:
+    return _Process(planned.engine, planned.started_unix_ms)
+
+
 class OrderDelivery:
     """Gives orders, each with the count of orders that its engine must have taken before."""
 
@@ -28,7 +46,7 @@
         self._engine_orders = engine_orders
         self._state = state
         self._metrics = metrics
-        self._sequences: dict[HostId, int] = {}
+        self._sequences: dict[_Process, int] = {}
 
     def forget_sequences(self) -> None:
         """Drop what is known of the engines' counts, as others may have given orders since."""
@@ -44,7 +62,12 @@
                 self._plan_again(order)
 
     async def _give_one(self, planned: PlannedOrder) -> None:
-        sequence = await self._sequence_for(planned)
+        try:
+            sequence = await self._sequence_for(planned)
+        except _StartedAgainError:
+            logger.info("order not given", engine=planned.engine, reason="engine started again")
+            self._plan_again(planned)
+            return
         answer = await self._engine_orders.send(
             planned.engine, planned.address, planned.order, sequence
         )
@@ -58,23 +81,31 @@
     async def _sequence_for(self, planned: PlannedOrder) -> int | None:
         """Return the count of orders that the engine must have taken for an order to hold.
 
+        Raises _StartedAgainError if the process has ended that the order is meant for.
+
         Orders that name a group are safe without: they affect no other group.
         """
         if not isinstance(planned.order, JoinGroup | StageModel):
             return None
-        known = self._sequences.get(planned.engine)
+        known = self._sequences.get(_process_of(planned))
         if known is not None:
             return known
-        return await self._engine_orders.read_sequence(planned.address)
+        report = await self._engine_orders.read_report(planned.address)
+        if report is None:
+            return None
+        if not is_same_process(planned.started_unix_ms, report.started_unix_ms):
+            raise _StartedAgainError
+        return report.sequence
 
     def _note_sequence(
         self, planned: PlannedOrder, sequence: int | None, answer: OrderAnswer
     ) -> None:
-        known = self._sequences.pop(planned.engine, sequence)
+        process = _process_of(planned)
+        known = self._sequences.pop(process, sequence)
         if answer is OrderAnswer.BEGUN and known is not None:
-            self._sequences[planned.engine] = known + 1
+            self._sequences[process] = known + 1
         elif answer is OrderAnswer.HOLDS and known is not None:
-            self._sequences[planned.engine] = known
+            self._sequences[process] = known
         elif answer is OrderAnswer.OUT_OF_DATE:
             self._plan_again(planned)
 
--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -15,11 +15,12 @@
 
 @value_class
 class PlannedOrder:
-    """An order to one engine."""
+    """An order to one engine, to the process of it that was started then (0: any)."""
 
     engine: HostId
     address: str
     order: EngineOrder
+    started_unix_ms: int = 0
 
 
 @value_class
@@ -51,16 +52,18 @@
 class PlanState:
     """What is remembered between two plans; all of it may be lost at any time.
 
-    ``left`` are groups whose leader confirmed that it left; ``suspects`` are hosts that did not
+    ``left`` are groups whose leader confirmed that it left, and ``seen_joined`` those whose leader
+    a listing showed in them; ``suspects`` are hosts that did not
     answer although they are listed; ``answered_s`` tells when hosts that are not listed answered;
     ``stood_still_s`` tells when groups were reported to; ``gathered`` are hosts that were free
-    before.
+    before; ``started_unix_ms`` tells the processes of engines that were listed last.
     """
 
     first_seen_s: dict[GroupKey, float] = field(default_factory=dict)
     ordered_s: dict[OrderName, float] = field(default_factory=dict)
     leaving_since_s: dict[GroupKey, float] = field(default_factory=dict)
     left: set[GroupKey] = field(default_factory=set)
+    seen_joined: set[GroupKey] = field(default_factory=set)
     unreachable_since_s: dict[HostId, float] = field(default_factory=dict)
     staging: dict[HostId, Staging] = field(default_factory=dict)
     unlisted_since_s: dict[HostId, float] = field(default_factory=dict)
@@ -70,6 +73,21 @@
     load_times_s: list[float] = field(default_factory=list)
     gathered: set[HostId] = field(default_factory=set)
     gathered_s: float = 0.0
+    started_unix_ms: dict[HostId, int] = field(default_factory=dict)
+
+    def note_life(self, host: HostId, started_unix_ms: int) -> None:
+        """Take in which process of an engine is listed; a new one has nothing of an earlier one."""
+        if self.started_unix_ms.setdefault(host, started_unix_ms) == started_unix_ms:
+            return
+        self.started_unix_ms[host] = started_unix_ms
+        self.suspects.discard(host)
+        for known in (
+            self.staging,
+            self.unreachable_since_s,
+            self.unlisted_since_s,
+            self.answered_s,
+        ):
+            known.pop(host, None)
 
     def may_order(self, planned: PlannedOrder, now_s: float) -> bool:
         """Tell whether an order is due, and remember it as given if it is."""
--- a/yewloom/platform/engines.py
+++ b/yewloom/platform/engines.py
@@ -7,9 +7,12 @@
 from yewloom.directory import GroupKey
 from yewloom.http_calls import HttpCaller, HttpCallError, HttpFailure
 from yewloom.ids import HostId
+from yewloom.platform.bodies import read_body
+from yewloom.platform.records import DECODE_ERRORS, start_of_process
 from yewloom.replica_orders import (
     CloseGroup,
     EngineOrder,
+    EngineReport,
     JoinGroup,
     LeaveGroup,
     OpenGroup,
@@ -58,13 +61,14 @@
             return OrderAnswer.UNKNOWN if is_sent else OrderAnswer.UNREACHABLE
         return _ANSWERS.get(answer.status, OrderAnswer.UNKNOWN)
 
-    async def read_sequence(self, address: str) -> int | None:
-        """Ask an engine how many orders it has taken; None if it does not answer."""
+    async def read_report(self, address: str) -> EngineReport | None:
+        """Ask an engine of itself; None if it does not answer."""
         url = f"http://{address}/report"
         try:
             answer = await self._caller.call("GET", url, REPORT_TIMEOUT_S, fresh=True)
-            return int(answer.json()["sequence"])
-        except (HttpCallError, ValueError, KeyError, TypeError):
+            fields = read_body(answer.body)
+            return EngineReport(int(fields["sequence"]), start_of_process(fields))
+        except (HttpCallError, *DECODE_ERRORS):
             return None  # The caller logs that the engine is silent.
 
 
--- a/yewloom/platform/records.py
+++ b/yewloom/platform/records.py
@@ -24,11 +24,15 @@
     "stream": RouteKind.STREAM,
 }
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
+"""What reading an object's fields may raise where another writer put something else."""
 
 _IS_LEAVING = {"ready": False, "draining": True}
 """Whether an endpoint leaves, by its state; another state names no endpoint to use."""
 
+_MAX_UNIX_MS = 2**53
+"""Greatest time that is read, some 285,000 years on."""
+
 _MAX_NUMBER = 2**31 - 1
 """Greatest number of a group's formation or of a member's place that peers can be told."""
 
@@ -45,14 +49,14 @@
             return None
         try:
             return _configuration(json.loads(stored.value))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise RecordError(f"{stored.key} can't be decoded: {error!r}") from error
 
     def decode_endpoint(self, stored: StoredObject) -> Endpoint:
         """Return an endpoint; raises RecordError."""
         try:
             return _endpoint(self.endpoint_id(stored.key), json.loads(stored.value))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise RecordError(f"{stored.key} can't be decoded: {error!r}") from error
 
     def endpoint_id(self, key: str) -> HostId:
@@ -142,6 +146,7 @@
         models=frozenset(ModelName(_text(item["name"])) for item in fields.get("models") or []),
         staged=frozenset(_model_name(item) for item in fields.get("staged") or []),
         membership=_membership(fields.get("group")),
+        started_unix_ms=start_of_process(fields),
     )
 
 
@@ -156,6 +161,17 @@
     return Membership(key, _number(fields["rank"]), MemberState(fields["state"]))
 
 
+def start_of_process(fields: Any) -> int:
+    """Return when the process started that tells of itself; raises ValueError or TypeError."""
+    # The wire's "born" is the Unix time of the start, in milliseconds.
+    started_unix_ms = fields.get("born")
+    if started_unix_ms is None:
+        return 0
+    if type(started_unix_ms) is not int or not 0 < started_unix_ms <= _MAX_UNIX_MS:
+        raise ValueError(f"no time: {started_unix_ms!r:.40}")
+    return started_unix_ms
+
+
 def _text(value: Any) -> str:
     """Return a text that peers can be told; raises TypeError or ValueError for what is none."""
     if not isinstance(value, str):
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -84,6 +84,10 @@
             self._cut[data_centre] = _Cut(now_s)
         self._on_lost()
 
+    def forget(self, endpoint: HostId) -> None:
+        """Drop a loss of an endpoint, which started again."""
+        self._lost.pop(endpoint, None)
+
     @property
     def has_losses(self) -> bool:
         """Tell whether anything is to be probed, now or later."""
--- a/yewloom/replica_lifecycle.py
+++ b/yewloom/replica_lifecycle.py
@@ -4,14 +4,15 @@
 leader is known to have left or ended.
 """
 
-from collections.abc import Container
+from collections.abc import Container, Sequence
 
 from yewloom.configuration import EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, MemberState
 from yewloom.ids import HostId, ModelName
 from yewloom.plan_state import PlannedOrder, PlanState, key_of
+from yewloom.process_starts import is_same_process
 from yewloom.replica_orders import CloseGroup, EngineOrder, JoinGroup, LeaveGroup, OpenGroup
-from yewloom.schema.records_pb2 import Group
+from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.states import GroupIntent
 
 FORM_SLACK_S = 3.0
@@ -52,9 +53,9 @@
         members = [HostId(member.host_id) for member in group.members]
         order = JoinGroup(key_of(group), ModelName(group.model), members)
         return [
-            PlannedOrder(endpoint.id, endpoint.address, order)
-            for member in members
-            if (endpoint := self._directory.by_id.get(member)) is not None
+            PlannedOrder(endpoint.id, endpoint.address, order, member.started_unix_ms)
+            for member in group.members
+            if (endpoint := self._directory.by_id.get(HostId(member.host_id))) is not None
         ]
 
     def is_over(self, group: Group, now_s: float) -> bool:
@@ -68,7 +69,7 @@
             return True
         head = HostId(group.members[0].host_id)
         listed = self._directory.by_id.get(head)
-        if listed is not None and (listed.membership is None or listed.membership.key != key):
+        if listed is not None and self._has_left(listed, key):
             return True
         since_s = self._state.unreachable_since_s.get(head)
         if listed is None and since_s is not None and now_s - since_s >= UNREACHABLE_IS_GONE_S:
@@ -81,17 +82,34 @@
         key = key_of(group)
         head = HostId(group.members[0].host_id)
         listed = self._directory.by_id.get(head)
-        if listed is None or listed.membership is None or listed.membership.key != key:
+        if listed is None or self._has_left(listed, key):
             return True
-        if listed.membership.state in (MemberState.READY, MemberState.BROKEN):
+        state = listed.membership.state if listed.membership is not None else None
+        if state in (MemberState.READY, MemberState.BROKEN):
             return True
         began_s = self._state.first_seen_s.setdefault(key, now_s)
         if now_s - began_s > CLOSE_LIMIT_S:
             return True
-        if listed.membership.state is MemberState.OPEN:
+        if state is MemberState.OPEN:
             self._order_once(head, listed.address, CloseGroup(key), now_s)
         return False
 
+    def _has_left(self, head: Endpoint, key: GroupKey) -> bool:
+        """Tell whether the listing shows that a leader is in a group no more.
+
+        Only one that showed it there before tells that: a listing that is older than the group
+        shows the leader outside of it too. Else the leader's own answer to an order decides.
+        """
+        is_elsewhere = head.membership is None or head.membership.key != key
+        return is_elsewhere and key in self._state.seen_joined
+
+    def note_joined(self, group: Group) -> None:
+        """Take in whether the listing shows a group's leader in it."""
+        key = key_of(group)
+        head = self._directory.by_id.get(HostId(group.members[0].host_id))
+        if head is not None and head.membership is not None and head.membership.key == key:
+            self._state.seen_joined.add(key)
+
     def tend(self, group: Group, now_s: float) -> bool:
         """Open a group that is ready, and give up one that lost a member; tell of a change."""
         if group.intent != GroupIntent.ACTIVE.value:
@@ -100,7 +118,7 @@
         members = [self._directory.by_id.get(HostId(m.host_id)) for m in group.members]
         began_s = self._state.first_seen_s.setdefault(key, now_s)
         present = [member for member in members if member is not None]
-        if any(self._has_failed(member, key) for member in present):
+        if _has_restarted(group, members) or any(self._has_failed(m, key) for m in present):
             return self.retire(group, key, GroupIntent.REPLACING)
         if len(present) < len(members):
             if self._serves_unlisted(group, members[0], now_s):
@@ -195,3 +213,18 @@
         planned = PlannedOrder(engine, address, order)
         if self._state.may_order(planned, now_s):
             self.orders.append(planned)
+
+
+def _has_restarted(group: Group, listed: Sequence[Endpoint | None]) -> bool:
+    """Tell whether a member's process has ended although its id is still listed.
+
+    The new one holds nothing of the group, and a leader does not notice: it takes requests and
+    moves no more. To let the new process join the same group would not mend that.
+    """
+    pairs = zip(group.members, listed, strict=True)
+    return any(known is not None and _has_ended(member, known) for member, known in pairs)
+
+
+def _has_ended(member: GroupMember, listed: Endpoint) -> bool:
+    """Tell whether the process that is recorded as a member has ended, and another is listed."""
+    return not is_same_process(member.started_unix_ms, listed.started_unix_ms)
--- a/yewloom/replica_orders.py
+++ b/yewloom/replica_orders.py
@@ -66,6 +66,17 @@
     UNKNOWN = "unknown"
 
 
+@value_class
+class EngineReport:
+    """What an engine says of itself: how many orders it has taken, and when its process started.
+
+    ``started_unix_ms`` is 0 if it does not say.
+    """
+
+    sequence: int
+    started_unix_ms: int = 0
+
+
 class EngineOrders(Protocol):
     """Sends orders to engines."""
 
@@ -75,6 +86,6 @@
         """Give one order; it counts only if the engine has taken ``expected_sequence`` so far."""
         ...
 
-    async def read_sequence(self, address: str) -> int | None:
-        """Ask an engine how many orders it has taken; None if it does not answer."""
+    async def read_report(self, address: str) -> EngineReport | None:
+        """Ask an engine of itself; None if it does not answer."""
         ...
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -38,13 +38,18 @@
         self._profile = profile
         self._directory = directory
         self._demand = demand
+        self._state = state
         self._lifecycle = GroupLifecycle(profile, directory, state)
         self._supply = ReplicaSupply(data_centre, service, profile, directory, state, bounds)
 
     def plan(self, record: Placement, now_s: float) -> ReplicaPlan:
         """Return what should follow the record as it stands; a planner plans once."""
+        for endpoint in self._directory.of_service(self._service):
+            self._state.note_life(endpoint.id, endpoint.started_unix_ms)
         draft = Placement()
         draft.CopyFrom(record)
+        for group in draft.groups:
+            self._lifecycle.note_joined(group)
         kept = [group for group in draft.groups if not self._lifecycle.is_over(group, now_s)]
         changed = len(kept) != len(draft.groups)
         for group in kept:
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -168,7 +168,10 @@
         model=model.name,
         generation=generation,
         intent=GroupIntent.ACTIVE.value,
-        members=[GroupMember(host_id=e.id, address=e.address) for e in members],
+        members=[
+            GroupMember(host_id=e.id, address=e.address, started_unix_ms=e.started_unix_ms)
+            for e in members
+        ],
     )
 
 
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -10,8 +10,9 @@
 from yewloom.directory import EndpointDirectory
 from yewloom.ids import HostId
 from yewloom.plan_state import PlanState, key_of
+from yewloom.process_starts import is_same_process
 from yewloom.replica_orders import EngineOrders
-from yewloom.schema.records_pb2 import Group
+from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.stalls import StallDetector
 from yewloom.states import GroupIntent
 from yewloom.values import value_class
@@ -32,6 +33,15 @@
     member: HostId
 
 
+@value_class
+class _Asked:
+    """The process of an engine that is asked whether it still answers."""
+
+    member: HostId
+    address: str
+    started_unix_ms: int
+
+
 class StalledGroups:
     """Asks the members of groups that stand still, and those that are no longer listed."""
 
@@ -72,7 +82,9 @@
             if endpoint is None:
                 self._state.suspects.discard(suspect)
             elif self._may_look(suspect, now_s, PROBE_AFTER_STALL_S):
-                self._start_probe(suspect, endpoint.address, tasks)
+                self._start_probe(
+                    _Asked(suspect, endpoint.address, endpoint.started_unix_ms), tasks
+                )
 
     def _look_at_unlisted(self, group: Group, now_s: float, tasks: BackgroundTasks) -> None:
         """Ask members that the store lists no more; one cut off from the store may still work."""
@@ -81,11 +93,13 @@
             if host in self._directory.by_id:
                 self._state.unlisted_since_s.pop(host, None)
             elif self._may_look(host, now_s, PROBE_UNLISTED_S):
-                tasks.start(_Question(host), partial(self._ask_unlisted, host, member.address))
+                tasks.start(_Question(host), partial(self._ask_unlisted, member))
 
-    async def _ask_unlisted(self, host: HostId, address: str) -> None:
-        if await self._engine_orders.read_sequence(address) is not None:
-            self._state.answered_s[host] = trio.current_time()
+    async def _ask_unlisted(self, member: GroupMember) -> None:
+        """Ask a member; only the process counts that is in the group, not one after it."""
+        report = await self._engine_orders.read_report(member.address)
+        if report is not None and is_same_process(report.started_unix_ms, member.started_unix_ms):
+            self._state.answered_s[HostId(member.host_id)] = trio.current_time()
 
     def _may_look(self, host: HostId, now_s: float, pause_s: float) -> bool:
         """Tell whether a look is due, and remember it as taken if it is."""
@@ -97,14 +111,17 @@
     def _look_at_members(self, group: Group, tasks: BackgroundTasks) -> None:
         logger.info("group stands still", group=str(key_of(group)))
         for member in group.members:
-            self._start_probe(HostId(member.host_id), member.address, tasks)
-
-    def _start_probe(self, member: HostId, address: str, tasks: BackgroundTasks) -> None:
-        tasks.start(_Question(member), partial(self._probe, member, address))
-
-    async def _probe(self, member: HostId, address: str) -> None:
-        if await self._engine_orders.read_sequence(address) is None:
-            logger.info("member silent", engine=member)
-            self._state.suspects.add(member)
-        else:
-            self._state.suspects.discard(member)
+            asked = _Asked(HostId(member.host_id), member.address, member.started_unix_ms)
+            self._start_probe(asked, tasks)
+
+    def _start_probe(self, asked: _Asked, tasks: BackgroundTasks) -> None:
+        tasks.start(_Question(asked.member), partial(self._probe, asked))
+
+    async def _probe(self, asked: _Asked) -> None:
+        report = await self._engine_orders.read_report(asked.address)
+        if report is not None and is_same_process(report.started_unix_ms, asked.started_unix_ms):
+            self._state.suspects.discard(asked.member)
+            return
+        reason = "no answer" if report is None else "started again"
+        logger.info("member silent", engine=asked.member, reason=reason)
+        self._state.suspects.add(asked.member)
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -66,6 +66,10 @@
         """Tell whether a head was reported a short while ago."""
         return now_s - self._reported_s.get(head, float("-inf")) < REPORT_S
 
+    def drop(self, head: HostId) -> None:
+        """Let a report of a head count no more."""
+        self._reported_s.pop(head, None)
+
     def recent(self, now_s: float) -> list[HostId]:
         """Return the heads that were reported a short while ago, and forget the others."""
         self._reported_s = {h: s for h, s in self._reported_s.items() if now_s - s < REPORT_S}
@@ -126,6 +130,16 @@
         """Take in that another entry host could not reach a head."""
         self._unreachable_by_peers.add(head, now_s)
 
+    def forget(self, head: HostId) -> None:
+        """Drop the reports of a head, which started again; its streams end by themselves."""
+        for reports in (
+            self._still,
+            self._unreachable,
+            self._still_by_peers,
+            self._unreachable_by_peers,
+        ):
+            reports.drop(head)
+
     def reported(self, now_s: float) -> list[HostId]:
         """Return the heads whose groups this host itself saw stand still a short while ago."""
         return self._still.recent(now_s)
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -2,6 +2,8 @@
 
 import random
 import unittest
+from dataclasses import replace
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,6 +21,7 @@
 from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
 from yewloom.selection import Selector
 from yewloom.tests.entry_support import HALL, LARGE, SMALL, make_engine, make_plain
+from yewloom.tests.support import run_on_mock_clock
 
 
 def _stored(name: str, revision: int) -> StoredObject:
@@ -91,3 +94,78 @@
         message = ListedEndpoint(id="i", membership=EndpointMembership(state="new"))
         with self.assertRaises(ValueError):
             decode_endpoint(message)
+
+
+async def _take_in_loop(intake: EndpointIntake, update: Update) -> None:
+    intake.take(update)
+
+
+class TestRestarts(unittest.TestCase):
+    """Another process runs under an endpoint's id, and nothing of the earlier one counts."""
+
+    def setUp(self) -> None:
+        self.directory, self.followed = EndpointDirectory(), FollowedPosition()
+        board = PeerBoard(EntryHostId("me"), HALL)
+        reachability = Reachability(self.directory)
+        self.selector = Selector(self.directory, HALL, board, random.Random(1), reachability)
+        self.started: list[HostId] = []
+        self.told: list[ChangedEndpoints] = []
+        self.intake = EndpointIntake(
+            StoreRecords(),
+            self.directory,
+            self.selector,
+            self.followed,
+            self.told.append,
+            self.started.append,
+        )
+        self.directory.put(replace(make_plain("a"), started_unix_ms=7))
+        self.followed.take_listing(5, 0.0)
+        self.selector.avoid(HostId("a"), 100.0)
+
+    def _is_avoided(self) -> bool:
+        return self.selector._is_avoided(self.directory.by_id[HostId("a")], 1.0)
+
+    def _take(self, started_unix_ms: int, how: str) -> None:
+        """Take an entry in by a listing, a watch, or a peer's word."""
+        stored = _stored("a", 9)
+        value = stored.value.replace("{", f'{{"born": {started_unix_ms}, ', 1)
+        stored = StoredObject(stored.key, stored.version, value)
+        match how:
+            case "listing":
+                update = Update(Listing([stored], 9), None, 0.0, False)
+                run_on_mock_clock(partial(_take_in_loop, self.intake, update))
+            case "watch":
+                self.intake.take(Update(Listing([stored], 9), 5, 0.0, False))
+            case "peer":
+                endpoint = StoreRecords().decode_endpoint(stored)
+                self.intake.take_told(ChangedEndpoints(5, 9, [endpoint], []))
+
+    def test_it_starts_with_nothing_whoever_tells_of_it_first_and_whatever_its_clock(self) -> None:
+        for how in ("listing", "watch", "peer"):
+            for started_unix_ms in (9, 3):
+                with self.subTest(how=how, started_unix_ms=started_unix_ms):
+                    self.setUp()
+                    self._take(started_unix_ms, how)
+                    self.assertFalse(self._is_avoided())
+                    self.assertEqual(self.started, ["a"])
+                    listed = self.directory.by_id[HostId("a")]
+                    self.assertEqual(listed.started_unix_ms, started_unix_ms)
+
+    def test_an_entry_of_the_same_process_changes_nothing_of_that(self) -> None:
+        for how in ("listing", "watch", "peer"):
+            self.setUp()
+            self._take(7, how)
+            self.assertTrue(self._is_avoided())
+            self.assertEqual(self.started, [])
+
+    def test_a_peers_late_word_of_the_earlier_process_is_not_taken(self) -> None:
+        self._take(9, "watch")
+        self.followed.take_changes(9, True, 0.0)
+        late = replace(make_plain("a"), started_unix_ms=7)
+        self.intake.take_told(ChangedEndpoints(5, 8, [late], []))
+        self.assertEqual(self.directory.by_id[HostId("a")].started_unix_ms, 9)
+
+    def test_peers_are_told_which_process_it_is(self) -> None:
+        self._take(9, "watch")
+        [endpoint] = self.told[0].endpoints
+        self.assertEqual(decode_endpoint(encode_endpoint(endpoint)).started_unix_ms, 9)
--- a/yewloom/tests/test_platform_adapter.py
+++ b/yewloom/tests/test_platform_adapter.py
@@ -22,7 +22,7 @@
 from yewloom.platform.records import StoreRecords
 from yewloom.platform.store import ObjectStore
 from yewloom.platforms import PlatformFailure, StoredObject
-from yewloom.replica_orders import CloseGroup, JoinGroup, OrderAnswer, StageModel
+from yewloom.replica_orders import CloseGroup, EngineReport, JoinGroup, OrderAnswer, StageModel
 from yewloom.routes import RouteKind
 from yewloom.tests.support import run_on_mock_clock
 from yewloom.writes import RecordError
@@ -348,7 +348,24 @@
             self.assertIs(found, expected)
             self.assertEqual(caller.asked[0][2]["expectedRev"], 6)
 
-    def test_a_silent_engine_tells_no_sequence(self) -> None:
-        orders = HttpEngineOrders(_FakeCaller(HttpFailure.TIMED_OUT, _json(200, {"sequence": 5})))
-        self.assertIsNone(run_on_mock_clock(lambda: orders.read_sequence("i:1")))
-        self.assertEqual(run_on_mock_clock(lambda: orders.read_sequence("i:1")), 5)
+    def test_a_silent_engine_tells_nothing(self) -> None:
+        answers: list[HttpAnswer | HttpFailure] = [
+            HttpFailure.TIMED_OUT,
+            _json(200, {"sequence": 5}),
+            _json(200, {"sequence": 6, "born": 1_790_000_000_000}),
+            _json(200, {"sequence": 6, "born": "yesterday"}),
+            _json(200, []),
+        ]
+        orders = HttpEngineOrders(_FakeCaller(*answers))
+        found = [run_on_mock_clock(lambda: orders.read_report("i:1")) for _ in answers]
+        known = EngineReport(6, 1_790_000_000_000)
+        self.assertEqual(found, [None, EngineReport(5), known, None, None])
+
+    def test_the_start_of_an_endpoints_process_is_decoded(self) -> None:
+        records = StoreRecords()
+        for born, expected in ((None, 0), (1_790_000_000_000, 1_790_000_000_000)):
+            stored = _stored("servers", "i1", ENDPOINT | {"born": born})
+            self.assertEqual(records.decode_endpoint(stored).started_unix_ms, expected)
+        for wrong in (True, 1.5, "1", -1, 2**60):
+            with self.assertRaises(RecordError):
+                records.decode_endpoint(_stored("servers", "i1", ENDPOINT | {"born": wrong}))
--- a/yewloom/tests/test_replica_plan.py
+++ b/yewloom/tests/test_replica_plan.py
@@ -1,7 +1,7 @@
 """Tests of the plan of replicas: nothing serves in part, and no host is in two groups.
 
-The machine plays engines that die, lose the store's sight, take orders late, and two coordinators
-that both believe they lead and act on old listings.
+The machine plays engines that die, start again under their names, lose the store's sight, take
+orders late, and two coordinators that both believe they lead and act on old listings.
 """
 
 import unittest
@@ -12,9 +12,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, Membership, MemberState
-from yewloom.ids import HostId, ModelName
+from yewloom.ids import GroupId, HostId, ModelName
 from yewloom.model_need import starting_demand
-from yewloom.plan_state import PlannedOrder, PlanState
+from yewloom.plan_state import PlannedOrder, PlanState, Staging, key_of
 from yewloom.replica_lifecycle import LEAVING_SERVICE_S, UNLISTED_GRACE_S
 from yewloom.replica_orders import (
     CloseGroup,
@@ -142,6 +142,22 @@
         [group] = plan.record.groups
         self.assertEqual({m.host_id for m in group.members}, {"a", "c"})
 
+    def test_a_listing_that_is_older_than_a_group_does_not_show_that_its_leader_left(self) -> None:
+        directory, state = EndpointDirectory(), PlanState()
+        for name in ("a", "b"):
+            directory.put(make_engine(name, staged=SMALL))  # As they were before the group.
+        record = Placement(generation=3)
+        key = GroupKey(GroupId("g"), 3)
+        _add_group(record, key, SMALL, ["a", "b"])
+        plan = _planner(directory, state, RATIONED).plan(_retired(record), 0.0)
+        self.assertIsNone(plan.record)
+        [leave] = _orders(plan.orders, LeaveGroup)
+        self.assertEqual((leave.engine, leave.order), ("a", LeaveGroup(key)))
+        state.left.add(key)
+        self.assertIsNotNone(
+            _planner(directory, state, RATIONED).plan(_retired(record), 0.2).record
+        )
+
     def test_an_unlisted_leader_that_answers_still_holds_its_members(self) -> None:
         """A leader cut off from the store alone goes on serving."""
         directory, state = EndpointDirectory(), PlanState()
@@ -163,6 +179,49 @@
         [leave] = _orders(plan.orders, LeaveGroup)
         self.assertEqual((leave.engine, leave.order), ("a", LeaveGroup(key)))
 
+    def test_a_group_whose_member_started_again_is_given_up_and_its_hosts_form_another(
+        self,
+    ) -> None:
+        for name in ("a", "b"):
+            directory, state = EndpointDirectory(), PlanState()
+            record = _record(directory, SMALL, ["a", "b"])
+            for member in record.groups[0].members:
+                member.started_unix_ms = 7
+            for known in list(directory.by_id.values()):
+                directory.put(replace(known, started_unix_ms=7))
+            self.assertIsNone(_planner(directory, state, RATIONED).plan(record, 0.0).record)
+            fresh = make_engine(name, staged=SMALL)
+            directory.put(replace(fresh, started_unix_ms=5))  # Its clock was set back.
+            plan = _planner(directory, state, RATIONED).plan(record, 0.2)
+            assert plan.record is not None
+            self.assertEqual(plan.record.groups[0].intent, GroupIntent.REPLACING.value)
+            self.assertEqual(_orders(plan.orders, JoinGroup), [])
+            state.left.add(GroupKey(record.groups[0].id, 1))  # type: ignore[arg-type]
+            plan = _planner(directory, state, RATIONED).plan(plan.record, 0.4)
+            assert plan.record is not None
+            [group] = plan.record.groups
+            self.assertEqual(group.generation, 3)
+            lives = {member.host_id: member.started_unix_ms for member in group.members}
+            self.assertEqual(lives, {"a": 7, "b": 7} | {name: 5})
+            joins = _planner(directory, state, RATIONED).join_orders(group)
+            self.assertEqual({join.engine: join.started_unix_ms for join in joins}, lives)
+
+    def test_what_is_remembered_of_an_earlier_life_is_forgotten(self) -> None:
+        directory, state = EndpointDirectory(), PlanState()
+        host = HostId("a")
+        directory.put(replace(make_engine("a"), started_unix_ms=7))
+        _planner(directory, state, RATIONED).plan(Placement(), 0.0)
+        state.suspects.add(host)
+        state.unreachable_since_s[host] = 0.0
+        state.staging[host] = Staging(LARGE, 0.0)
+        state.answered_s[host] = 0.0
+        _planner(directory, state, RATIONED).plan(Placement(), 0.2)
+        self.assertEqual(state.suspects, {host})
+        directory.put(replace(make_engine("a", staged=LARGE), started_unix_ms=9))
+        _planner(directory, state, RATIONED).plan(Placement(), 0.4)
+        self.assertEqual(state.suspects, set())
+        self.assertEqual((state.unreachable_since_s, state.answered_s, state.staging), ({}, {}, {}))
+
     def test_a_leaving_leader_ends_its_group_at_once_and_another_member_later(self) -> None:
         for leaving, ends_s in (("a", 0.0), ("b", LEAVING_SERVICE_S)):
             directory, state = EndpointDirectory(), PlanState()
@@ -231,6 +290,8 @@
     name: HostId
     is_alive: bool = True
     is_listed: bool = True
+    started_unix_ms: int = 1_000_000
+    left_behind: set[GroupKey] = field(default_factory=set)
     sequence: int = 0
     staged: ModelName | None = None
     key: GroupKey | None = None
@@ -327,6 +388,8 @@
                 if group.id not in known:
                     orders += planner.join_orders(group)
         for planned in orders:
+            if not self._is_meant_for(planned):
+                continue  # The engine's report tells so before the order is given.
             order = _Order(planned, self._sequence_for(planned))
             if is_late:
                 self.late.append(order)
@@ -347,6 +410,37 @@
             fresh = HostId(f"{name}-{len(self.engines)}")
             self.engines[fresh] = _Engine(fresh, staged=engine.staged)
 
+    @rule(
+        name=st.sampled_from([f"e{n}" for n in range(8)]),
+        clock_step_ms=st.sampled_from([-5000, -1, 1, 5000]),
+    )
+    def start_again(self, name: str, clock_step_ms: int) -> None:
+        """Let an engine start again under its name; it holds and knows nothing of before.
+
+        Its clock may have been set back. Orders that it had not carried out end with it.
+        """
+        engine = self.engines[HostId(name)]
+        if not engine.is_alive:
+            return
+        if engine.key is not None:
+            engine.left_behind.add(engine.key)
+        engine.started_unix_ms += clock_step_ms
+        engine.sequence = 0
+        engine.key, engine.members, engine.model = None, (), None
+        engine.state = MemberState.JOINING
+        self.late = [order for order in self.late if order.planned.engine != engine.name]
+
+    @rule()
+    def replace_what_started_again(self) -> None:
+        """Check that calm times leave no group that counts on what an earlier life held."""
+        self.go_on_calmly(8)
+        for group in self.record.groups:
+            if group.intent != GroupIntent.ACTIVE.value:
+                continue
+            for member in group.members:
+                engine = self.engines[HostId(member.host_id)]
+                assert key_of(group) not in engine.left_behind, f"{engine.name} in {group.id}"
+
     @rule(name=st.sampled_from([f"e{n}" for n in range(8)]), is_listed=st.booleans())
     def hide(self, name: str, is_listed: bool) -> None:
         """Cut an engine off from the store, or let it back; it serves on."""
@@ -358,6 +452,11 @@
         members = [m.host_id for group in self.record.groups for m in group.members]
         assert len(members) == len(set(members))
 
+    def _is_meant_for(self, planned: PlannedOrder) -> bool:
+        if not isinstance(planned.order, JoinGroup | StageModel):
+            return True
+        return planned.started_unix_ms == self.engines[planned.engine].started_unix_ms
+
     def _sequence_for(self, planned: PlannedOrder) -> int | None:
         if isinstance(planned.order, JoinGroup | StageModel):
             return self.engines[planned.engine].sequence
@@ -404,6 +503,7 @@
             holds = head.is_alive and head.key == engine.key
             is_serving = head.state in (MemberState.OPEN, MemberState.CLOSING)
             assert not (holds and is_serving), f"{engine.name} was taken from a serving group"
+        assert key not in engine.left_behind, f"{engine.name} joins {key}, which it left behind"
         engine.key, engine.model, engine.members = key, model, members
         engine.state = MemberState.JOINING
         return True
@@ -418,6 +518,7 @@
 
     def _endpoint(self, engine: _Engine) -> Endpoint:
         endpoint = make_engine(engine.name, staged=engine.staged, model=engine.model)
+        endpoint = replace(endpoint, started_unix_ms=engine.started_unix_ms)
         if engine.key is None:
             return endpoint
         rank = engine.members.index(engine.name)
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -16,7 +16,14 @@
 from yewloom.ids import GroupId, HostId
 from yewloom.order_delivery import OrderDelivery
 from yewloom.plan_state import PlannedOrder, PlanState
-from yewloom.replica_orders import EngineOrder, LeaveGroup, OpenGroup, OrderAnswer, StageModel
+from yewloom.replica_orders import (
+    EngineOrder,
+    EngineReport,
+    LeaveGroup,
+    OpenGroup,
+    OrderAnswer,
+    StageModel,
+)
 from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.stalled_groups import StalledGroups
 from yewloom.stalls import StallDetector
@@ -35,6 +42,7 @@
     def __init__(self) -> None:
         self.orders: list[tuple[HostId, EngineOrder]] = []
         self.asked: list[str] = []
+        self.started_unix_ms = 0
 
     async def send(
         self, engine: HostId, address: str, order: EngineOrder, expected_sequence: int | None
@@ -46,13 +54,13 @@
             return OrderAnswer.UNREACHABLE
         return OrderAnswer.BEGUN
 
-    async def read_sequence(self, address: str) -> int | None:
+    async def read_report(self, address: str) -> EngineReport | None:
         """Answer a question."""
         self.asked.append(address)
         if address == "dead":
             await trio.sleep(ANSWER_S)
             return None
-        return 1
+        return EngineReport(1, self.started_unix_ms)
 
 
 def _run(test: Callable[[BackgroundTasks], Awaitable[None]]) -> None:
@@ -109,6 +117,34 @@
 
         _run(test)
 
+    def test_an_order_for_a_process_that_has_ended_is_not_given_to_the_next_one(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            self.engines.started_unix_ms = 7
+            staging = PlannedOrder(HostId("a"), "a", StageModel(SMALL), 7)
+            self.delivery.give([staging], tasks)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(len(self.engines.orders), 1)
+            self.engines.started_unix_ms = 9
+            self.delivery.forget_sequences()
+            self.assertTrue(self.state.may_order(staging, 0.0))
+            self.delivery.give([staging], tasks)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(len(self.engines.orders), 1)
+            self.assertTrue(self.state.may_order(staging, 0.0))  # The next plan decides.
+
+        _run(test)
+
+    def test_the_next_process_is_asked_how_many_orders_it_has_taken(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            for started_unix_ms in (7, 9):
+                self.engines.started_unix_ms = started_unix_ms
+                order = PlannedOrder(HostId("a"), "a", StageModel(SMALL), started_unix_ms)
+                self.delivery.give([order], tasks)
+                await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(len(self.engines.asked), 2)
+
+        _run(test)
+
 
 class TestQuestions(unittest.TestCase):
     """Questions to members that do not answer."""
@@ -129,3 +165,19 @@
             self.assertEqual(state.suspects, {"dead"})
 
         _run(test)
+
+    def test_a_member_that_started_again_does_not_answer_for_its_group(self) -> None:
+        async def test(tasks: BackgroundTasks) -> None:
+            engines, state, stalls = Engines(), PlanState(), StallDetector()
+            engines.started_unix_ms = 9
+            group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+            for name, started_unix_ms in (("a", 9), ("b", 7)):
+                group.members.add(host_id=name, address=name, started_unix_ms=started_unix_ms)
+            stalls.report(HostId("a"), trio.current_time())
+            groups = StalledGroups(EndpointDirectory(), stalls, engines, state)
+            groups.look([group], tasks)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(state.suspects, {"b"})
+            self.assertEqual(state.answered_s, {})
+
+        _run(test)
--- a/yewloom/tests/test_stalls.py
+++ b/yewloom/tests/test_stalls.py
@@ -81,3 +81,20 @@
         self.assertEqual(len(news), 1)
         stalls.report_unreachable(HEAD, 0.0)
         self.assertEqual(len(news), 2)
+
+
+class TestRestart(unittest.TestCase):
+    """A head that started again is suspected of nothing."""
+
+    def test_reports_of_the_earlier_process_count_no_more(self) -> None:
+        stalls = StallDetector()
+        for report in (
+            stalls.report,
+            stalls.report_unreachable,
+            stalls.report_by_peer,
+            stalls.report_unreachable_by_peer,
+        ):
+            report(HEAD, 1.0)
+            self.assertEqual(stalls.suspected(1.1), {HEAD})
+            stalls.forget(HEAD)
+            self.assertEqual(stalls.suspected(1.1), set())
--- a/yewloom/weight_loads.py
+++ b/yewloom/weight_loads.py
@@ -50,7 +50,10 @@
             return
         self._state.load_times_s = [*recent, now_s]
         self._state.staging[endpoint.id] = Staging(model.name, now_s)
-        self.orders.append(PlannedOrder(endpoint.id, endpoint.address, StageModel(model.name)))
+        order = StageModel(model.name)
+        self.orders.append(
+            PlannedOrder(endpoint.id, endpoint.address, order, endpoint.started_unix_ms)
+        )
 
     def forget_ended(self, now_s: float) -> None:
         """Forget loads that are done, that take too long, or whose host is gone."""
