--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -10,6 +10,7 @@
 from yewloom.tests.soak.faults import (
     ChangeConfiguration,
     DisturbEndpoint,
+    DisturbPeers,
     DisturbStore,
     FailStore,
     Fault,
@@ -25,7 +26,7 @@
 )
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, SoakEngine
 from yewloom.tests.soak.ledger import GRACE_S, Disturbance, Ledger
-from yewloom.tests.soak.proxy import LinkFault
+from yewloom.tests.soak.proxy import DatagramFault, LinkFault
 
 QUIET_AFTER_S = 4.0
 """Time after a fault for which its effects may last."""
@@ -165,6 +166,17 @@
         fleet.store.remove("servers", name)
 
 
+@happen.register
+async def _(fault: DisturbPeers, fleet: Fleet, ledger: Ledger) -> None:
+    # That excuses no host: one that hears nothing recent asks the store itself.
+    links = [fleet.entries[number].peer_link for number in fault.entries]
+    for link in links:
+        link.fault, link.delay_s = fault.how, fault.delay_s
+    await trio.sleep(fault.for_s)
+    for link in links:
+        link.fault = DatagramFault.NONE
+
+
 @happen.register
 async def _(fault: DisturbEndpoint, fleet: Fleet, ledger: Ledger) -> None:
     links = [*(engine.link for engine in fleet.engines), *fleet.plain_links]
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from yewloom.tests.soak.proxy import LinkFault
+from yewloom.tests.soak.proxy import DatagramFault, LinkFault
 
 
 class FaultMix(Enum):
@@ -90,6 +90,15 @@
     """Another writer puts entries beside those of the endpoints that name none."""
 
 
+@dataclass(frozen=True)
+class DisturbPeers(Fault):
+    """Datagrams to some entry hosts are lost or late; those from them are not."""
+
+    entries: tuple[int, ...]
+    how: DatagramFault
+    delay_s: float
+
+
 @dataclass(frozen=True)
 class DisturbEndpoint(Fault):
     """The link to an endpoint is disturbed."""
@@ -215,3 +224,16 @@
             [SpoilEntries(at_s, for_s)],
         ]
     )
+
+
+def draw_peer_faults(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return faults of the datagrams among the entry hosts."""
+    faults: list[Fault] = []
+    at_s = 2.0
+    while at_s < duration_s:
+        for_s, delay_s = rng.uniform(0.5, 5.0), rng.uniform(0.1, 2.0)
+        some = tuple(rng.sample(range(entries), rng.randint(1, entries)))
+        how = rng.choice([DatagramFault.LOSE, DatagramFault.DELAY])
+        faults.append(DisturbPeers(at_s, for_s, some, how, delay_s))
+        at_s += rng.uniform(0.5, 6.0)
+    return faults
