--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -849,6 +849,13 @@
         "return is_elsewhere",
         "test_replica_plan",
     ),
+    Mutation(
+        "silence: a channel to a peer without an answer is not used again",
+        "peers",
+        "                await self._drop_channel(address)\n",
+        "                pass\n",
+        "test_peers",
+    ),
 )
 
 
--- a/yewloom/peers.py
+++ b/yewloom/peers.py
@@ -113,6 +113,18 @@
                 exchange.apply_rows(self._node, rows.rows, f"peer {response.responder.id}")
         except grpc.aio.AioRpcError as error:
             logger.debug("exchange failed", peer=address, reason=error.details())
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._drop_channel(address)
+
+    async def _drop_channel(self, address: str) -> None:
+        """Open a new channel for the next exchange.
+
+        A connection may fall silent without a reset, and the channel would go on using it until
+        the system gives it up, after minutes.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await trio_asyncio.aio_as_trio(channel.close)()
 
     async def _call(self, method: Callable[..., Any], request: Any) -> Any:
         timeout_s = self._node.settings.peers.timeout_ms / 1000
