--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -754,7 +754,7 @@
     Mutation(
         "foreign entries: deep nesting spoils no other entry",
         "platform/bodies",
-        "return json.loads(_without_deep_parts(text), parse_int=_whole_number)",
+        "text = _without_deep_parts(text)",
         "raise",
         "test_foreign_entries",
     ),
@@ -810,7 +810,7 @@
     Mutation(
         "restart: what a coordinator remembers of the old process is forgotten",
         "replica_plan",
-        "            self._state.note_life(endpoint.id, endpoint.started_unix_ms)\n",
+        "            self._state.note_process(endpoint.id, endpoint.started_unix_ms)\n",
         "            pass\n",
         "test_replica_plan",
     ),
@@ -856,6 +856,13 @@
         "                pass\n",
         "test_peers",
     ),
+    Mutation(
+        "late: news that was listed for ends no further pause",
+        "followers",
+        "            await self._has_news.wait()\n        self._has_news = trio.Event()\n",
+        "            await self._has_news.wait()\n",
+        "test_followers",
+    ),
 )
 
 
--- a/yewloom/addresses.py
+++ b/yewloom/addresses.py
@@ -1,7 +1,11 @@
 """Network addresses as text: ``host:port``."""
 
 MAX_PORT = 65535
+"""Greatest port of TCP and UDP."""
+
 MAX_BYTE = 255
+"""Greatest part of an IPv4 number, of which it has four."""
+
 IPV4_PARTS = 4
 
 
--- a/yewloom/followers.py
+++ b/yewloom/followers.py
@@ -103,9 +103,10 @@
             self._watch_scope.cancel()
 
     async def _pause(self, for_s: float) -> None:
-        """Wait, unless a listing is asked for."""
+        """Wait, unless a listing is asked for, or was since the last pause."""
         with trio.move_on_after(for_s):
             await self._has_news.wait()
+        self._has_news = trio.Event()
 
     def _must_list(self) -> bool:
         """Tell whether the next call lists: at first, and after a failed one.
@@ -116,7 +117,6 @@
 
     async def _step(self) -> None:
         asked_s = trio.current_time()
-        self._has_news = trio.Event()
         base = None if self._must_list() else self._followed.position
         if base is None:
             found = await self._platform.list(self._kind)
--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -75,7 +75,7 @@
     gathered_s: float = 0.0
     started_unix_ms: dict[HostId, int] = field(default_factory=dict)
 
-    def note_life(self, host: HostId, started_unix_ms: int) -> None:
+    def note_process(self, host: HostId, started_unix_ms: int) -> None:
         """Take in which process of an engine is listed; a new one has nothing of an earlier one."""
         if self.started_unix_ms.setdefault(host, started_unix_ms) == started_unix_ms:
             return
--- a/yewloom/platform/bodies.py
+++ b/yewloom/platform/bodies.py
@@ -18,9 +18,12 @@
     """Return a body's JSON; raises ValueError if it is none."""
     text = body.decode("utf-8", "replace")
     try:
-        return json.loads(text, parse_int=_whole_number)
+        return json.loads(text)
     except RecursionError:
-        return json.loads(_without_deep_parts(text), parse_int=_whole_number)
+        text = _without_deep_parts(text)
+    except ValueError:
+        pass  # Perhaps for a number of too many digits alone; else it is raised again.
+    return json.loads(text, parse_int=_whole_number)
 
 
 def _whole_number(digits: str) -> int | None:
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -45,7 +45,7 @@
     def plan(self, record: Placement, now_s: float) -> ReplicaPlan:
         """Return what should follow the record as it stands; a planner plans once."""
         for endpoint in self._directory.of_service(self._service):
-            self._state.note_life(endpoint.id, endpoint.started_unix_ms)
+            self._state.note_process(endpoint.id, endpoint.started_unix_ms)
         draft = Placement()
         draft.CopyFrom(record)
         for group in draft.groups:
--- a/yewloom/tests/test_followers.py
+++ b/yewloom/tests/test_followers.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from yewloom.followed_position import FollowedPosition
-from yewloom.followers import IDLE_RETRY_FACTOR, Follower, FollowPace, Update
+from yewloom.followers import IDLE_RETRY_FACTOR, REST_S, Follower, FollowPace, Update
 from yewloom.ids import DataCentreId
 from yewloom.platforms import Listing, PlatformError, PlatformFailure, StoredObject
 from yewloom.schema.records_pb2 import Host
@@ -206,6 +206,29 @@
 
         run_on_mock_clock(main)
 
+    def test_news_that_comes_while_a_listing_is_under_way_does_not_keep_the_host_busy(self) -> None:
+        platform = _ScriptedPlatform(Listing([], 5), Listing([], 7))
+        looks = 0
+
+        def must_ask() -> bool:
+            nonlocal looks
+            looks += 1
+            self.assertLess(looks, 100)
+            return False
+
+        async def main() -> None:
+            resting = replace(PACE, has_duty=lambda: False, must_ask=must_ask)
+            follower = Follower(platform, "k", lambda update: None, FollowedPosition(), resting)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(0.2)
+                follower.list_anew()  # The first listing is on its way.
+                await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
+
+        run_on_mock_clock(main)
+        self.assertLess(looks, 5.0 / REST_S + 5)
+
     def test_nothing_is_left_of_a_pause_behind_a_call_that_waited_for_its_timeout(self) -> None:
         silent = PlatformError(PlatformFailure.AMBIGUOUS, "timed out")
         platform = _ScriptedPlatform(Listing([], 5), silent, Listing([], 9), pause_s=1.5)
