--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -25,6 +25,9 @@
 EVENTS = 5
 """Events of an answer."""
 
+FIRST_START_UNIX_MS = 1_790_000_000_000
+"""Start of an engine's first process; some day in 2026."""
+
 
 def _set_event() -> trio.Event:
     event = trio.Event()
@@ -37,7 +40,8 @@
     """One engine; while ``moves`` is not set, its group stands still, as after a lost member.
 
     One that ``is_lost`` tells nothing of itself any more. ``was_ready`` holds the groups, with
-    their members, in which it was ready. ``on_run`` and ``on_join`` are told of each request that
+    their members, in which it was ready, and ``left_behind`` the names and generations of those
+    that its earlier processes were in. ``on_run`` and ``on_join`` are told of each request that
     it begins to run, with its body, and of each join before it is carried out; ``on_whole`` of
     each request whose answer it ends.
     ``events`` gives the number of events of an answer, and ``event_s`` the time between two.
@@ -55,6 +59,8 @@
     members: list[str] = field(default_factory=list)
     sequence: int = 0
     is_lost: bool = False
+    started_unix_ms: int = FIRST_START_UNIX_MS
+    left_behind: set[tuple[str, int]] = field(default_factory=set)
     moves: trio.Event = field(default_factory=_set_event)
     orders: list[dict[str, Any]] = field(default_factory=list)
     was_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
@@ -73,6 +79,15 @@
         ]
         return Starlette(routes=routes)
 
+    def start_again(self, clock_step_ms: int) -> None:
+        """Run as another process under the same name, which holds and knows nothing of before."""
+        if self.group is not None:
+            self.left_behind.add((self.group["name"], self.group["epoch"]))
+        self.started_unix_ms += clock_step_ms
+        self.group, self.members, self.models = None, [], []
+        self.sequence = 0
+        self.publish()
+
     def publish(self) -> None:
         """Write the engine's entry into the store."""
         spec = {
@@ -86,6 +101,7 @@
             "models": [{"name": name, "version": 1, "adapters": []} for name in self.models],
             "staged": self.staged,
             "group": self.group,
+            "born": self.started_unix_ms,
         }
         self.store.put("servers", self.name, spec)
 
@@ -141,7 +157,8 @@
     async def _report(self, request: Request) -> Response:
         if self.is_lost:
             return Response(status_code=503)
-        return JSONResponse({"phase": "both", "sequence": self.sequence, "queued": 0, "active": 0})
+        told = {"phase": "both", "sequence": self.sequence, "queued": 0, "active": 0}
+        return JSONResponse(told | {"born": self.started_unix_ms})
 
     async def _answer(self, request: Request) -> Response:
         headers = {"yewloom-request-id": request.headers["yewloom-request-id"]}
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -71,7 +71,13 @@
         self._ledger.note_whole(request.headers["yewloom-request-id"], trio.current_time())
 
     def on_join(self, engine: StandinEngine, order: dict[str, object]) -> None:
-        """Check that the head of the group which an engine leaves by a join serves no more."""
+        """Check that an engine joins nothing twice, and takes no place in a group that serves.
+
+        That is, the head of the group which it leaves by a join serves no more.
+        """
+        if (order["group"], order["epoch"]) in engine.left_behind:
+            detail = f"{engine.name} joins {order['group']}, in which an earlier process was"
+            self._ledger.note_broken("joined again", "", detail)
         old = engine.group
         if old is None or _group_key(old) == (order["group"], order["epoch"]):
             return
