--- a/yewloom/tests/soak/configuration_run.py
+++ b/yewloom/tests/soak/configuration_run.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import shutil
 import tempfile
 from collections import Counter
 from dataclasses import dataclass
@@ -39,7 +40,10 @@
 
 @dataclass(frozen=True)
 class RouteSoak:
-    """What a soak found; ``folder`` holds the logs, and ``lag_s`` how late its own loop ran."""
+    """What a soak found; ``folder`` holds the logs if a promise was broken.
+
+    ``lag_s`` is how late the soak's own loop ran, which plays the store and the endpoints.
+    """
 
     broken: list[Broken]
     statuses: Counter[int | None]
@@ -68,7 +72,10 @@
 def soak_routes(plan: RoutePlan) -> RouteSoak:
     """Run one soak."""
     folder = Path(tempfile.mkdtemp(prefix=f"yewloom-routes-{plan.seed}-"))
-    return trio.run(_soak, plan, folder)
+    result = trio.run(_soak, plan, folder)
+    if not result.broken:
+        shutil.rmtree(folder)
+    return result
 
 
 async def _soak(plan: RoutePlan, folder: Path) -> RouteSoak:
