--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -139,11 +139,11 @@
     def _drop_unreadable(self, unreadable: Iterable[HostId]) -> None:
         """Drop what such entries named before, at once: they are there, and not missing."""
         for endpoint_id in unreadable:
-            if endpoint_id in self._directory.by_id:
-                self._drop(endpoint_id)
+            self._drop(endpoint_id)
 
     def _drop(self, endpoint_id: HostId) -> None:
-        logger.info("endpoint gone", endpoint=endpoint_id)
+        if endpoint_id in self._directory.by_id:
+            logger.info("endpoint gone", endpoint=endpoint_id)
         self._directory.remove(endpoint_id)
         self._selector.forget(endpoint_id)
 
