--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -863,6 +863,20 @@
         "            await self._has_news.wait()\n",
         "test_followers",
     ),
+    Mutation(
+        "routes soak: split routes are divided",
+        "tests/soak/route_checks",
+        "counts.total() >= LEAST_SPLIT and",
+        "False and",
+        "test_route_soak.TestRouteChecks",
+    ),
+    Mutation(
+        "routes soak: time-outs are kept",
+        "tests/soak/route_checks",
+        "len(slow) >= LEAST_SLOW and",
+        "False and",
+        "test_route_soak.TestRouteChecks",
+    ),
 )
 
 
--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -26,6 +26,9 @@
 EVENTS_HEADER = "soak-events"
 """Header by which a caller says how many events its stream is to have."""
 
+WORK_HEADER = "soak-work-s"
+"""Header by which a caller says for how long a plain endpoint is to work on its request."""
+
 _SERVING = ("open", "closing")
 
 
@@ -132,7 +135,7 @@
             return Response(status_code=503, headers={**headers, "yewloom-not-executed": "1"})
         noted = ran(request, self.name, body)
         self._ledger.note_run(noted)
-        await trio.sleep(PLAIN_WORK_S)
+        await trio.sleep(float(request.headers.get(WORK_HEADER, PLAIN_WORK_S)))
         self._ledger.note_whole(noted.request_id, trio.current_time())
         headers["yewloom-server-stamp"] = self.name
         if self._rng.random() < FAILED_SHARE:
--- a/yewloom/tests/soak/operator.py
+++ b/yewloom/tests/soak/operator.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -21,17 +21,21 @@
 PAUSES_S = (0.1, 0.3, 1.0, 3.0)
 """Mean pauses between two versions, drawn for each."""
 
+TIMEOUTS_MS = (300, 600, 6000)
+"""Time-outs that an added route may have."""
+
 SERVICE_CHOICES = ((PLAIN,), (OTHER,), (PLAIN, OTHER))
 """Services that an added route may go to."""
 
 
 @dataclass(frozen=True)
 class Written:
-    """A version that the store holds since ``at_s``, with the services of each added route."""
+    """A version that the store holds since ``at_s``; services and time-outs of its added routes."""
 
     version: int
     at_s: float
     services: Mapping[str, tuple[str, ...]]
+    timeouts_ms: Mapping[str, int] = field(default_factory=dict)
 
 
 class Operator:
@@ -54,10 +58,18 @@
         services = dict(self.written[-1].services)
         self._change_routes(services)
         version = self.written[-1].version + self._rng.randint(1, MAX_VERSION_STEP)
-        routes = [_route(name, to) for name, to in services.items()]
+        known_ms = self.written[-1].timeouts_ms
+        timeouts_ms = {name: known_ms.get(name, TIMEOUTS_MS[-1]) for name in services}
+        self._change_timeout(timeouts_ms)
+        routes = [_route(name, to, timeouts_ms[name]) for name, to in services.items()]
         fields = configuration(self._fleet.version, routes) | {"version": version}
         self._fleet.store.put("config", "main", fields)
-        self.written.append(Written(version, trio.current_time(), services))
+        self.written.append(Written(version, trio.current_time(), services, timeouts_ms))
+
+    def _change_timeout(self, timeouts_ms: dict[str, int]) -> None:
+        """Change the time-out of a route, if there is one."""
+        if timeouts_ms:
+            timeouts_ms[self._rng.choice(sorted(timeouts_ms))] = self._rng.choice(TIMEOUTS_MS)
 
     def _change_routes(self, services: dict[str, tuple[str, ...]]) -> None:
         """Add, drop or move a route."""
@@ -74,13 +86,13 @@
             services[f"added-{self._names}"] = self._rng.choice(SERVICE_CHOICES)
 
 
-def _route(name: str, services: tuple[str, ...]) -> dict[str, object]:
+def _route(name: str, services: tuple[str, ...], timeout_ms: int) -> dict[str, object]:
     return {
         "name": name,
         "host": HOST,
         "pathPrefix": f"/{name}/",
         "type": "idempotent",
-        "timeoutMs": 6000,
+        "timeoutMs": timeout_ms,
         "sloMs": 500,
         "split": [{"service": service, "weight": 1} for service in services],
         "attempts": 2,
--- a/yewloom/tests/soak/route_checks.py
+++ b/yewloom/tests/soak/route_checks.py
@@ -26,9 +26,30 @@
 platform's pages."""
 
 
+LEAST_SPLIT = 60
+"""Answers on split routes from which it is judged how they are divided."""
+
+LEAST_SPLIT_SHARE = 0.2
+"""Least part of them that each of two services must have: at equal weights 60 answers miss it by
+chance once in a million soaks."""
+
+LEAST_SLOW = 8
+"""Requests that outlast their route's time-out from which it is judged whether that is kept; from
+the platform's pages, as the two below."""
+
+TIMEOUT_SLACK_S = 0.5
+"""Time behind a route's time-out by which its final answer must have come."""
+
+MOST_OVERDUE_SHARE = 0.25
+"""Greatest part of those requests whose answer may come later."""
+
+
 @dataclass(frozen=True)
 class Asked:
-    """One request on an added route, and what came of it; ``service`` is the one that answered."""
+    """One request on an added route, and what came of it.
+
+    ``service`` is the one that answered, ``work_s`` the time that its endpoint was asked to work.
+    """
 
     host: str
     life: str
@@ -37,6 +58,7 @@
     ended_s: float
     status: int | None
     service: str = ""
+    work_s: float = 0.0
 
     @property
     def shows_version(self) -> bool:
@@ -60,7 +82,13 @@
 
     def check(self) -> list[Broken]:
         """Return all promises that were broken."""
-        return [*self._check_in_force(), *self._check_regressions(), *self._check_served()]
+        return [
+            *self._check_in_force(),
+            *self._check_regressions(),
+            *self._check_served(),
+            *self._check_splits(),
+            *self._check_timeouts(),
+        ]
 
     def _check_in_force(self) -> Iterable[Broken]:
         """No host in calm times answers as only an outdated version, or none, allows."""
@@ -94,6 +122,47 @@
         if counts.total() >= LEAST_ASKED and counts[200] < LEAST_SERVED_SHARE * counts.total():
             yield Broken("not served", "", f"added routes: {dict(counts)}")
 
+    def _check_splits(self) -> Iterable[Broken]:
+        """Routes that are split by equal weights send each service about as many requests."""
+        counts = Counter(asked.service for asked in self._asked if self._is_split(asked))
+        least = LEAST_SPLIT_SHARE * counts.total()
+        if counts.total() >= LEAST_SPLIT and (len(counts) < 2 or min(counts.values()) < least):
+            yield Broken("not split", "", f"answers on split routes: {dict(counts)}")
+
+    def _is_split(self, asked: Asked) -> bool:
+        """Tell whether an answer is of a route that is split in all versions that may hold."""
+        if asked.status != 200:
+            return False
+        may_be = (self._written[number] for number in self._may_be_in_force(asked))
+        return all(len(written.services.get(asked.route, ())) > 1 for written in may_be)
+
+    def _check_timeouts(self) -> Iterable[Broken]:
+        """Requests whose endpoint works for too long get their final answer at the time-out."""
+        slow = [asked for asked in self._all if self._outlasts_its_route(asked)]
+        overdue = [asked for asked in slow if self._is_overdue(asked)]
+        if len(slow) >= LEAST_SLOW and len(overdue) > MOST_OVERDUE_SHARE * len(slow):
+            detail = f"{len(overdue)} of {len(slow)} answers came late"
+            yield Broken("time-out not kept", overdue[0].route, detail)
+
+    def _outlasts_its_route(self, asked: Asked) -> bool:
+        timeout_s = self._timeout_s(asked)
+        is_calm = self._is_calm(asked.host, asked.sent_s) and self._is_calm(
+            asked.host, asked.ended_s
+        )
+        return timeout_s is not None and asked.work_s > timeout_s and is_calm
+
+    def _is_overdue(self, asked: Asked) -> bool:
+        timeout_s = self._timeout_s(asked)
+        assert timeout_s is not None
+        return asked.ended_s - asked.sent_s > timeout_s + TIMEOUT_SLACK_S
+
+    def _timeout_s(self, asked: Asked) -> float | None:
+        """Return the longest time-out of a request's route; None if a version lacks the route."""
+        may_be = (self._written[number] for number in self._may_be_in_force(asked))
+        timeouts_ms = [written.timeouts_ms.get(asked.route) for written in may_be]
+        known = [timeout_ms for timeout_ms in timeouts_ms if timeout_ms is not None]
+        return max(known) / 1000 if len(known) == len(timeouts_ms) else None
+
     def _may_be_in_force(self, asked: Asked) -> list[int]:
         """Return the places of the versions that an undisturbed host may act on."""
         old = [n for n, one in enumerate(self._written) if one.at_s + APPLY_S <= asked.sent_s]
--- a/yewloom/tests/soak/route_probes.py
+++ b/yewloom/tests/soak/route_probes.py
@@ -6,6 +6,7 @@
 import httpcore
 import trio
 
+from yewloom.tests.soak.endpoints import PLAIN_WORK_S, WORK_HEADER
 from yewloom.tests.soak.fleet import HOST, EntryProcess, Fleet, key_of
 from yewloom.tests.soak.ledger import Kind, Sent
 from yewloom.tests.soak.operator import Operator
@@ -23,6 +24,12 @@
 TIMEOUT_S = 2.0
 """Longest wait for an answer."""
 
+LONG_WORK_S = 1.5
+"""Work that outlasts some routes' time-outs."""
+
+LONG_SHARE = 0.1
+"""Part of the requests that ask for it."""
+
 LATEST_VERSIONS = 4
 """Versions whose routes are asked for: routes that were dropped lately are among them."""
 
@@ -56,6 +63,7 @@
         return sorted({name for written in latest for name in written.services} | {UNKNOWN_ROUTE})
 
     async def _ask(self, entry: EntryProcess, route: str) -> None:
+        work_s = LONG_WORK_S if self._rng.random() < LONG_SHARE else PLAIN_WORK_S
         request_id = f"probe-{next(self._numbers)}"
         life, sent_s = entry.life, trio.current_time()
         path = f"/{route}/{request_id}"
@@ -65,19 +73,22 @@
         )
         status, stamp = None, ""
         with trio.move_on_after(TIMEOUT_S):
-            status, stamp = await self._get(entry, path, request_id)
+            status, stamp = await self._get(entry, path, request_id, work_s)
         service = stamp.rpartition("-")[0]
         self.asked.append(
-            Asked(entry.name, life, route, sent_s, trio.current_time(), status, service)
+            Asked(entry.name, life, route, sent_s, trio.current_time(), status, service, work_s)
         )
 
-    async def _get(self, entry: EntryProcess, path: str, request_id: str) -> tuple[int | None, str]:
+    async def _get(
+        self, entry: EntryProcess, path: str, request_id: str, work_s: float
+    ) -> tuple[int | None, str]:
         """Return the status of the answer, None without one, and the name of who answered."""
         headers: dict[bytes | str, bytes | str] = {
             "host": HOST,
             "yewloom-request-id": request_id,
             "yewloom-deadline-ms": str(round(TIMEOUT_S * 1000)),
             "authorization": f"Token {key_of(self._fleet.version)}",
+            WORK_HEADER: str(work_s),
         }
         try:
             async with httpcore.AsyncConnectionPool() as pool:
--- a/yewloom/tests/test_route_soak.py
+++ b/yewloom/tests/test_route_soak.py
@@ -9,13 +9,22 @@
 from yewloom.tests.soak.ledger import REGRESSION_S, Disturbance
 from yewloom.tests.soak.loop_lag import LAG_S, LoopLag
 from yewloom.tests.soak.operator import Written
-from yewloom.tests.soak.route_checks import APPLY_S, CONTACT_S, LEAST_ASKED, Asked, RouteChecks
+from yewloom.tests.soak.route_checks import (
+    APPLY_S,
+    CONTACT_S,
+    LEAST_ASKED,
+    LEAST_SLOW,
+    LEAST_SPLIT,
+    Asked,
+    RouteChecks,
+)
 
 SHORT_SEED = 1
 """Seed that CI plays for a short time."""
 
 FAILED_SEEDS = (6,)
-"""Seeds that failed once, played as they were.
+"""Seeds that failed once; their faults are played as they were, while the operator's draws depend on
+the pace of the endpoints, with whom it shares them.
 
 6: a host that rests listed over an idle connection to the store that had fallen silent, and refused
 two routes that had been added 2.0 s and 2.3 s before (``test_silent_connections``).
@@ -103,6 +112,28 @@
         served = [_asked(15.0, "a", "plain")] * LEAST_ASKED
         self.assertEqual(self._promises(*[busy] * LEAST_ASKED, *served), [])
 
+    def test_a_split_route_sends_each_service_its_part(self) -> None:
+        plain = [_asked(40.0, "a", "plain")] * LEAST_SPLIT
+        other = [_asked(40.0, "a", "other")] * LEAST_SPLIT
+        self.assertEqual(self._promises(*plain), ["not split"])
+        self.assertEqual(self._promises(*plain[:-1]), [])
+        self.assertEqual(self._promises(*plain, *other), [])
+        self.assertEqual(self._promises(*plain, *other[: LEAST_SPLIT // 10]), ["not split"])
+
+    def test_a_time_out_that_is_not_kept(self) -> None:
+        written = [Written(1, 0.0, {"a": PLAIN}, {"a": 300})]
+        kept = replace(_asked(40.0, "a"), status=504, ended_s=40.3, work_s=1.5)
+        overdue = replace(kept, ended_s=41.0)
+        for asked, expected in (
+            ([kept] * LEAST_SLOW, []),
+            ([overdue] * (LEAST_SLOW - 1), []),
+            ([overdue] * LEAST_SLOW, ["time-out not kept"]),
+            ([overdue, *[kept] * LEAST_SLOW], []),
+            ([replace(overdue, work_s=0.1)] * LEAST_SLOW, []),
+        ):
+            found = RouteChecks(written, asked, {}).check()
+            self.assertEqual([one.promise for one in found], expected)
+
 
 class TestLoopLag(unittest.TestCase):
     """Times at which the soak's own loop is held up."""
