--- a/yewloom/tests/test_route_soak.py
+++ b/yewloom/tests/test_route_soak.py
@@ -23,8 +23,8 @@
 """Seed that CI plays for a short time."""
 
 FAILED_SEEDS = (6,)
-"""Seeds that failed once; their faults are played as they were, while the operator's draws depend on
-the pace of the endpoints, with whom it shares them.
+"""Seeds that failed once; their faults are played as they were, while the operator's draws depend
+on the pace of the endpoints, with whom it shares them.
 
 6: a host that rests listed over an idle connection to the store that had fallen silent, and refused
 two routes that had been added 2.0 s and 2.3 s before (``test_silent_connections``).
