--- a/yewloom/tests/soak/route_checks.py
+++ b/yewloom/tests/soak/route_checks.py
@@ -117,6 +117,7 @@
             asked.status
             for asked in self._all
             if self._is_calm(asked.host, asked.sent_s)
+            and not self._outlasts_its_route(asked)
             and all(asked.route in self._written[n].services for n in self._may_be_in_force(asked))
         )
         if counts.total() >= LEAST_ASKED and counts[200] < LEAST_SERVED_SHARE * counts.total():
