--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -877,6 +877,13 @@
         "False and",
         "test_route_soak.TestRouteChecks",
     ),
+    Mutation(
+        "routes soak: calm hosts know that they are not late",
+        "tests/soak/route_checks",
+        "statuses.total() >= LEAST_ASKED and",
+        "False and",
+        "test_route_soak.TestRouteChecks",
+    ),
 )
 
 
--- a/yewloom/tests/soak/operator.py
+++ b/yewloom/tests/soak/operator.py
@@ -24,6 +24,9 @@
 TIMEOUTS_MS = (800, 1500, 6000)
 """Time-outs that an added route may have."""
 
+UNKNOWN_ROUTE = "never-added"
+"""A route that no version has."""
+
 SERVICE_CHOICES = ((PLAIN,), (OTHER,), (PLAIN, OTHER))
 """Services that an added route may go to."""
 
--- a/yewloom/tests/soak/route_checks.py
+++ b/yewloom/tests/soak/route_checks.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from yewloom.tests.soak.ledger import REGRESSION_S, Broken, Disturbance
-from yewloom.tests.soak.operator import Written
+from yewloom.tests.soak.operator import UNKNOWN_ROUTE, Written
 
 APPLY_S = 2.0
 """Time after the store's answer within which a version is in force; from the platform's pages."""
@@ -26,6 +26,10 @@
 platform's pages."""
 
 
+MOST_UNSURE_SHARE = 0.25
+"""Greatest part of the requests for a route that never was which a calm host may refuse for now: it
+then does not know its configuration to be current, which hides that it is late."""
+
 LEAST_SPLIT = 60
 """Answers on split routes from which it is judged how they are divided."""
 
@@ -86,6 +90,7 @@
             *self._check_in_force(),
             *self._check_regressions(),
             *self._check_served(),
+            *self._check_sure(),
             *self._check_splits(),
             *self._check_timeouts(),
         ]
@@ -123,6 +128,17 @@
         if counts.total() >= LEAST_ASKED and counts[200] < LEAST_SERVED_SHARE * counts.total():
             yield Broken("not served", "", f"added routes: {dict(counts)}")
 
+    def _check_sure(self) -> Iterable[Broken]:
+        """Calm hosts know that their configuration is current, and refuse an unknown route."""
+        statuses = Counter(
+            asked.status
+            for asked in self._all
+            if asked.route == UNKNOWN_ROUTE and self._is_calm(asked.host, asked.sent_s)
+        )
+        most = MOST_UNSURE_SHARE * statuses.total()
+        if statuses.total() >= LEAST_ASKED and statuses[503] > most:
+            yield Broken("not sure", UNKNOWN_ROUTE, f"{dict(statuses)}")
+
     def _check_splits(self) -> Iterable[Broken]:
         """Routes that are split by equal weights send each service about as many requests."""
         counts = Counter(asked.service for asked in self._asked if self._is_split(asked))
--- a/yewloom/tests/soak/route_probes.py
+++ b/yewloom/tests/soak/route_probes.py
@@ -9,7 +9,7 @@
 from yewloom.tests.soak.endpoints import PLAIN_WORK_S, WORK_HEADER
 from yewloom.tests.soak.fleet import HOST, EntryProcess, Fleet, key_of
 from yewloom.tests.soak.ledger import Kind, Sent
-from yewloom.tests.soak.operator import Operator
+from yewloom.tests.soak.operator import UNKNOWN_ROUTE, Operator
 from yewloom.tests.soak.route_checks import Asked
 
 PERIOD_S = 0.25
@@ -33,8 +33,6 @@
 LATEST_VERSIONS = 4
 """Versions whose routes are asked for: routes that were dropped lately are among them."""
 
-UNKNOWN_ROUTE = "never-added"
-
 
 class RouteProbes:
     """Asks the entry hosts and keeps what they answer."""
--- a/yewloom/tests/test_route_soak.py
+++ b/yewloom/tests/test_route_soak.py
@@ -8,7 +8,7 @@
 from yewloom.tests.soak.faults import DisturbPeers, Fault, draw_store_faults
 from yewloom.tests.soak.ledger import REGRESSION_S, Disturbance
 from yewloom.tests.soak.loop_lag import LAG_S, LoopLag
-from yewloom.tests.soak.operator import Written
+from yewloom.tests.soak.operator import UNKNOWN_ROUTE, Written
 from yewloom.tests.soak.route_checks import (
     APPLY_S,
     CONTACT_S,
@@ -112,6 +112,15 @@
         served = [_asked(15.0, "a", "plain")] * LEAST_ASKED
         self.assertEqual(self._promises(*[busy] * LEAST_ASKED, *served), [])
 
+    def test_a_calm_host_that_does_not_know_whether_it_is_late(self) -> None:
+        unsure = replace(_asked(15.0, UNKNOWN_ROUTE), status=503)
+        sure = _asked(15.0, UNKNOWN_ROUTE)
+        self.assertEqual(self._promises(*[unsure] * LEAST_ASKED), ["not sure"])
+        self.assertEqual(self._promises(*[unsure] * (LEAST_ASKED - 1)), [])
+        self.assertEqual(self._promises(*[unsure] * LEAST_ASKED, *[sure] * 4 * LEAST_ASKED), [])
+        always = Disturbance(0.0, 100.0)
+        self.assertEqual(self._promises(*[unsure] * LEAST_ASKED, disturbed=always), [])
+
     def test_a_split_route_sends_each_service_its_part(self) -> None:
         plain = [_asked(40.0, "a", "plain")] * LEAST_SPLIT
         other = [_asked(40.0, "a", "other")] * LEAST_SPLIT
