--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -884,6 +884,13 @@
         "False and",
         "test_route_soak.TestRouteChecks",
     ),
+    Mutation(
+        "silence: a slow store is not taken for a silent connection",
+        "platform/store",
+        "max(WATCH_SLACK_S, 2 * self._listing_s)",
+        "WATCH_SLACK_S",
+        "test_silent_connections",
+    ),
 )
 
 
--- a/yewloom/platform/store.py
+++ b/yewloom/platform/store.py
@@ -30,6 +30,11 @@
 200 ms when it is slow. A watch on a silent connection is noticed after 1.9 s at most, so that a
 change is still in force within the 2 s that the trial deployments ask for."""
 
+MAX_WATCH_SLACK_S = 0.8
+"""The same where the store's latest listing took long: twice its time, up to this. A store that
+answers in 0.6 s is asked for no listing then; with the shorter time each watch would be followed by
+one, which makes a slow store slower (``test_silent_connections``)."""
+
 WATCH_SHORTEST = 0.75
 """Shortest watch as a part of the longest: lengths are drawn, so that the watches of several hosts
 end at different times and one of them has a recent proof."""
@@ -64,6 +69,7 @@
         # The wire's "serializable" asks for an answer that need not be the latest.
         self._read_options = {"serializable": 1} if allows_stale else {}
         self._failures = 0
+        self._listing_s = 0.0
 
     @property
     def is_down(self) -> bool:
@@ -106,6 +112,7 @@
         """
         if not self._read_options:
             await self._caller.renew(self._url)
+        asked_s = trio.current_time()
         objects: list[StoredObject] = []
         position: int | None = None
         query: dict[str, Any] = dict(self._read_options)
@@ -117,8 +124,10 @@
                     return Err(error)
             page = [_decode_object(prefix, item) for item in fields["items"]]
             objects += page
-            # A watch goes on from the first page, so that changes between pages are seen.
-            position = int(fields["storeRevision"]) if position is None else position
+            if position is None:
+                # A watch goes on from the first page, so that changes between pages are seen.
+                position = int(fields["storeRevision"])
+                self._listing_s = trio.current_time() - asked_s
             if not fields.get("morePages") or not page:
                 return Ok(Listing(objects, position))
             # The wire's "sinceRev" takes the name after which the next page begins.
@@ -129,8 +138,9 @@
         wait_ms = round(self._watch_s * self._rng.uniform(WATCH_SHORTEST, 1.0) * 1000)
         wait_s = wait_ms / 1000
         query = {"watch": position, "waitMs": wait_ms}
+        slack_s = min(MAX_WATCH_SLACK_S, max(WATCH_SLACK_S, 2 * self._listing_s))
         sent_s = trio.current_time()
-        match await self._call("GET", prefix, query, timeout_s=wait_s + WATCH_SLACK_S):
+        match await self._call("GET", prefix, query, timeout_s=wait_s + slack_s):
             case Ok(answer):
                 fields = answer.fields
             case Err(error):
--- a/yewloom/tests/silent_network.py
+++ b/yewloom/tests/silent_network.py
@@ -13,9 +13,10 @@
 
 
 class MemoryStore:
-    """Answers listings and watches of one object, ``config/main``."""
+    """Answers listings and watches of one object, ``config/main``, each after ``answer_s``."""
 
     def __init__(self) -> None:
+        self.answer_s = 0.0
         self.revision = 0
         self._spec: dict[str, Any] = {}
         self._changed = trio.Event()
@@ -30,6 +31,7 @@
 
     async def answer(self, target: str) -> bytes:
         """Return the answer to a request for a target."""
+        await trio.sleep(self.answer_s)
         query = parse_qs(urlsplit(target).query)
         metadata = {"name": "main", "revision": self.revision}
         if "watch" not in query:
--- a/yewloom/tests/test_silent_connections.py
+++ b/yewloom/tests/test_silent_connections.py
@@ -120,6 +120,22 @@
 
         _with_host(True, test)
 
+    def test_a_slow_store_is_not_taken_for_a_silent_connection_time_after_time(self) -> None:
+        async def test(host: Host) -> None:
+            host.store.answer_s = 0.6
+            host.network.opened.clear()
+            await trio.sleep(LIMIT_S)
+            asked = [target for opened in host.network.opened for target in opened.requests]
+            listings = [target for target in asked if "watch" not in target]
+            self.assertLessEqual(len(listings), 1)
+            host.store.answer_s = 0.0
+            await trio.sleep(LIMIT_S)
+            host.network.silence_open()
+            host.store.write(2)
+            self.assertLess(await host.time_to(2), IN_FORCE_S + 0.5)
+
+        _with_host(True, test)
+
     def test_a_host_that_knows_of_a_newer_version_refuses_nothing_for_good(self) -> None:
         book = ConfigurationBook()
         book.apply(make_configuration(version=4), proved_s=10.0)
