--- a/yewloom/tests/soak/configuration_run.py
+++ b/yewloom/tests/soak/configuration_run.py
@@ -37,6 +37,13 @@
 QUIET_S = CONTACT_S + 3.0
 """Time without faults at the end, in which what is late still shows."""
 
+LEAST_ANSWERS = 60
+"""Answers of endpoints that a soak must have had, which shows that its callers were at work; it
+goes on without faults until then, since a busy machine answers less often."""
+
+ANSWERS_S = 60.0
+"""Longest time for which it does so."""
+
 
 @dataclass(frozen=True)
 class RouteSoak:
@@ -94,6 +101,7 @@
             nursery.start_soon(operator.run)
             await play(plan.draw(), fleet, ledger)
             await trio.sleep(QUIET_S)
+            await _wait_for_answers(probes)
         finally:
             fleet.stop()
         nursery.cancel_scope.cancel()
@@ -112,6 +120,13 @@
             await trio.sleep(LOOK_S)
 
 
+async def _wait_for_answers(probes: RouteProbes) -> None:
+    """Wait until endpoints have answered often enough; the statuses tell if they have not."""
+    with trio.move_on_after(ANSWERS_S):
+        while sum(asked.status == 200 for asked in probes.asked) < LEAST_ANSWERS:  # noqa: ASYNC110
+            await trio.sleep(LOOK_S)
+
+
 def main(
     first_seed: Annotated[int, typer.Option(help="Seed of the first soak.")] = 1,
     seeds: Annotated[int, typer.Option(help="Soaks to run, one after the other.")] = 1,
--- a/yewloom/tests/test_route_soak.py
+++ b/yewloom/tests/test_route_soak.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from yewloom.tests.soak.configuration_run import RoutePlan, soak_routes
+from yewloom.tests.soak.configuration_run import LEAST_ANSWERS, RoutePlan, soak_routes
 from yewloom.tests.soak.faults import DisturbPeers, Fault, draw_store_faults
 from yewloom.tests.soak.ledger import REGRESSION_S, Disturbance
 from yewloom.tests.soak.loop_lag import LAG_S, LoopLag
@@ -30,9 +30,6 @@
 two routes that had been added 2.0 s and 2.3 s before (``test_silent_connections``).
 """
 
-LEAST_ANSWERS = 50
-"""Answers of endpoints that a soak must have had, which shows that its callers were at work."""
-
 PLAIN, OTHER, BOTH = ("plain",), ("other",), ("plain", "other")
 
 WRITTEN = [
@@ -184,11 +181,11 @@
     def test_a_short_soak_breaks_no_promise(self) -> None:
         result = soak_routes(RoutePlan(SHORT_SEED, 12.0, with_peers=True))
         self.assertEqual(result.broken, [])
-        self.assertGreater(result.statuses[200], LEAST_ANSWERS)
+        self.assertGreaterEqual(result.statuses[200], LEAST_ANSWERS)
 
     def test_seeds_that_failed_once_break_no_promise(self) -> None:
         for seed in FAILED_SEEDS:
             with self.subTest(seed=seed):
                 result = soak_routes(RoutePlan(seed, 40.0))
                 self.assertEqual(result.broken, [])
-                self.assertGreater(result.statuses[200], LEAST_ANSWERS)
+                self.assertGreaterEqual(result.statuses[200], LEAST_ANSWERS)
