Tell by the metric that a lease lapsed, also before any task runs again

Cause: the gauge of the coordinator was set by the loop that keeps the lease. Ruled out: that the woken host coordinated: the log lines that the test forbids were absent in that run. Change: the gauge is worked out when it is read. Ran: the new test fails before (gauge 1.0 a minute after the lease lapsed) and passes after; test_coordinators 9 of 9.

--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -56,6 +56,8 @@
         self._was_holding = False
         self._hosts_due_s = float("-inf")
         self._balancer = ShareBalancer(node, platform, new_attempt)
+        # Asked when it is read: a process that was paused lost the lease before its tasks run.
+        node.metrics.is_coordinator.set_function(lambda: self.is_holding)
 
     @property
     def is_holding(self) -> bool:
@@ -126,7 +128,6 @@
 
     def _tell_change(self) -> None:
         holds = self.is_holding
-        self._node.metrics.is_coordinator.set(holds)
         if holds != self._was_holding:
             self._was_holding = holds
             self._is_current = False
--- a/yewloom/tests/test_coordinators.py
+++ b/yewloom/tests/test_coordinators.py
@@ -17,6 +17,7 @@
 from yewloom.schema.table_pb2 import Row, VersionedRow
 from yewloom.settings import parse_settings
 from yewloom.states import EngineState, GroupIntent
+from yewloom.status import metrics_text
 from yewloom.tests.support import (
     FakeEngines,
     FakePlatform,
@@ -102,6 +103,21 @@
             self.assertGreater(before, 0)
             self.assertEqual(after, 0)
 
+    def test_the_metric_tells_that_a_lease_lapsed_before_the_loop_looks_again(self) -> None:
+        """As after a pause of the process: its metrics may be read before any task runs."""
+        coordinator, node = _Trial(checks_fences=True).coordinator_and_node("entry-1")
+
+        async def scenario() -> tuple[bytes, bytes]:
+            with trio.move_on_after(20):
+                await coordinator.run()
+            before = metrics_text(node)
+            await trio.sleep(60)
+            return before, metrics_text(node)
+
+        before, after = run_on_mock_clock(scenario)
+        self.assertIn(b"yewloom_is_coordinator 1.0", before)
+        self.assertIn(b"yewloom_is_coordinator 0.0", after)
+
     def test_records_that_cannot_be_decoded_end_no_daemon(self) -> None:
         for key in ("leases/hall-a", "placements/hall-a", "shares/hall-a"):
             trial = _Trial(checks_fences=True)
