Keep the configuration of the forwarding tests proved current

A host refuses keyed requests 3.8 s later; its own watches prove the configuration every 1.5 s. Ruled out: 24 runs beside 54 busy processes passed in 7 to 9 s for both cases, so that a connection took too long was not seen. Change: the fixture proves it every second, as followers do. No assertion is touched.

--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -38,6 +38,10 @@
 )
 
 GRACE_S = 8.0
+
+PROOF_INTERVAL_S = 1.0
+"""Time between two proofs that the configuration is current; a host's watches end as often."""
+
 LONG_BODY = b"x" * (15 << 20)
 """More than the sockets of a caller that does not read hold."""
 
@@ -168,6 +172,16 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.address = listeners[0].socket.getsockname()
         nursery.start_soon(trio.serve_listeners, self.server._serve_connection, listeners)
+        nursery.start_soon(self._keep_configuration_proved)
+
+    async def _keep_configuration_proved(self) -> None:
+        """Prove the configuration current again and again, as the watches of a host do.
+
+        Else keyed requests are refused once a test has gone on for some seconds.
+        """
+        while True:
+            await trio.sleep(PROOF_INTERVAL_S)
+            self.book.confirm(trio.current_time())
 
     async def add_plain(self, name: str, endpoint: Endpoint) -> None:
         """List a plain service's endpoint."""
