--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 
+import structlog
 import trio
 from prometheus_client import generate_latest
 
@@ -15,6 +16,8 @@
 from yewloom.schema.entry_pb2 import EntryHost as HostSettings
 from yewloom.values import value_class
 
+logger = structlog.get_logger(__name__)
+
 FIRST_KNOWLEDGE_S = 0.5
 """Longest time for which a host that has started lets callers wait for its first configuration: as
 long as it would tell them to stay away, which costs them a try."""
@@ -66,6 +69,7 @@
         with trio.move_on_after(FIRST_KNOWLEDGE_S):
             while not self._standing.knows_all():  # noqa: ASYNC110 - known by two parts
                 await trio.sleep(FIRST_LOOK_S)
+        logger.info("accepting callers", knows_all=self._standing.knows_all())
 
     async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
         await reply.send_whole(200 if self._standing.is_ready() else 503, [], b"")
