Give engines orders that fit what they have taken

Cause: an engine that is told to leave its group answers 200, since that is done at once, and counts the order; 200 was taken for "nothing happened", so the join behind it named a count too low and was refused. What is known of an engine's count was kept under the process that an order was meant for, which orders to groups do not name, so those left it too low as well. A new coordinator ordered loads onto engines that loaded for its predecessor, five times a second, and each refused one took the place of another load. Ruled out: to count each 200 as an order (an engine that is in no group any more answers 200 too and counts nothing). Change: order_counts keeps the count and group that an engine's answers prove; a leave names the count where it is known, so that its answer proves the next one; a report that is older than such an answer tells nothing. A refused order is given again behind a pause that grows. An engine that reports an order under way, or refused a load, is left to it for 2 s, and takes none of the loads that may begin.

--- a/yewloom/order_delivery.py
+++ b/yewloom/order_delivery.py
@@ -8,12 +8,14 @@
 from functools import partial
 
 import structlog
+import trio
 
 from yewloom.background import BackgroundTasks
 from yewloom.directory import GroupKey
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import HostId
-from yewloom.plan_state import Departure, PlannedOrder, PlanState, order_name
+from yewloom.order_counts import OrderCounts, ProvedCount
+from yewloom.plan_state import Departure, PlannedOrder, PlanState
 from yewloom.process_starts import is_same_process
 from yewloom.replica_orders import (
     REPORT_TIMEOUT_S,
@@ -24,7 +26,6 @@
     OrderAnswer,
     StageModel,
 )
-from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
 
@@ -32,13 +33,12 @@
 _HAS_LEFT = (OrderAnswer.BEGUN, OrderAnswer.HOLDS, OrderAnswer.OTHER_ENGINE)
 """Answers after which an engine told to leave a group belongs to it no more."""
 
-_LEAVES_COUNTED = {OrderAnswer.BEGUN: 1, OrderAnswer.HOLDS: 0}
-"""By how much an order to leave raises the count of orders that an engine has taken."""
+STALE_PAUSES_S = (0.1, 0.2, 0.4)
+"""Pauses between questions to an engine whose report is older than its own answer to an order."""
 
 JOIN_REPORT_TIMEOUT_S = 2.0
 """Longest wait for the report of an engine that is to be joined. Without it there is no join, so a
-slow engine is waited for: beside load 24 the engines of a soak took over 0.4 s for 3 s, in which
-all joins of a data centre were put off again and again."""
+slow engine is waited for."""
 
 
 class _NotGivenError(Exception):
@@ -49,18 +49,6 @@
     """An engine says nothing of itself."""
 
 
-@value_class
-class _Process:
-    """One process of an engine."""
-
-    engine: HostId
-    started_unix_ms: int
-
-
-def _process_of(planned: PlannedOrder) -> _Process:
-    return _Process(planned.engine, planned.started_unix_ms)
-
-
 class OrderDelivery:
     """Gives orders, each with the count of orders that its engine must have taken before."""
 
@@ -70,11 +58,11 @@
         self._engine_orders = engine_orders
         self._state = state
         self._metrics = metrics
-        self._sequences: dict[_Process, int] = {}
+        self._counts = OrderCounts()
 
     def forget_sequences(self) -> None:
         """Drop what is known of the engines' counts, as others may have given orders since."""
-        self._sequences.clear()
+        self._counts.clear()
 
     def give(self, orders: Iterable[PlannedOrder], tasks: BackgroundTasks) -> None:
         """Give all orders at once, and wait for none of the answers.
@@ -83,23 +71,27 @@
         """
         for order in orders:
             if not tasks.start(order.engine, partial(self._give_one, order)):
-                self._plan_again(order)
+                self._state.plan_again(order)
 
     async def _give_one(self, planned: PlannedOrder) -> None:
         try:
             sequence = await self._sequence_for(planned)
         except _NotGivenError as error:
             logger.info("order not given", engine=planned.engine, reason=str(error))
-            self._plan_again(planned)
+            self._state.plan_again(planned)
             return
-        await self._send(planned, sequence)
+        answer = await self._send(planned, sequence)
+        if answer is OrderAnswer.OUT_OF_DATE and isinstance(planned.order, LeaveGroup):
+            # It affects no other group, so it need not wait until the count is known.
+            await self._send(planned, None)
 
     async def _send(self, planned: PlannedOrder, sequence: int | None) -> OrderAnswer:
         """Send an order, and note what its answer tells."""
         answer = await self._engine_orders.send(
             planned.engine, planned.address, planned.order, sequence
         )
-        self._note_sequence(planned, sequence, answer)
+        self._counts.take_answer(planned.engine, planned.order, sequence, answer)
+        self._note_effect(planned, answer)
         self._metrics.on_order(type(planned.order).__name__, answer.value)
         logger.info("order", engine=planned.engine, order=str(planned.order), answer=answer.value)
         self._note_reach(planned.engine, answer)
@@ -113,28 +105,37 @@
         Raises _NotGivenError if the engine does not say, or does not leave its former group, or if
         the process has ended that the order is meant for.
 
-        Orders that name a group are safe without: they affect no other group.
+        Orders that name a group are safe without: they affect no other group. A leave names the
+        count where that is known, since its answer then proves the next one.
         """
         match planned.order:
             case JoinGroup(key=key):
                 return await self._sequence_outside(planned, key)
             case StageModel():
                 return await self._sequence_to_load(planned)
+            case LeaveGroup(key=key):
+                known = self._counts.get(planned.engine, planned.started_unix_ms)
+                return known.sequence if known is not None and known.group == key else None
         return None
 
     async def _sequence_to_load(self, planned: PlannedOrder) -> int | None:
         """Return the count of an engine that is to load weights; None if it does not say.
 
         Such an order is given all the same: a load that may begin twice does less harm than one
-        that is planned again and again, and takes the place of others each time.
+        that is planned again and again, and takes the place of others each time. An engine that is
+        at work on a load of an earlier coordinator is left to that.
         """
-        known = self._sequences.get(_process_of(planned))
+        known = self._counts.get(planned.engine, planned.started_unix_ms)
         if known is not None:
-            return known
+            return known.sequence
         try:
-            return (await self._report(planned, REPORT_TIMEOUT_S)).sequence
+            report = await self._report(planned, REPORT_TIMEOUT_S)
         except _SilentError:
             return None
+        if report.is_busy:
+            self._state.note_busy(planned.engine, trio.current_time())
+            raise _NotGivenError("engine carries out another order")
+        return self._counts.take_report(planned.engine, report).sequence
 
     async def _sequence_outside(self, planned: PlannedOrder, key: GroupKey) -> int:
         """Return the count of an engine that is in no other group than ``key``.
@@ -143,16 +144,27 @@
         serves. What the listing and other engines tell may be late or wrong, so the engine's own
         word is asked for each time, and it leaves a former group by an order of its own; the count
         shows that nothing came in between. That costs a question and at most one order more for
-        each join, some 6 ms.
+        each join.
         """
-        report = await self._report(planned, JOIN_REPORT_TIMEOUT_S)
-        if report.group is None or report.group == key:
-            return report.sequence
-        leave = LeaveGroup(report.group)
-        answer = await self._send(replace(planned, order=leave), None)
-        if answer not in _LEAVES_COUNTED:
-            raise _NotGivenError(f"engine did not leave {report.group}: {answer.value}")
-        return report.sequence + _LEAVES_COUNTED[answer]
+        proved = await self._proved_now(planned)
+        if proved.group is None or proved.group == key:
+            return proved.sequence
+        leave = LeaveGroup(proved.group)
+        answer = await self._send(replace(planned, order=leave), proved.sequence)
+        left = self._counts.get(planned.engine, planned.started_unix_ms)
+        if left is None or left.group is not None:
+            raise _NotGivenError(f"engine did not leave {proved.group}: {answer.value}")
+        return left.sequence
+
+    async def _proved_now(self, planned: PlannedOrder) -> ProvedCount:
+        """Ask an engine of itself until its report is no older than its answers to orders."""
+        for pause_s in STALE_PAUSES_S:
+            report = await self._report(planned, JOIN_REPORT_TIMEOUT_S)
+            proved = self._counts.take_report(planned.engine, report)
+            if proved.group is None or not self._state.has_left(planned.engine, proved.group):
+                break
+            await trio.sleep(pause_s)
+        return proved
 
     async def _report(self, planned: PlannedOrder, timeout_s: float) -> EngineReport:
         """Return what the engine says of itself; raises _NotGivenError, _SilentError among them."""
@@ -163,23 +175,12 @@
             raise _NotGivenError("engine started again")
         return report
 
-    def _note_sequence(
-        self, planned: PlannedOrder, sequence: int | None, answer: OrderAnswer
-    ) -> None:
-        process = _process_of(planned)
-        known = self._sequences.pop(process, sequence)
-        if answer is OrderAnswer.BEGUN and known is not None:
-            self._sequences[process] = known + 1
-        elif answer is OrderAnswer.HOLDS and known is not None:
-            self._sequences[process] = known
-        elif answer is OrderAnswer.OUT_OF_DATE:
-            self._plan_again(planned)
-
-    def _plan_again(self, planned: PlannedOrder) -> None:
-        """Let the next plan give an order again, with the sequence as it is then."""
-        self._state.ordered_s.pop(order_name(planned), None)
-        if isinstance(planned.order, StageModel):
-            self._state.staging.pop(planned.engine, None)
+    def _note_effect(self, planned: PlannedOrder, answer: OrderAnswer) -> None:
+        """Take in whether an engine took an order; one that was refused is planned again."""
+        if answer is OrderAnswer.OUT_OF_DATE:
+            self._state.note_refused(planned, trio.current_time())
+        else:
+            self._state.note_taken(planned)
 
     def _note_reach(self, engine: HostId, answer: OrderAnswer) -> None:
         if answer in _NO_ANSWER:
--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -1,11 +1,12 @@
 """What a coordinator remembers between two plans, and the orders that a plan gives."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
 from yewloom.directory import GroupKey
 from yewloom.ids import GroupId, HostId, ModelName
-from yewloom.replica_orders import EngineOrder
+from yewloom.replica_orders import EngineOrder, StageModel
 from yewloom.schema.records_pb2 import Group, Placement
 from yewloom.values import value_class
 
@@ -13,6 +14,14 @@
 """Pause before an order whose effect has not shown is given again: a listing shows an effect
 within some hundred milliseconds."""
 
+REFUSED_PAUSE_S = 0.2
+"""Pause before an order that was refused is given again; it doubles with each refusal, up to that
+of an order whose effect has not shown."""
+
+BUSY_PAUSE_S = 2.0
+"""Pause before an engine that carries out an order of somebody else is to load weights, which takes
+longer."""
+
 
 @value_class
 class PlannedOrder:
@@ -79,17 +88,21 @@
 class PlanState:
     """What is remembered between two plans; all of it may be lost at any time.
 
-    ``unsettled_since_s`` tells since when a group forms, or drains; ``left`` are the departures
-    that engines confirmed, ``ended`` the groups that counted as ended, and ``seen_joined`` those
-    whose leader a listing showed in them; ``unanswered`` are hosts whose latest order had no
-    answer, and ``suspects`` hosts that did not answer although they are listed; ``answered_s``
-    tells when hosts that are not listed answered; ``stood_still_s`` tells when groups were reported
-    to; ``gathered`` are hosts that were free before; ``started_unix_ms`` tells the processes of
-    engines that were listed last.
+    ``unsettled_since_s`` tells since when a group forms, or drains; ``due_s`` tells when an order
+    that was given may be given again, and ``refusals`` how often it was refused; ``busy_until_s``
+    tells until when engines are taken to carry out an order of somebody else; ``left`` are the
+    departures that engines confirmed, ``ended`` the groups that counted as ended, and
+    ``seen_joined`` those whose leader a listing showed in them; ``unanswered`` are hosts whose
+    latest order had no answer, and ``suspects`` hosts that did not answer although they are listed;
+    ``answered_s`` tells when hosts that are not listed answered; ``stood_still_s`` tells when
+    groups were reported to; ``gathered`` are hosts that were free before; ``started_unix_ms`` tells
+    the processes of engines that were listed last.
     """
 
     unsettled_since_s: dict[GroupKey, float] = field(default_factory=dict)
-    ordered_s: dict[OrderName, float] = field(default_factory=dict)
+    due_s: dict[OrderName, float] = field(default_factory=dict)
+    refusals: Counter[OrderName] = field(default_factory=Counter)
+    busy_until_s: dict[HostId, float] = field(default_factory=dict)
     leaving_since_s: dict[GroupKey, float] = field(default_factory=dict)
     left: set[Departure] = field(default_factory=set)
     ended: set[GroupKey] = field(default_factory=set)
@@ -112,14 +125,16 @@
         self.started_unix_ms[host] = started_unix_ms
         self.suspects.discard(host)
         self.unanswered.discard(host)
-        for known in (self.staging, self.unlisted_since_s, self.answered_s):
+        for known in (self.staging, self.busy_until_s, self.unlisted_since_s, self.answered_s):
             known.pop(host, None)
 
     def forget_evidence(self) -> None:
         """Drop what was seen of engines and groups, which others may have changed since."""
         for seen in (
             self.unsettled_since_s,
-            self.ordered_s,
+            self.due_s,
+            self.refusals,
+            self.busy_until_s,
             self.leaving_since_s,
             self.left,
             self.ended,
@@ -143,12 +158,40 @@
     def may_order(self, planned: PlannedOrder, now_s: float) -> bool:
         """Tell whether an order is due, and remember it as given if it is."""
         name = order_name(planned)
-        given_s = self.ordered_s.get(name)
-        if given_s is not None and now_s - given_s < ORDER_REPEAT_S:
+        if now_s < self.due_s.get(name, float("-inf")):
             return False
-        self.ordered_s[name] = now_s
+        self.due_s[name] = now_s + ORDER_REPEAT_S
         return True
 
+    def plan_again(self, planned: PlannedOrder, due_s: float = float("-inf")) -> None:
+        """Take in that an order had no effect, so that it may be given again from ``due_s`` on."""
+        self.due_s[order_name(planned)] = due_s
+        if isinstance(planned.order, StageModel):
+            staging = self.staging.pop(planned.engine, None)
+            if staging is not None and staging.since_s in self.load_times_s:
+                self.load_times_s.remove(staging.since_s)
+
+    def note_refused(self, planned: PlannedOrder, now_s: float) -> None:
+        """Take in that an engine refused an order, which is planned again behind a pause."""
+        name = order_name(planned)
+        pause_s = min(REFUSED_PAUSE_S * 2 ** self.refusals[name], ORDER_REPEAT_S)
+        self.refusals[name] += 1
+        self.plan_again(planned, now_s + pause_s)
+        if isinstance(planned.order, StageModel):
+            self.note_busy(planned.engine, now_s)
+
+    def note_taken(self, planned: PlannedOrder) -> None:
+        """Take in that an engine took an order."""
+        self.refusals.pop(order_name(planned), None)
+
+    def note_busy(self, engine: HostId, now_s: float) -> None:
+        """Take in that an engine carries out another order, so that it can't load weights."""
+        self.busy_until_s[engine] = now_s + BUSY_PAUSE_S
+
+    def is_busy(self, engine: HostId, now_s: float) -> bool:
+        """Tell whether an engine was found at work on another order a short while ago."""
+        return now_s < self.busy_until_s.get(engine, float("-inf"))
+
 
 def key_of(group: Group) -> GroupKey:
     """Return the name of one formation of a recorded group."""
--- a/yewloom/platform/engines.py
+++ b/yewloom/platform/engines.py
@@ -69,7 +69,9 @@
             fields = read_body(answer.body)
             member = membership_of(fields)
             group = member.key if member is not None else None
-            return EngineReport(int(fields["sequence"]), start_of_process(fields), group)
+            # The wire's "utilization" says that an order is under way.
+            is_busy = fields.get("utilization") is True
+            return EngineReport(int(fields["sequence"]), start_of_process(fields), group, is_busy)
         except (HttpCallError, *DECODE_ERRORS):
             return None  # The caller logs that the engine is silent.
 
--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -40,11 +40,12 @@
     """One engine; while ``moves`` is not set, its group stands still, as after a lost member.
 
     One that ``is_lost`` tells nothing of itself any more, and one that ``is_unlisted`` is cut off
-    from the store alone. ``was_ready`` holds the groups, with
-    their members, in which it was ready, and ``left_behind`` the names and generations of those
-    that its earlier processes were in. ``on_run`` and ``on_join`` are told of each request that
-    it begins to run, with its body, and of each join before it is carried out; ``on_whole`` of
-    each request whose answer it ends, and ``on_left`` of each departure from a group.
+    from the store alone. One that ``is_loading`` has a load of weights under way. ``was_ready``
+    holds the groups, with their members, in which it was ready, and ``left_behind`` the names and
+    generations of those that its earlier processes were in. ``on_run`` and ``on_join`` are told of
+    each request that it begins to run, with its body, and of each join before it is carried out;
+    ``on_whole`` of each request whose answer it ends, and ``on_left`` of each departure from a
+    group.
     ``events`` gives the number of events of an answer, and ``event_s`` the time between two.
     """
 
@@ -61,6 +62,7 @@
     sequence: int = 0
     is_lost: bool = False
     is_unlisted: bool = False
+    is_loading: bool = False
     started_unix_ms: int = FIRST_START_UNIX_MS
     left_behind: set[tuple[str, int]] = field(default_factory=set)
     moves: trio.Event = field(default_factory=_set_event)
@@ -121,8 +123,7 @@
         if order["op"] == "join":
             return await self._join(order)
         if order["op"] == "phase":
-            self.staged = [order["model"]]
-            return self._begun()
+            return self._load(order["model"])
         if self.group is None or self.group["name"] != order["group"]:
             return Response(status_code=200 if order["op"] == "leave" else 409)
         return self._change_group(order["op"])
@@ -142,11 +143,20 @@
         self.was_ready.add((order["group"], order["epoch"], tuple(order["members"])))
         return self._begun()
 
+    def _load(self, model: str) -> Response:
+        if self.is_loading:
+            return Response(status_code=409)
+        self.staged = [model]
+        return self._begun()
+
     def _change_group(self, op: str) -> Response:
+        """Carry out an order to a group; a departure is done with the answer, which says so."""
         assert self.group is not None
         if op == "leave":
             self._leave()
-        elif op == "open" and self.group["state"] == "ready":
+            self._begun()
+            return Response(status_code=200)
+        if op == "open" and self.group["state"] == "ready":
             self.group = {**self.group, "state": "open"}
         elif op == "close" and self.group["state"] == "open":
             self.group = {**self.group, "state": "ready"}
@@ -174,6 +184,7 @@
         if self.is_lost:
             return Response(status_code=503)
         told = {"phase": "both", "sequence": self.sequence, "queued": 0, "active": 0}
+        told |= {"utilization": self.is_loading}
         return JSONResponse(told | {"born": self.started_unix_ms, "group": self.group})
 
     async def _answer(self, request: Request) -> Response:
--- a/yewloom/replica_orders.py
+++ b/yewloom/replica_orders.py
@@ -74,12 +74,14 @@
     """What an engine says of itself.
 
     ``sequence`` counts the orders that it has taken, ``started_unix_ms`` tells when its process
-    started (0 if it does not say), and ``group`` which group it belongs to, None for none.
+    started (0 if it does not say), ``group`` which group it belongs to, None for none, and
+    ``is_busy`` whether it carries out an order. All of it is as some hundred milliseconds ago.
     """
 
     sequence: int
     started_unix_ms: int = 0
     group: GroupKey | None = None
+    is_busy: bool = False
 
 
 class EngineOrders(Protocol):
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -152,7 +152,7 @@
 
     def _stage_domain(self, endpoints: Sequence[Endpoint], need: ModelNeed, now_s: float) -> None:
         model = _model_to_stage(endpoints, need)
-        loading = [e for e in endpoints if self._loads.is_loading(e)]
+        loading = [e for e in endpoints if self._loads.is_loading(e, now_s)]
         wanted = min(model.group_size, len(endpoints))
         wanted -= sum(e.is_prepared_for(model.name) or e in loading for e in endpoints)
         idle = [e for e in endpoints if e not in loading and not e.is_prepared_for(model.name)]
--- a/yewloom/tests/engine_world.py
+++ b/yewloom/tests/engine_world.py
@@ -52,6 +52,9 @@
 LISTING_S = 0.1
 """Pause between two listings."""
 
+REPORT_LAG_S = 0.2
+"""Age of what an engine reports."""
+
 JOINING_S = 0.2
 """Time to join a group of the model that an engine holds."""
 
@@ -77,6 +80,7 @@
 
     ``is_reached`` tells whether the coordinator reaches it, ``unlisted_from_s`` when its entry
     lapses, and ``loses_answers`` the kinds of orders that it carries out without an answer.
+    ``old_report`` is what it reports until some time, behind an order.
     """
 
     staged: ModelName | None = SMALL
@@ -86,6 +90,8 @@
     tells_reports: bool = True
     listed_as: Endpoint | None = None
     joined_s: float = 0.0
+    old_report: EngineReport | None = None
+    reports_old_until_s: float = -math.inf
 
     def endpoint(self) -> Endpoint:
         """Return its entry in a listing."""
@@ -103,10 +109,15 @@
 
 @dataclass
 class EngineWorld:
-    """Engines that carry out orders; ``taken`` tells which were joined while their group served."""
+    """Engines that carry out orders.
+
+    ``taken`` tells which were joined while their group served, and ``refused`` which orders did not
+    fit.
+    """
 
     engines: dict[HostId, WorldEngine] = field(default_factory=dict)
     taken: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
     record: Placement | None = None
 
     def add(self, *names: str) -> None:
@@ -168,18 +179,30 @@
         if not engine.is_reached or not engine.is_alive or not engine.tells_reports:
             await trio.sleep(timeout_s)
             return None
+        if trio.current_time() < engine.reports_old_until_s and engine.old_report is not None:
+            return engine.old_report
         return EngineReport(engine.sequence, group=engine.key)
 
     def _answer(
         self, engine: WorldEngine, order: EngineOrder, expected_sequence: int | None
     ) -> OrderAnswer:
         if expected_sequence is not None and expected_sequence != engine.sequence:
+            self.refused.append(f"{engine.name}: {order}")
             return OrderAnswer.OUT_OF_DATE
+        self._remember_report(engine)
+        key = engine.key
         answer = self._carry_out(engine, order)
-        if answer is OrderAnswer.BEGUN:
+        if answer is OrderAnswer.BEGUN or engine.key != key:
             engine.sequence += 1
         return answer
 
+    def _remember_report(self, engine: WorldEngine) -> None:
+        """Let reports of the next moments be as the engine is now."""
+        now_s = trio.current_time()
+        if now_s >= engine.reports_old_until_s:
+            engine.old_report = EngineReport(engine.sequence, group=engine.key)
+            engine.reports_old_until_s = now_s + REPORT_LAG_S
+
     def _carry_out(self, engine: WorldEngine, order: EngineOrder) -> OrderAnswer:
         match order:
             case JoinGroup(key=key, model=model, members=members):
@@ -193,7 +216,7 @@
             case LeaveGroup(key=key) if engine.key == key:
                 engine.key, engine.members = None, ()
                 engine.state = MemberState.JOINING
-                return OrderAnswer.BEGUN
+                return OrderAnswer.HOLDS  # It is done with the answer, and counts.
             case StageModel(model=model):
                 engine.staged = model
                 return OrderAnswer.BEGUN
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -133,7 +133,7 @@
                 self.assertTrue(self.state.may_order(planned, trio.current_time()))
                 self.delivery.give([planned], tasks)
                 await trio.sleep(JOIN_REPORT_TIMEOUT_S + ANSWER_S)
-                is_given = order_name(planned) in self.state.ordered_s
+                is_given = self.state.due_s[order_name(planned)] > float("-inf")
                 self.assertEqual(is_given, isinstance(order, StageModel))
             self.assertEqual(self.engines.orders, [("dead", StageModel(SMALL))])
 
