--- a/yewloom/background.py
+++ b/yewloom/background.py
@@ -1,7 +1,6 @@
 """Tasks that a loop starts and goes on without.
 
-The coordinator gives its orders this way: of the 1.5 s from a crash to the end of its group, 0.6 s
-were waits for the dead engine's answer, in the log of a played day.
+The coordinator gives its orders this way, so that a dead engine's answer holds up no other order.
 """
 
 from collections.abc import Awaitable, Callable, Hashable
--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -11,7 +11,7 @@
 LAST_LOOK_S = 0.05
 """Time for which a connection waits for a request, or for its rest, once none are taken any more.
 What has arrived is read at once; this leaves a host that is behind with its work some passes of its
-loop, and a caller that got its answer the way there and back, 6 ms on the trial deployments."""
+loop, and a caller that got its answer the way there and back."""
 
 
 class CallerActivity:
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -9,9 +9,9 @@
 from yewloom.values import value_class
 
 SEND_LIMIT_S = 10.0
-"""Longest time for a whole answer to go out; then the caller counts as gone. Longer than the
-deadlines on the trial deployments, 8 s at most, so that a slow caller is given all of its time. The
-parts of a stream go out within the time of its request."""
+"""Longest time for a whole answer to go out; then the caller counts as gone. It is longer than
+usual deadlines, so that a slow caller is given all of its time. The parts of a stream go out within
+the time of its request."""
 
 
 @value_class
--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -64,9 +64,7 @@
         """Tell whether it can join a group of a model without a load.
 
         An engine still holds the model of its last group, also when its host keeps the weights of
-        another one; joining a group of the same model takes it 0.2 s, and a load 12 to 16 s. On a
-        played day on which a third of the hosts are lost within 30 s, the share of the worth that
-        callers got rose from 0.66 to 0.79 by it (one play; within 0.03 either way on eight others).
+        another one; joining a group of the same model takes it a moment, and a load many seconds.
         """
         return model in self.staged or model in self.models
 
--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -3,9 +3,6 @@
 A host that starts needs a second until it serves: half a second of processor time on half a core,
 nearly all of it for imports. A caller that is refused a connection meanwhile has spent one of its
 few tries; one whose connection waits is answered once the host serves.
-
-Measured on three plays of a day at whose end all processes are killed at once: of 1,000 requests 28
-to 42 failed without it and 11 to 18 with it; those that wait are answered up to a second late.
 """
 
 import configparser
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -18,8 +18,8 @@
 Header = tuple[bytes, bytes]
 
 CONNECT_TIMEOUT_S = 0.25
-"""Longest wait for a connection: one way between data centres takes at most 1.4 ms on the trial
-deployments, and a lost opening packet is sent again only after a second."""
+"""Longest wait for a connection: the way between data centres takes some milliseconds, and a lost
+opening packet is sent again only after a second."""
 
 READ_BYTES = 65536
 """Bytes asked from a connection at once."""
--- a/yewloom/event_paces.py
+++ b/yewloom/event_paces.py
@@ -4,10 +4,6 @@
 once than the others, so their number alone tells of it late, and each stream that it gets misses
 its aim while other groups have places free.
 
-Measured on three plays of a day on which five of 48 engines run 12 times slower for 9 s: of the
-1,582 requests of those seconds 1,117 were in time, and 1,073 without this; nearly all of the
-difference is of one play, and none was worse by more than one request.
-
 All times are seconds of the runtime's clock.
 """
 
@@ -24,13 +20,12 @@
 """Age up to which an average counts. After it a group that got nothing meanwhile is tried again."""
 
 SLOW_FACTOR = 2.5
-"""How many times the usual pause of its model a slow group takes. Full groups take twice what empty
-ones do, by the published times of a step; those that turned slow on the trial days, 4 times or
-more."""
+"""How many times the usual pause of its model a slow group takes. A full group takes twice what an
+empty one does, by the published times of a step."""
 
 LEAST_SLOW_S = 0.12
-"""Pause up to which a group is not slow, whatever others do: half of the shortest pause that the
-trial deployments allow a stream, and a little more."""
+"""Pause up to which a group is not slow, whatever others do: well within what a stream may
+pause."""
 
 
 @dataclass
--- a/yewloom/key_trust.py
+++ b/yewloom/key_trust.py
@@ -6,10 +6,6 @@
 outage of the store by itself takes no key away. In either case a route or key that is not known is
 refused for good only while the configuration is proved to be current to within the time for changes
 to be in force, and no newer one is known to exist: a host that is late asks callers to come back.
-
-Measured on eight played days with outages of the store of 4 to 9 s, each played with and without:
-the requests refused fell from 46 to 5 in 1,000, and the share of their worth that callers got rose
-from 0.71 to 0.78.
 """
 
 from yewloom.configuration import ConfigurationBook
--- a/yewloom/leases.py
+++ b/yewloom/leases.py
@@ -14,8 +14,8 @@
 from yewloom.values import value_class
 
 RETRY_S = 0.3
-"""Pause of the last holder before it calls a store again that did not answer: some 30 calls in an
-outage of 8 s. Groups are repaired 2 s earlier after it, by the times in a played day's logs."""
+"""Pause of the last holder before it calls a store again that did not answer, so that groups are
+repaired soon after an outage."""
 
 
 @value_class
--- a/yewloom/peer_configurations.py
+++ b/yewloom/peer_configurations.py
@@ -5,9 +5,6 @@
 one of them for it over HTTP, at the port of the peer's datagrams. What comes is decoded as if the
 store had sent it, never replaces a newer one, and proves nothing by itself: how current it is
 follows from the peers' words, as ever.
-
-Measured on a played day in which the store turned both hosts of a data centre away for 8 s while
-keys were taken away: of 280 requests in 4 s 70 were refused without this.
 """
 
 from collections.abc import Callable, Iterable
--- a/yewloom/planned_stop.py
+++ b/yewloom/planned_stop.py
@@ -8,7 +8,7 @@
 
 NOTICE_SHARE = 0.4
 """Largest part of the time for a stop that requests are still taken for; the rest is for them to
-end. Of 8 s, the time on the trial deployments, the balancer's notice is less than that."""
+end."""
 
 STOP_MARGIN_S = 0.5
 """Part of the time for a planned stop that is left for last answers and the process to end."""
@@ -27,8 +27,8 @@
 """Most time that is kept for the end, however long the process is let wait."""
 
 REQUEST_END_S = 0.01
-"""Time that the end of a request may take that the stop cuts off: 0.4 to 1.0 ms of processor time
-each, measured on a host with a tenth of a core."""
+"""Time that the end of a request may take that the stop cuts off, on a host with a tenth of a
+core."""
 
 CUT_OFF_SHARE = 0.25
 """Largest part of the time for requests to end that is kept for cutting off the rest of them."""
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -8,9 +8,6 @@
 since, all of it is avoided; probes at once to others of its endpoints end that within milliseconds
 if it was wrong.
 
-Measured on nine plays of days in which one of three data centres is cut off for 5 s: of 1,000
-requests in those seconds 766 were in time, and 724 where each request found its endpoint lost anew.
-
 All times are seconds of the runtime's clock.
 """
 
--- a/yewloom/route_durations.py
+++ b/yewloom/route_durations.py
@@ -7,7 +7,7 @@
 
 KEPT = 16
 """Durations that are kept of a route: enough for a median that one odd request does not move, and
-few enough to follow a change within a second on the trial deployments' busiest route."""
+few enough to follow a change within a second on a busy route."""
 
 LEAST = 4
 """Durations without which nothing is known of a route."""
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -126,10 +126,8 @@
         """Ask a member; one that is silent to this host alone is not suspected.
 
         A group moves only as a whole, so an event that any entry host saw after the question shows
-        that all members work. Without that a leader out of reach of its coordinator alone lost its
-        group, while callers elsewhere had their streams at it: on three plays of a day on which
-        leaders lose the way to some entry hosts, callers got 0.901 of what they asked for, by
-        worth, instead of 0.838.
+        that all members work. Without that a leader out of reach of its coordinator alone would
+        lose its group, while callers elsewhere have their streams at it.
         """
         asked_s = trio.current_time()
         report = await self._engine_orders.read_report(asked.address)
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -13,8 +13,8 @@
 from yewloom.ids import HostId
 
 QUIET_S = 0.45
-"""Silence of all streams of a group after which it counts as standing still. Batches on the trial
-days gave an event at least every 0.12 s; prompts of 6,000 tokens add 0.13 s."""
+"""Silence of all streams of a group after which it counts as standing still: some events, and the
+reading of a long prompt between two of them."""
 
 AVOID_STALLED_S = 2.0
 """Longest time for which a group that stands still gets nothing new. The coordinator asks its
@@ -25,9 +25,7 @@
 
 TOLD_QUIET_S = 0.2
 """Silence of this host's own streams after which the word of a peer that a group stands still is
-borne out: longer than an event or a long prompt takes alone. Requests without an event leave such a
-group after some 0.5 s instead of 1.2 s; on two plays of a day that moved its worth by less than
-0.01."""
+borne out: longer than an event or a long prompt takes alone."""
 
 FIRST_EVENT_S = 1.2
 """Silence after which a group with nothing but streams that wait for their first event counts as
@@ -42,8 +40,8 @@
 """Time for which an event of a group is news to peers: the pause between two messages to them."""
 
 READ_LATE_S = 0.1
-"""Time by which a message of a peer is read late at most: 2 ms on the way on the trial deployments,
-and a loop on a slow host that has other work."""
+"""Time by which a message of a peer is read late at most: the way, and a loop on a slow host that
+has other work."""
 
 
 @dataclass
--- a/yewloom/values.py
+++ b/yewloom/values.py
@@ -3,9 +3,6 @@
 ``dataclasses`` writes up to seven methods of each frozen class as text and compiles them when the
 module is imported. Here all but ``__init__`` are shared code. That a value is not changed is for
 the type checker to tell, which knows the classes as frozen ones.
-
-Measured by callgrind: the start of an entry host's process up to the end of its imports, with 65 of
-these classes, takes 933 million instructions; with frozen dataclasses it took 1,069 million.
 """
 
 from collections.abc import Callable, Sequence
