Look at leaders and near peers alone where hundreds of others are listed

Cause: each choice of an endpoint, and each look of another, walked all endpoints of the service (930 on the largest deployment) to find the some fifty that lead a group; each look whether this host follows the store (some 25 a second) walked the states of all 194 peers and hashed the names of 42. Change: the directory keeps the leaders of a service, and the board the states of the near peers; a host's rank is drawn once. Ran: test_directory (leaders follow any changes), test_follow_duty, test_entry_states, test_selection, test_replica_plan.

--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -77,6 +77,7 @@
         self.is_known = False
         self._lapsing: dict[HostId, float] = {}
         self._by_service: defaultdict[ServiceName, dict[HostId, Endpoint]] = defaultdict(dict)
+        self._leaders: defaultdict[ServiceName, dict[HostId, Endpoint]] = defaultdict(dict)
         self._members: defaultdict[GroupKey, dict[int, Endpoint]] = defaultdict(dict)
 
     def replace_all(self, endpoints: Iterable[Endpoint], now_s: float, after_outage: bool) -> None:
@@ -99,8 +100,11 @@
         self.remove(endpoint.id)
         self.by_id[endpoint.id] = endpoint
         self._by_service[endpoint.service][endpoint.id] = endpoint
-        if endpoint.membership is not None:
-            self._members[endpoint.membership.key][endpoint.membership.rank] = endpoint
+        if endpoint.membership is None:
+            return
+        self._members[endpoint.membership.key][endpoint.membership.rank] = endpoint
+        if endpoint.membership.rank == 0:
+            self._leaders[endpoint.service][endpoint.id] = endpoint
 
     def remove(self, endpoint_id: HostId) -> None:
         """Drop one endpoint, if it is listed."""
@@ -109,6 +113,7 @@
         if endpoint is None:
             return
         del self._by_service[endpoint.service][endpoint_id]
+        self._leaders[endpoint.service].pop(endpoint_id, None)
         if endpoint.membership is not None:
             members = self._members[endpoint.membership.key]
             if members.get(endpoint.membership.rank) is endpoint:
@@ -127,6 +132,10 @@
         """Return the endpoints of a service."""
         return self._by_service[service].values()
 
+    def leaders_of(self, service: ServiceName) -> Iterable[Endpoint]:
+        """Return the endpoints of a service that lead a group, which alone take its requests."""
+        return self._leaders[service].values()
+
     def members(self, key: GroupKey) -> Mapping[int, Endpoint]:
         """Return the listed members of a group by rank."""
         return self._members.get(key, {})
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -69,6 +69,7 @@
         self._me = me
         self._data_centre = data_centre
         self._heard: dict[EntryHostId, _Heard] = {}
+        self._near: dict[EntryHostId, EntryState] = {}
         self._running: Counter[HostId] = Counter()
         self._known = {me}
 
@@ -93,6 +94,8 @@
             self._count(known.state, -1)
         self._count(state, 1)
         self._heard[peer] = _Heard(state, now_s)
+        if state.data_centre == self._data_centre:
+            self._near[peer] = state
         is_echo = state.echoed_ms and state.echoed_started_unix_ms == self._started_unix_ms
         return _words_of(state) if is_echo else PeerWords()
 
@@ -100,12 +103,17 @@
         """Return the latest message of each peer that was heard a short while ago."""
         return [heard.state for heard in self._heard.values()]
 
+    def near_states(self) -> Mapping[EntryHostId, EntryState]:
+        """Return the same for the peers in this data centre, by their names."""
+        return self._near
+
     def drop_silent(self, now_s: float) -> None:
         """Stop counting the load of peers that fell silent."""
         for peer, heard in list(self._heard.items()):
             if now_s - heard.heard_s > self._fresh_s(heard.state):
                 self._count(heard.state, -1)
                 del self._heard[peer]
+                self._near.pop(peer, None)
 
     def running(self, endpoint: HostId) -> int:
         """Return how many requests the peers run at an endpoint."""
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -11,7 +11,6 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.hashing import hash64
 from yewloom.ids import DataCentreId, EntryHostId
-from yewloom.schema.entry_pb2 import EntryState
 from yewloom.values import value_class
 
 FOLLOWERS = 2
@@ -55,6 +54,7 @@
         have been heard yet.
         """
         self.is_listening = is_listening
+        self._ranks: dict[EntryHostId, int] = {}
         self._me = me
         self._data_centre = data_centre
         self._board = board
@@ -72,25 +72,24 @@
             return True
         if self.is_listening():
             return False  # Else all hosts that start together would follow.
-        near = self._near_states()
-        peers = [peer for peer in near if peer.can_follow]
+        near = self._board.near_states()
+        peers = [peer for peer, state in near.items() if state.can_follow]
         if not peers and not standing.can_follow:
-            peers = near  # While the store answers nobody, the same few go on asking for all.
-        coordinators = sum(peer.is_coordinator for peer in peers)
-        ranked = sorted(hash64(peer.host_id) for peer in peers if not peer.is_coordinator)
-        places = FOLLOWERS - min(coordinators, FOLLOWERS - 1)
-        return len(ranked) < places or hash64(self._me) < ranked[places - 1]
+            peers = list(near)  # While the store answers nobody, the same few go on asking for all.
+        others = [peer for peer in peers if not near[peer].is_coordinator]
+        places = FOLLOWERS - min(len(peers) - len(others), FOLLOWERS - 1)
+        before = sum(self._rank(peer) < self._rank(self._me) for peer in others)
+        return before < places
 
     def near_followers(self) -> set[EntryHostId]:
         """Return the peers that may be followers of this data centre, as seen from here.
 
         A few too many do no harm: what they are told more often than the others costs little.
         """
-        near = self._near_states()
-        ranked = sorted((EntryHostId(state.host_id) for state in near), key=hash64)
-        coordinators = {EntryHostId(state.host_id) for state in near if state.is_coordinator}
-        able = {EntryHostId(state.host_id) for state in near if state.can_follow}
-        first_able = [host for host in ranked if host in able][:FOLLOWERS]
+        near = self._board.near_states()
+        ranked = sorted(near, key=self._rank)
+        coordinators = {peer for peer, state in near.items() if state.is_coordinator}
+        first_able = [peer for peer in ranked if near[peer].can_follow][:FOLLOWERS]
         return coordinators | set(first_able) | set(ranked[:FOLLOWERS])
 
     def must_ask(self, age_s: float) -> bool:
@@ -99,8 +98,11 @@
 
     def near_hosts(self) -> int:
         """Return how many hosts of this data centre were heard lately, this one included."""
-        return len(self._near_states()) + 1
-
-    def _near_states(self) -> list[EntryState]:
-        """Return what the peers in this data centre told last."""
-        return [peer for peer in self._board.states() if peer.data_centre == self._data_centre]
+        return len(self._board.near_states()) + 1
+
+    def _rank(self, host: EntryHostId) -> int:
+        """Return a host's place among others, which is drawn once and the same everywhere."""
+        rank = self._ranks.get(host)
+        if rank is None:
+            rank = self._ranks[host] = hash64(host)
+        return rank
--- a/yewloom/replica_plan.py
+++ b/yewloom/replica_plan.py
@@ -73,10 +73,10 @@
         """Count this data centre's replicas as recorded and those elsewhere as listed."""
         active = GroupIntent.ACTIVE.value
         replicas = Counter(ModelName(g.model) for g in groups if g.intent == active)
-        for endpoint in self._directory.of_service(self._service):
-            member = endpoint.membership
-            if endpoint.data_centre == self._data_centre or member is None or member.rank != 0:
+        for leader in self._directory.leaders_of(self._service):
+            member = leader.membership
+            if leader.data_centre == self._data_centre or member is None:
                 continue
             if member.state is not MemberState.BROKEN:
-                replicas.update(endpoint.models)
+                replicas.update(leader.models)
         return ModelNeed(self._profile, replicas, self._demand)
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -131,20 +131,21 @@
     def _candidates(
         self, wanted: Wanted, engine: EngineProfile | None
     ) -> Iterator[tuple[Endpoint, float]]:
-        for endpoint in self._directory.of_service(wanted.service):
+        find = self._directory.of_service if engine is None else self._directory.leaders_of
+        for endpoint in find(wanted.service):
             if endpoint.is_leaving:
                 continue
             penalty = 0.0 if endpoint.data_centre == self._data_centre else REMOTE_PENALTY
             if engine is None:
                 yield endpoint, penalty
-            elif self._leads(endpoint, wanted.model):
+            elif self._is_open(endpoint, wanted.model):
                 yield endpoint, penalty + self._incompleteness(endpoint, engine)
 
-    def _leads(self, endpoint: Endpoint, model: ModelName | None) -> bool:
-        member = endpoint.membership
-        if member is None or member.rank != 0 or member.state is not MemberState.OPEN:
+    def _is_open(self, leader: Endpoint, model: ModelName | None) -> bool:
+        member = leader.membership
+        if member is None or member.state is not MemberState.OPEN:
             return False
-        return model is None or model in endpoint.models
+        return model is None or model in leader.models
 
     def _incompleteness(self, head: Endpoint, engine: EngineProfile) -> float:
         assert head.membership is not None
--- a/yewloom/tests/test_directory.py
+++ b/yewloom/tests/test_directory.py
@@ -5,8 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from yewloom.directory import LAPSE_GRACE_S, Endpoint, EndpointDirectory, MemberState
-from yewloom.ids import HostId
+from yewloom.directory import (
+    LAPSE_GRACE_S,
+    Endpoint,
+    EndpointDirectory,
+    GroupKey,
+    Membership,
+    MemberState,
+)
+from yewloom.ids import GroupId, HostId
 from yewloom.tests.entry_support import ENGINES, SMALL, make_engine, put_group
 
 NAMES = st.sampled_from(["a", "b", "c"])
@@ -30,6 +37,23 @@
         self.assertEqual(directory.by_id, expected)
         self.assertEqual({e.id for e in directory.of_service(ENGINES)}, set(expected))
 
+    @given(st.lists(st.tuples(NAMES, st.sampled_from([None, 0, 1]))))
+    def test_leaders_follow_any_changes(self, changes: list[tuple[str, int | None]]) -> None:
+        """A choice looks at the leaders alone, of hundreds of endpoints."""
+        directory = EndpointDirectory()
+        for name, rank in changes:
+            place = None
+            if rank is not None:
+                place = Membership(GroupKey(GroupId("g"), 1), rank, MemberState.OPEN)
+            directory.put(make_engine(name, membership=place))
+        leaders = {
+            e.id for e in directory.by_id.values() if e.membership and e.membership.rank == 0
+        }
+        self.assertEqual({e.id for e in directory.leaders_of(ENGINES)}, leaders)
+        for name, _ in changes:
+            directory.remove(HostId(name))
+        self.assertEqual(list(directory.leaders_of(ENGINES)), [])
+
     def test_members_are_found_by_group_and_leave_with_their_entry(self) -> None:
         directory = EndpointDirectory()
         key = put_group(directory, "g", SMALL, ["a", "b"])
