Let the second follower stand by, and let the settings say how long watches last

Change: a follower that does not coordinate asks once what it knows is older than the coordinator's watches leave it, as long as the coordinator reaches the store. Lengths of watches and both patiences follow from the time within which a change must be in force: 0.8, 1.15 and 1.3 s for 2 s; 1.5, 1.85 and 2.0 s for 4 s (1.5 and 1.2 s, none, 1.2 s before). Ruled out: a coordinator alone (its death would be noticed by all others at once). Ran: test_follow_duty, test_entry_addresses, test_entry_host, test_silent_connections (29 tests).

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -64,7 +64,7 @@
     Mutation(
         "following: who is told nothing recent asks the store",
         "follow_duty",
-        "self.is_mine() or age_s > self._patience_s",
+        "return age_s > self._patience_s",
         "self.is_mine()",
         "test_follow_duty",
     ),
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -22,6 +22,7 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.exit_timer import ExitTimer
 from yewloom.follow_duty import LISTEN_S, FollowDuty, Standing
+from yewloom.follow_times import follow_times
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
@@ -85,7 +86,13 @@
         self._board = PeerBoard(host_id, data_centre, self._me.started_unix_ms)
         draw = rng.random()
         self._duty = FollowDuty(
-            host_id, data_centre, self._board, self._standing, draw, self._is_listening
+            host_id,
+            data_centre,
+            self._board,
+            self._standing,
+            follow_times(settings),
+            draw,
+            self._is_listening,
         )
         self._store_retries = StoreRetries(settings.store.retry_pause_ms / 1000, draw)
         self._reachability = Reachability(self._directory, lambda: self._probes.wake())
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -9,24 +9,19 @@
 from collections.abc import Callable
 
 from yewloom.entry_states import PeerBoard
+from yewloom.follow_times import PATIENCE_SPREAD_S, FollowTimes
 from yewloom.hashing import hash64
 from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.values import value_class
 
 FOLLOWERS = 2
-"""Entry hosts of a data centre that follow the store: one may die or be cut off from it."""
-
-PATIENCE_S = 1.2
-"""Age of what is known after which a host without the duty asks the store itself. Changes may have
-to be in force within 2 s; followers' watches last up to 1.5 s and end at different times."""
+"""Entry hosts of a data centre that follow the store: the coordinator and one that stands by, since
+either may die or be cut off from it."""
 
 LISTEN_S = 0.6
 """Time for which a host that starts listens for its peers before it takes a duty: their messages
 come every 0.2 s, and those that start together have heard each other by then."""
 
-PATIENCE_SPREAD_S = 0.3
-"""Greatest further patience of a host, so that not all of them ask the store at once."""
-
 
 @value_class
 class Standing:
@@ -45,6 +40,7 @@
         data_centre: DataCentreId,
         board: PeerBoard,
         standing: Callable[[], Standing],
+        times: FollowTimes,
         patience_draw: float,
         is_listening: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -59,7 +55,8 @@
         self._data_centre = data_centre
         self._board = board
         self.standing = standing
-        self._patience_s = PATIENCE_S + PATIENCE_SPREAD_S * patience_draw
+        self._standby_s = times.standby_s
+        self._patience_s = times.patience_s + PATIENCE_SPREAD_S * patience_draw
 
     def is_mine(self) -> bool:
         """Tell whether this host is among the followers of its data centre.
@@ -93,8 +90,21 @@
         return coordinators | set(first_able) | set(ranked[:FOLLOWERS])
 
     def must_ask(self, age_s: float) -> bool:
-        """Tell whether this host asks the store, given the age of what it knows."""
-        return self.is_mine() or age_s > self._patience_s
+        """Tell whether this host asks the store, given the age of what it knows.
+
+        One that stands by asks where the coordinator tells it too little, and so finds out what
+        there is before the others miss it.
+        """
+        if not self.is_mine():
+            return age_s > self._patience_s
+        return not self._stands_by() or age_s > self._standby_s
+
+    def _stands_by(self) -> bool:
+        """Tell whether a peer that the store answers coordinates, and so follows it."""
+        if self.standing().is_coordinator:
+            return False
+        near = self._board.near_states().values()
+        return any(peer.is_coordinator and peer.can_follow for peer in near)
 
     def near_hosts(self) -> int:
         """Return how many hosts of this data centre were heard lately, this one included."""
--- a/yewloom/followed_position.py
+++ b/yewloom/followed_position.py
@@ -10,8 +10,7 @@
 
 LISTED_SILENCE_S = 2.0
 """Time after a listing for which nothing is told, unless it is known when the last change was. A
-listing does not tell, so all peers would have to ask the store; one of their watches, of up to
-1.2 s, does."""
+listing does not tell, so all peers would have to ask the store; one of their watches does."""
 
 
 class FollowedPosition:
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -14,6 +14,7 @@
 
 from yewloom.early_signals import EarlySignals
 from yewloom.entry_host import EntryHost
+from yewloom.follow_times import follow_times
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
 from yewloom.log_sink import LogSink, set_up_logs
@@ -41,7 +42,7 @@
     settings: EntrySettings, rng: random.Random, metrics: ForwardMetrics
 ) -> PlatformParts:
     """Return the platform's side of an entry host."""
-    store = settings.store
+    store, watch_s = settings.store, follow_times(settings).watch_s
     caller = HttpCaller(CONNECT_TIMEOUT_S, keep_alive_s=STORE_KEEP_ALIVE_S)
     open_store = partial(
         ObjectStore,
@@ -52,8 +53,8 @@
         on_call=metrics.on_store_call,
     )
     return PlatformParts(
-        configuration=open_store(watch_s=store.configuration_watch_ms / 1000),
-        endpoints=open_store(watch_s=store.endpoint_watch_ms / 1000),
+        configuration=open_store(watch_s=watch_s),
+        endpoints=open_store(watch_s=watch_s),
         records_store=open_store(),
         stale_store=open_store(allows_stale=True),
         records=StoreRecords(),
--- a/yewloom/tests/test_entry_addresses.py
+++ b/yewloom/tests/test_entry_addresses.py
@@ -10,6 +10,7 @@
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_states import PeerBoard
 from yewloom.follow_duty import FollowDuty, Standing
+from yewloom.follow_times import FollowTimes
 from yewloom.ids import EntryHostId
 from yewloom.own_state import OwnState
 from yewloom.peer_intake import PeerIntake
@@ -50,7 +51,8 @@
     def __init__(self, host: EntryHostId) -> None:
         self.board = PeerBoard(host, HALL, 1)
         self.addresses = _addresses(host, free_address(), FakePlatform(), self.board)
-        duty = FollowDuty(host, HALL, self.board, lambda: Standing(False, False), 0.5)
+        times = FollowTimes(0.8, 1.15, 1.3)
+        duty = FollowDuty(host, HALL, self.board, lambda: Standing(False, False), times, 0.5)
         intake = Mock(spec=PeerIntake)
         intake.take = lambda message, now_s: self.board.take(message.state, now_s)
         own_state = cast(OwnState, _OwnState(host))
--- a/yewloom/tests/test_follow_duty.py
+++ b/yewloom/tests/test_follow_duty.py
@@ -8,17 +8,13 @@
 from hypothesis import strategies as st
 
 from yewloom.entry_states import FRESH_S, PeerBoard
-from yewloom.follow_duty import (
-    FOLLOWERS,
-    PATIENCE_S,
-    PATIENCE_SPREAD_S,
-    FollowDuty,
-    Standing,
-)
+from yewloom.follow_duty import FOLLOWERS, FollowDuty, Standing
+from yewloom.follow_times import PATIENCE_SPREAD_S, FollowTimes, follow_times
 from yewloom.ids import EntryHostId
-from yewloom.schema.entry_pb2 import EntryState
+from yewloom.schema.entry_pb2 import EntrySettings, EntryState
 from yewloom.tests.entry_support import HALL
 
+TIMES = FollowTimes(0.8, 1.15, 1.3)
 NAMES = [f"e{number}" for number in range(6)]
 
 
@@ -40,7 +36,7 @@
         board.take(state, 0.0)
     can_follow = all(state.can_follow for state in states if state.host_id == me)
     standing = Standing(can_follow, is_coordinator)
-    return FollowDuty(EntryHostId(me), HALL, board, lambda: standing, 0.5)
+    return FollowDuty(EntryHostId(me), HALL, board, lambda: standing, TIMES, 0.5)
 
 
 class TestFollowDuty(unittest.TestCase):
@@ -82,9 +78,9 @@
     def test_hosts_that_start_together_listen_for_each_other_before_they_follow(self) -> None:
         me, board = EntryHostId("e1"), PeerBoard(EntryHostId("e1"), HALL)
         for standing in (Standing(True, False), Standing(True, True)):
-            duty = FollowDuty(me, HALL, board, partial(replace, standing), 0.5, lambda: True)
+            duty = FollowDuty(me, HALL, board, partial(replace, standing), TIMES, 0.5, lambda: True)
             self.assertEqual(duty.is_mine(), standing.is_coordinator)
-            self.assertTrue(duty.must_ask(PATIENCE_S + PATIENCE_SPREAD_S + 0.01))
+            self.assertTrue(duty.must_ask(TIMES.patience_s + PATIENCE_SPREAD_S + 0.01))
 
     def test_peers_elsewhere_do_not_follow_for_this_data_centre(self) -> None:
         states = [_state(name) for name in NAMES]
@@ -98,7 +94,9 @@
         board = PeerBoard(EntryHostId(resting), HALL)
         for state in states:
             board.take(state, 0.0)
-        duty = FollowDuty(EntryHostId(resting), HALL, board, lambda: Standing(True, False), 0.5)
+        duty = FollowDuty(
+            EntryHostId(resting), HALL, board, lambda: Standing(True, False), TIMES, 0.5
+        )
         board.drop_silent(FRESH_S + 0.1)
         self.assertTrue(duty.is_mine())
 
@@ -106,5 +104,42 @@
         states = [_state(name) for name in NAMES]
         resting = next(name for name in NAMES if not _duty(name, states).is_mine())
         duty = _duty(resting, states)
-        self.assertFalse(duty.must_ask(PATIENCE_S))
-        self.assertTrue(duty.must_ask(PATIENCE_S + PATIENCE_SPREAD_S + 0.01))
+        self.assertFalse(duty.must_ask(TIMES.patience_s))
+        self.assertTrue(duty.must_ask(TIMES.patience_s + PATIENCE_SPREAD_S + 0.01))
+
+    def test_a_coordinator_always_asks_and_the_other_follower_stands_by(self) -> None:
+        states = [_state(name, is_coordinator=name == "e3") for name in NAMES]
+        self.assertTrue(_duty("e3", states, is_coordinator=True).must_ask(0.0))
+        duties = [_duty(name, states) for name in NAMES if name != "e3"]
+        (standby,) = [duty for duty in duties if duty.is_mine()]
+        self.assertFalse(standby.must_ask(TIMES.standby_s))
+        self.assertTrue(standby.must_ask(TIMES.standby_s + 0.01))
+
+    def test_nobody_stands_by_for_a_coordinator_that_the_store_turns_away(self) -> None:
+        states = [_state(name, name != "e3", is_coordinator=name == "e3") for name in NAMES]
+        able = [_duty(name, states) for name in NAMES if name != "e3"]
+        self.assertTrue(any(duty.is_mine() and duty.must_ask(0.0) for duty in able))
+
+    def test_while_nobody_coordinates_all_followers_ask(self) -> None:
+        states = [_state(name) for name in NAMES]
+        asking = [name for name in NAMES if _duty(name, states).must_ask(0.0)]
+        self.assertEqual(len(asking), FOLLOWERS)
+
+
+class TestFollowTimes(unittest.TestCase):
+    """A change is in force in time although its first reader has just died."""
+
+    @given(st.integers(500, 60_000), st.integers(100, 30_000))
+    def test_one_host_after_the_other_asks_within_the_time_for_a_change(
+        self, apply_ms: int, longest_ms: int
+    ) -> None:
+        settings = EntrySettings()
+        settings.bounds.configuration_apply_ms = apply_ms
+        settings.store.configuration_watch_ms = longest_ms
+        settings.store.endpoint_watch_ms = 2 * longest_ms
+        times = follow_times(settings)
+        self.assertLessEqual(times.watch_s, min(longest_ms, 0.4 * apply_ms) / 1000)
+        self.assertLess(times.watch_s, times.standby_s)
+        self.assertLess(times.standby_s, times.patience_s)
+        if apply_ms >= 2000:
+            self.assertLess(times.patience_s + PATIENCE_SPREAD_S, apply_ms / 1000 - 0.3)
