--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -65,7 +65,7 @@
         "following: who is told nothing recent asks the store",
         "follow_duty",
         "return age_s > self._patience_s",
-        "self.is_mine()",
+        "return False",
         "test_follow_duty",
     ),
     Mutation(
