--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -12,13 +12,19 @@
 
 import mutations_entry
 import mutations_groups
+import mutations_size
 import mutations_yewloomd
 from removals import Mutation, take_out
 
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 240
 
-MUTATIONS = (*mutations_yewloomd.MUTATIONS, *mutations_groups.MUTATIONS, *mutations_entry.MUTATIONS)
+MUTATIONS = (
+    *mutations_yewloomd.MUTATIONS,
+    *mutations_groups.MUTATIONS,
+    *mutations_entry.MUTATIONS,
+    *mutations_size.MUTATIONS,
+)
 
 
 def _fails_without(mutation: Mutation) -> str:
--- /dev/null
+++ b/tools/mutations_size.py
@@ -0,0 +1,111 @@
+"""The removals of mechanisms that hundreds of entry hosts and engines need, and their tests."""
+
+from removals import Mutation
+
+MUTATIONS = (
+    Mutation(
+        "order counts: a leave that is done counts, whatever its answer calls it",
+        "order_counts",
+        "leaves = isinstance(order, LeaveGroup) and known.group == order.key",
+        "leaves = False",
+        "test_refused_orders",
+    ),
+    Mutation(
+        "order counts: a report that is older than an answer tells nothing",
+        "order_counts",
+        "if known is None or report.sequence > known.sequence:",
+        "if True:",
+        "test_order_counts",
+    ),
+    Mutation(
+        "orders: an engine that loads for another coordinator is left to it",
+        "order_delivery",
+        "if report.is_busy:",
+        "if False:",
+        "test_refused_orders",
+    ),
+    Mutation(
+        "orders: a refused one is given ever less often",
+        "plan_state",
+        "REFUSED_PAUSE_S * 2 ** self.refusals[name]",
+        "REFUSED_PAUSE_S",
+        "test_refused_orders",
+    ),
+    Mutation(
+        "orders: a refused load takes no place of another one",
+        "plan_state",
+        "self.load_times_s.remove(staging.since_s)",
+        "pass",
+        "test_refused_orders",
+    ),
+    Mutation(
+        "store: hosts without the duty share a rate of calls in an outage",
+        "store_retries",
+        "max(least_s, near_hosts * IDLE_SPACING_S)",
+        "least_s",
+        "test_store_retries",
+    ),
+    Mutation(
+        "following: hosts that start together listen for each other first",
+        "follow_duty",
+        "if self.is_listening():",
+        "if False:",
+        "test_follow_duty",
+    ),
+    Mutation(
+        "following: the second follower stands by",
+        "follow_duty",
+        "return not self._stands_by() or age_s > self._standby_s",
+        "return True",
+        "test_follow_duty",
+    ),
+    Mutation(
+        "following: nobody stands by for a coordinator that the store turns away",
+        "follow_duty",
+        "peer.is_coordinator and peer.can_follow for peer",
+        "peer.is_coordinator for peer",
+        "test_follow_duty",
+    ),
+    Mutation(
+        "peers: a word counts until the next message but one",
+        "entry_states",
+        "return max(FRESH_S if is_near else REMOTE_FRESH_S, due_s)",
+        "return FRESH_S if is_near else REMOTE_FRESH_S",
+        "test_peer_turns",
+    ),
+    Mutation(
+        "peers: more get each message where there are very many",
+        "peer_turns",
+        "max(self._at_once, ceil(peers / self._round_messages))",
+        "self._at_once",
+        "test_peer_turns",
+    ),
+    Mutation(
+        "peers: an address is learnt from a peer's first message",
+        "entry_exchange",
+        "if self._addresses.learn(peer, address):",
+        "if False:",
+        "test_entry_addresses",
+    ),
+    Mutation(
+        "loads: all data centres share the weight store's rate",
+        "weight_loads",
+        "LOADS_SHARE / data_centres",
+        "LOADS_SHARE / 3",
+        "test_weight_loads",
+    ),
+    Mutation(
+        "stop: a host that is let wait ends earlier",
+        "planned_stop",
+        "        if self.is_begun:\n            self._keep_for_exit(min",
+        "        if False:\n            self._keep_for_exit(min",
+        "test_planned_stop",
+    ),
+    Mutation(
+        "leases: the metric is worked out when it is read",
+        "coordinators",
+        "set_function(lambda: self.is_holding)",
+        "set(0)",
+        "test_coordinators",
+    ),
+)
