Keep free hosts for the model in greater need while others of its are about to be free

Change: hosts that are prepared for the model in greater need wait for up to 3 s for those of groups that were given up, if together they are enough for a group of it. Ruled out: to wait for hosts that give no answer, or for those of a group that is being closed (up to 10 s).

--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -88,7 +88,8 @@
 class PlanState:
     """What is remembered between two plans; all of it may be lost at any time.
 
-    ``unsettled_since_s`` tells since when a group forms, or drains; ``due_s`` tells when an order
+    ``unsettled_since_s`` tells since when a group forms, or drains, and ``given_up_s`` since when
+    one that was given up is seen so; ``due_s`` tells when an order
     that was given may be given again, and ``refusals`` how often it was refused; ``busy_until_s``
     tells until when engines are taken to carry out an order of somebody else; ``left`` are the
     departures that engines confirmed, ``ended`` the groups that counted as ended, and
@@ -100,6 +101,7 @@
     """
 
     unsettled_since_s: dict[GroupKey, float] = field(default_factory=dict)
+    given_up_s: dict[GroupKey, float] = field(default_factory=dict)
     due_s: dict[OrderName, float] = field(default_factory=dict)
     refusals: Counter[OrderName] = field(default_factory=Counter)
     busy_until_s: dict[HostId, float] = field(default_factory=dict)
@@ -132,6 +134,7 @@
         """Drop what was seen of engines and groups, which others may have changed since."""
         for seen in (
             self.unsettled_since_s,
+            self.given_up_s,
             self.due_s,
             self.refusals,
             self.busy_until_s,
--- a/yewloom/replica_supply.py
+++ b/yewloom/replica_supply.py
@@ -12,8 +12,9 @@
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
 from yewloom.free_hosts import FreeHosts
 from yewloom.group_exchanges import GroupExchange, GroupExchanges, members_of
-from yewloom.ids import DataCentreId, ModelName, ServiceName
+from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.model_need import ModelNeed
+from yewloom.model_reserves import ModelReserves
 from yewloom.plan_state import PlannedOrder, PlanState
 from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.states import GroupIntent
@@ -47,6 +48,7 @@
         self._free = FreeHosts(data_centre, service, directory, state)
         self._loads = WeightLoads(profile, directory, state, bounds)
         self._exchanges = GroupExchanges(directory)
+        self._reserves = ModelReserves(directory, state)
 
     @property
     def orders(self) -> list[PlannedOrder]:
@@ -62,7 +64,8 @@
         if self._is_gathering(now_s):
             return formed
         models = self._models_by_domain(kept)
-        while (choice := self._next_group(free, need, models)) is not None:
+        leaving = [] if self._bounds.loads_are_free else self._reserves.leaving(kept, now_s)
+        while (choice := self._next_group(free, need, models, leaving)) is not None:
             model, chosen = choice
             name = f"{self._data_centre}-{generation}-{len(formed)}"
             formed.append(_new_group(name, model, chosen, generation))
@@ -133,18 +136,22 @@
         free: Mapping[str, list[Endpoint]],
         need: ModelNeed,
         models: Mapping[str, Counter[ModelName]],
+        leaving: Sequence[Endpoint],
     ) -> tuple[ReplicaModel, list[Endpoint]] | None:
         """Return the next group's model and hosts.
 
         Groups of one model are spread over the domains, so that each has hosts of small groups
-        that can take the place of a lost host of a large one.
+        that can take the place of a lost host of a large one. Hosts that a model in greater need
+        forms a group of in a moment are left to it.
         """
+        kept: set[HostId] = set()
         for model in need.order():
             for domain in _domains_for(model, free, models):
-                ready = [e for e in free[domain] if self._can_join(e, model)]
+                ready = [e for e in free[domain] if e.id not in kept and self._can_join(e, model)]
                 if len(ready) >= model.group_size:
                     ready.sort(key=lambda e: (model.name not in e.models, e.id))
                     return model, ready[: model.group_size]
+            kept |= self._reserves.kept_for(model, free, leaving)
         return None
 
     def _can_join(self, endpoint: Endpoint, model: ReplicaModel) -> bool:
