--- a/yewloom/plan_state.py
+++ b/yewloom/plan_state.py
@@ -89,15 +89,15 @@
     """What is remembered between two plans; all of it may be lost at any time.
 
     ``unsettled_since_s`` tells since when a group forms, or drains, and ``given_up_s`` since when
-    one that was given up is seen so; ``due_s`` tells when an order
-    that was given may be given again, and ``refusals`` how often it was refused; ``busy_until_s``
-    tells until when engines are taken to carry out an order of somebody else; ``left`` are the
-    departures that engines confirmed, ``ended`` the groups that counted as ended, and
-    ``seen_joined`` those whose leader a listing showed in them; ``unanswered`` are hosts whose
-    latest order had no answer, and ``suspects`` hosts that did not answer although they are listed;
-    ``answered_s`` tells when hosts that are not listed answered; ``stood_still_s`` tells when
-    groups were reported to; ``gathered`` are hosts that were free before; ``started_unix_ms`` tells
-    the processes of engines that were listed last.
+    one that was given up is seen so; ``due_s`` tells when an order that was given may be given
+    again, and ``refusals`` how often it was refused; ``busy_until_s`` tells until when engines are
+    taken to carry out an order of somebody else; ``left`` are the departures that engines
+    confirmed, ``ended`` the groups that counted as ended, and ``seen_joined`` those whose leader a
+    listing showed in them; ``unanswered`` are hosts whose latest order had no answer, and
+    ``suspects`` hosts that did not answer although they are listed; ``answered_s`` tells when hosts
+    that are not listed answered; ``stood_still_s`` tells when groups were reported to; ``gathered``
+    are hosts that were free before; ``started_unix_ms`` tells the processes of engines that were
+    listed last.
     """
 
     unsettled_since_s: dict[GroupKey, float] = field(default_factory=dict)
