Let a soak's connection that lost bytes say nothing more that way

No connection does that: what is lost holds up the rest. Change: once bytes were lost, nothing more is carried that way on the connection; its end still is. No check is touched. Ran: the new test fails before (pieces 1 and 3 of 3 come through), passes now.

--- a/yewloom/tests/soak/proxy.py
+++ b/yewloom/tests/soak/proxy.py
@@ -25,7 +25,11 @@
 
 
 class LinkFault(Enum):
-    """What befalls a link; ``CUT_BACK`` loses answers only, ``SILENT`` both ways."""
+    """What befalls a link; ``CUT_BACK`` loses answers only, ``SILENT`` both ways.
+
+    A connection on which bytes were lost says nothing more that way, as bytes that came behind them
+    would be taken for them.
+    """
 
     NONE = "none"
     DELAY = "delay"
@@ -72,11 +76,13 @@
     async def _pump(
         self, source: trio.SocketStream, sink: trio.SocketStream, cut: LinkFault, opened: int
     ) -> None:
+        has_lost = False
         while data := await source.receive_some(READ_BYTES):
             if self.fault is LinkFault.DELAY:
                 await trio.sleep(DELAY_S)
             is_silenced = opened != self._silenced
-            if not is_silenced and self.fault not in (cut, LinkFault.SILENT):
+            has_lost = has_lost or is_silenced or self.fault in (cut, LinkFault.SILENT)
+            if not has_lost:
                 await sink.send_all(data)
         await sink.send_eof()
 
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -10,6 +10,7 @@
 import httpcore
 import trio
 
+from yewloom.addresses import split_address
 from yewloom.platform.standin_engine import StandinEngine
 from yewloom.platform.standin_store import StandinStore
 from yewloom.tests.soak.balancer import MISSES, Balancer
@@ -39,7 +40,7 @@
     Sent,
     expected_answer,
 )
-from yewloom.tests.soak.proxy import Link, PeerLink
+from yewloom.tests.soak.proxy import Link, LinkFault, PeerLink
 from yewloom.tests.soak.run import SoakPlan, open_fleet
 from yewloom.tests.soak_support import assert_clean
 
@@ -49,6 +50,9 @@
 SIGNAL_SEED = 201
 """Seed whose series of signals CI plays for a short time, in otherwise calm times."""
 
+PIECE_S = 0.1
+"""Pause between two pieces of data, in which a link carries the first one."""
+
 HEAD_S = 0.4
 """Time in which the head of an answer is on its way."""
 
@@ -321,6 +325,39 @@
         self.assertEqual(self._miss("e2"), [True] * 4)
 
 
+class TestLink(unittest.TestCase):
+    """A connection that lost bytes says nothing more that way."""
+
+    def _carried(self, fault: LinkFault) -> bytes:
+        """Return what comes of three pieces, of which the second one meets a fault."""
+
+        async def answer(stream: trio.SocketStream) -> None:
+            for piece in (b"1", b"2", b"3"):
+                self.link.fault = fault if piece == b"2" else LinkFault.NONE
+                await stream.send_all(piece)
+                await trio.sleep(PIECE_S)
+
+        async def main() -> bytes:
+            async with trio.open_nursery() as nursery:
+                servers = await nursery.start(trio.serve_tcp, answer, 0)
+                port = servers[0].socket.getsockname()[1]
+                self.link = Link(f"127.0.0.1:{port}")
+                await self.link.open(nursery)
+                received = b""
+                caller = await trio.open_tcp_stream(*split_address(self.link.address))
+                while data := await caller.receive_some():
+                    received += data
+                nursery.cancel_scope.cancel()
+            return received
+
+        return trio.run(main)
+
+    def test_what_follows_lost_bytes_is_not_taken_for_them(self) -> None:
+        self.assertEqual(self._carried(LinkFault.NONE), b"123")
+        for fault in (LinkFault.CUT_BACK, LinkFault.SILENT):
+            self.assertEqual(self._carried(fault), b"1")
+
+
 class TestSignals(unittest.TestCase):
     """Signals come in series that overlap, drawn from the seed."""
 
