--- a/tools/mutations_size.py
+++ b/tools/mutations_size.py
@@ -94,6 +94,13 @@
         "LOADS_SHARE / 3",
         "test_weight_loads",
     ),
+    Mutation(
+        "replicas: free hosts wait for others for the model in greater need",
+        "replica_supply",
+        "kept |= self._reserves.kept_for(model, free, leaving)",
+        "pass",
+        "test_small_model_shortage",
+    ),
     Mutation(
         "stop: a host that is let wait ends earlier",
         "planned_stop",
