Take a data centre out of the follow duty that nothing reads

Cause: the board keeps the states of the near peers since hundreds of hosts came, so the duty no longer asks for its data centre; and the pause behind changes of endpoints asked twice whether traffic has begun. Nothing acts otherwise; no assertion is touched.

--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -87,7 +87,6 @@
         draw = rng.random()
         self._duty = FollowDuty(
             host_id,
-            data_centre,
             self._board,
             self._standing,
             follow_times(settings),
@@ -300,9 +299,10 @@
         them for others has no use for them yet.
         """
         store = self._settings.store
-        is_hurried = self._coordinator.is_holding or self._is_before_traffic()
-        if self._is_before_traffic() and not self._duty.is_mine():
+        is_before_traffic = self._is_before_traffic()
+        if is_before_traffic and not self._duty.is_mine():
             return BEFORE_TRAFFIC_PAUSE_S
+        is_hurried = is_before_traffic or self._coordinator.is_holding
         pause_ms = store.coordinator_pause_ms if is_hurried else store.endpoint_pause_ms
         return pause_ms / 1000
 
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -11,7 +11,7 @@
 from yewloom.entry_states import PeerBoard
 from yewloom.follow_times import PATIENCE_SPREAD_S, FollowTimes
 from yewloom.hashing import hash64
-from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.ids import EntryHostId
 from yewloom.values import value_class
 
 FOLLOWERS = 2
@@ -37,7 +37,6 @@
     def __init__(
         self,
         me: EntryHostId,
-        data_centre: DataCentreId,
         board: PeerBoard,
         standing: Callable[[], Standing],
         times: FollowTimes,
@@ -52,7 +51,6 @@
         self.is_listening = is_listening
         self._ranks: dict[EntryHostId, int] = {}
         self._me = me
-        self._data_centre = data_centre
         self._board = board
         self.standing = standing
         self._standby_s = times.standby_s
--- a/yewloom/tests/test_entry_addresses.py
+++ b/yewloom/tests/test_entry_addresses.py
@@ -52,7 +52,7 @@
         self.board = PeerBoard(host, HALL, 1)
         self.addresses = _addresses(host, free_address(), FakePlatform(), self.board)
         times = FollowTimes(0.8, 1.15, 1.3)
-        duty = FollowDuty(host, HALL, self.board, lambda: Standing(False, False), times, 0.5)
+        duty = FollowDuty(host, self.board, lambda: Standing(False, False), times, 0.5)
         intake = Mock(spec=PeerIntake)
         intake.take = lambda message, now_s: self.board.take(message.state, now_s)
         own_state = cast(OwnState, _OwnState(host))
--- a/yewloom/tests/test_follow_duty.py
+++ b/yewloom/tests/test_follow_duty.py
@@ -36,7 +36,7 @@
         board.take(state, 0.0)
     can_follow = all(state.can_follow for state in states if state.host_id == me)
     standing = Standing(can_follow, is_coordinator)
-    return FollowDuty(EntryHostId(me), HALL, board, lambda: standing, TIMES, 0.5)
+    return FollowDuty(EntryHostId(me), board, lambda: standing, TIMES, 0.5)
 
 
 class TestFollowDuty(unittest.TestCase):
@@ -78,7 +78,7 @@
     def test_hosts_that_start_together_listen_for_each_other_before_they_follow(self) -> None:
         me, board = EntryHostId("e1"), PeerBoard(EntryHostId("e1"), HALL)
         for standing in (Standing(True, False), Standing(True, True)):
-            duty = FollowDuty(me, HALL, board, partial(replace, standing), TIMES, 0.5, lambda: True)
+            duty = FollowDuty(me, board, partial(replace, standing), TIMES, 0.5, lambda: True)
             self.assertEqual(duty.is_mine(), standing.is_coordinator)
             self.assertTrue(duty.must_ask(TIMES.patience_s + PATIENCE_SPREAD_S + 0.01))
 
@@ -94,9 +94,7 @@
         board = PeerBoard(EntryHostId(resting), HALL)
         for state in states:
             board.take(state, 0.0)
-        duty = FollowDuty(
-            EntryHostId(resting), HALL, board, lambda: Standing(True, False), TIMES, 0.5
-        )
+        duty = FollowDuty(EntryHostId(resting), board, lambda: Standing(True, False), TIMES, 0.5)
         board.drop_silent(FRESH_S + 0.1)
         self.assertTrue(duty.is_mine())
 
