Answer callers that wait for a start which takes longer than they can

What callers saw: a connection came up at once and nothing was answered until their deadline had passed, while the host imported its program. A caller that is refused goes elsewhere at once; one that waits spends all of its time.

Cause: the socket for callers listens before the imports, and nothing bounded how long those who connect wait. The soak excused them since; its trace showed that a start may take long, not that a host may hold callers.

Change: while the program is imported, a timer interrupts it ten times a second. A request that has come whole and waited for a third of its caller's time is answered 503 with Retry-After; the rest is left to the program, which takes the accepted connections over. The soak's exception is gone, with its bookkeeping; its test now asks for the opposite and excuses nothing.

Measured: a process that runs for 3 parts in 100 of the time from its first listen on: its callers get 503 within a third of their time and 0.8 s; on the code before the same test fails (its caller is held for the whole start, then gets 200).

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -136,7 +136,7 @@
     Removal(
         "callers may connect from the first moment",
         "platform/__main__",
-        "listener = open_early(settings)",
+        "listener = open_early(settings, DEADLINE_HEADER)",
         "listener = None",
     ),
     Removal(
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -6,7 +6,7 @@
 """
 
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import ExitStack
 
 import structlog
@@ -29,24 +29,30 @@
         self.activity = CallerActivity()
         self._accepting = trio.CancelScope()
         self._listener: socket.socket | None = None
+        self._accepted: list[socket.socket] = []
         self._connections: trio.Nursery | None = None
 
     async def serve(
         self,
         listener: socket.socket,
         wait: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+        accepted: Iterable[socket.socket] = (),
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept connections until cancelled; those that are open then are cancelled too.
 
-        None is accepted before ``wait`` has returned, unless the server stops meanwhile.
+        None is accepted before ``wait`` has returned, unless the server stops meanwhile; those that
+        were ``accepted`` already wait as well.
         """
         self._listener = listener
+        self._accepted = list(accepted)
         listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
         async with trio.open_nursery() as self._connections:
             task_status.started()
             with self._accepting:
                 await wait()
+                for stream in self._accepted_connections():
+                    self._connections.start_soon(self._serve_connection, stream)
                 await trio.serve_listeners(
                     self._serve_connection, listeners, handler_nursery=self._connections
                 )
@@ -67,7 +73,13 @@
                 assert self._connections is not None
                 self._connections.start_soon(self._refuse_connection, stream, is_closing)
 
+    def _accepted_connections(self) -> Iterator[trio.SocketStream]:
+        """Yield the connections that were accepted before the server ran, each once."""
+        while self._accepted:
+            yield _stream_of(self._accepted.pop(0))
+
     def _waiting_connections(self) -> Iterator[trio.SocketStream]:
+        yield from self._accepted_connections()
         if self._listener is None:
             return
         while True:
@@ -78,8 +90,7 @@
             except OSError as error:
                 logger.warning("waiting connections not accepted", reason=str(error))
                 return
-            connection.setblocking(False)
-            yield trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+            yield _stream_of(connection)
 
     async def _refuse_connection(self, stream: trio.SocketStream, is_closing: ExitStack) -> None:
         with is_closing:
@@ -95,3 +106,8 @@
             logger.exception("connection failed", reason="unexpected error")
         finally:
             await trio.aclose_forcefully(stream)
+
+
+def _stream_of(connection: socket.socket) -> trio.SocketStream:
+    connection.setblocking(False)
+    return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +12,7 @@
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
 from yewloom.directory import EndpointDirectory
+from yewloom.early_listener import EarlyListener
 from yewloom.endpoint_attempts import EndpointAttempts
 from yewloom.endpoint_choice import EndpointChoice
 from yewloom.endpoint_probes import EndpointProbes
@@ -65,7 +65,7 @@
         parts: PlatformParts,
         metrics: ForwardMetrics,
         rng: random.Random,
-        listener: socket.socket | None = None,
+        listener: EarlyListener | None = None,
     ) -> None:
         self._settings = settings
         self._listener = listener
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -11,7 +11,7 @@
 from yewloom.caller_messages import CallerRequest, Handler, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
-from yewloom.early_listener import listen
+from yewloom.early_listener import EarlyListener, listen
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.schema.entry_pb2 import EntryHost as HostSettings
 from yewloom.values import value_class
@@ -53,17 +53,27 @@
         self._metrics_server = CallerServer(Handlers(self._answer_metrics), CallerLimits)
         self._peer_server = CallerServer(Handlers(answer_peers), CallerLimits)
 
-    async def start(self, nursery: trio.Nursery, early: socket.socket | None) -> None:
+    async def start(self, nursery: trio.Nursery, early: EarlyListener | None) -> None:
         """Begin to serve; ``early`` is the socket for callers, if it is open already."""
         settings = self._settings
-        listener = early or listen(settings.caller_address)
-        await nursery.start(self._callers.serve, listener, self._wait_for_knowledge)
+        listener, accepted = self._take_over(early)
+        await nursery.start(self._callers.serve, listener, self._wait_for_knowledge, accepted)
         await nursery.start(self._readiness.serve, listen(settings.readiness_address))
         await nursery.start(self._peer_server.serve, listen(settings.peer_address))
         if settings.metrics_port:
             ip, _ = split_address(settings.caller_address)
             await nursery.start(self._metrics_server.serve, listen(f"{ip}:{settings.metrics_port}"))
 
+    def _take_over(self, early: EarlyListener | None) -> tuple[socket.socket, list[socket.socket]]:
+        """Return the socket for callers and the connections that were accepted already."""
+        if early is None:
+            return listen(self._settings.caller_address), []
+        taken = early.take_over()
+        if early.refused or early.errors:
+            errors = [str(error) for error in early.errors]
+            logger.warning("callers refused while starting", count=early.refused, errors=errors)
+        return taken
+
     async def _wait_for_knowledge(self) -> None:
         """Wait until the host knows whom to send callers to, for a short time at most."""
         with trio.move_on_after(FIRST_KNOWLEDGE_S):
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -21,9 +21,12 @@
     from pathlib import Path
 
     from yewloom.early_listener import open_early
+    from yewloom.platform.names import DEADLINE_HEADER
 
     settings = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    listener = open_early(settings)
+    listener = open_early(settings, DEADLINE_HEADER)
+    if listener is not None:
+        listener.start()
     from yewloom.platform.program import main
 
     return main(settings, signals, listener, end)
--- a/yewloom/platform/headers.py
+++ b/yewloom/platform/headers.py
@@ -5,9 +5,9 @@
 from yewloom.caller_headers import AnswerMarks, HeaderError, RequestMarks, Sending
 from yewloom.endpoint_calls import AnswerHead, Header
 from yewloom.ids import ModelName, RequestId
+from yewloom.platform.names import DEADLINE_HEADER
 
 _REQUEST_ID = b"yewloom-request-id"
-_DEADLINE = b"yewloom-deadline-ms"
 _EXPECTED_ENDPOINT = b"yewloom-expect-instance"
 _CUSTOMER = b"yewloom-tenant"
 _MODEL = b"yewloom-model"
@@ -26,7 +26,9 @@
         b"upgrade",
     }
 )
-_OURS = frozenset({b"authorization", _DEADLINE, _EXPECTED_ENDPOINT, _CUSTOMER, b"content-length"})
+_OURS = frozenset(
+    {b"authorization", DEADLINE_HEADER, _EXPECTED_ENDPOINT, _CUSTOMER, b"content-length"}
+)
 _MISDIRECTED_STATUS = 421
 
 
@@ -42,7 +44,7 @@
             request_id=RequestId(found.get(_REQUEST_ID, b"").decode("latin-1")),
             host=found.get(b"host", b"").decode("latin-1").partition(":")[0],
             api_key=_api_key(key) if key is not None else None,
-            deadline_ms=_number(found, _DEADLINE),
+            deadline_ms=_number(found, DEADLINE_HEADER),
             model=ModelName(model.decode("latin-1")) if model else None,
             last_event_id=_number(found, _LAST_EVENT_ID) or 0,
         )
@@ -53,7 +55,7 @@
         if sending.last_event_id is not None:
             dropped |= {_LAST_EVENT_ID}
         passed = [header for header in headers if header[0] not in dropped]
-        passed.append((_DEADLINE, str(sending.deadline_ms).encode()))
+        passed.append((DEADLINE_HEADER, str(sending.deadline_ms).encode()))
         passed.append((_EXPECTED_ENDPOINT, sending.endpoint.encode()))
         if sending.customer is not None:
             passed.append((_CUSTOMER, sending.customer.encode()))
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -2,7 +2,6 @@
 
 import gc
 import random
-import socket
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -12,6 +11,7 @@
 import trio
 from result import Err, Ok
 
+from yewloom.early_listener import EarlyListener
 from yewloom.early_signals import EarlySignals
 from yewloom.entry_host import EntryHost
 from yewloom.follow_times import follow_times
@@ -66,7 +66,7 @@
 def main(
     path: Path,
     early: EarlySignals,
-    listener: socket.socket | None,
+    listener: EarlyListener | None,
     end: Callable[[int], None],
 ) -> int:
     """Run an entry host with a settings file; ``listener`` is its socket for callers, if open.
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -6,6 +6,7 @@
 from yewloom.caller_headers import HeaderCodec, HeaderError, RequestMarks
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.configuration import Configuration, ConfigurationBook
+from yewloom.early_listener import NOT_READY_RETRY_AFTER_S
 from yewloom.event_stream import StreamCursor
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.ids import CustomerId
@@ -19,9 +20,6 @@
 DEFAULT_DEADLINE_MS = 60000
 """Time left to a request whose caller names none; the route's own limit is usually shorter."""
 
-NOT_READY_RETRY_AFTER_S = 0.5
-"""When a caller should come back to a host that has no current configuration."""
-
 
 class RequestAdmission:
     """Finds a request's route and customer, or refuses it."""
--- /dev/null
+++ b/yewloom/socket_ages.py
@@ -0,0 +1,36 @@
+"""How long bytes have waited in a socket, as the system knows it.
+
+A process that starts, stands still or has much other work reads late, and its own clock tells it
+nothing of that.
+"""
+
+import socket
+import struct
+from typing import Protocol
+
+_INFO_BYTES = 104
+"""Size of the system's facts about a connection, as of the first versions that tell them."""
+
+_LAST_DATA_RECEIVED = struct.Struct("=52xI")
+"""Where among them the milliseconds since the newest bytes came stand (``tcp_info``)."""
+
+
+class Connection(Protocol):
+    """A socket of a TCP connection."""
+
+    def getsockopt(self, level: int, optname: int, buflen: int, /) -> bytes:
+        """Return what the system knows."""
+        ...
+
+
+def received_ago_s(connection: Connection) -> float:
+    """Return how long ago the newest bytes came, or the connection if none did.
+
+    It is zero where the system does not tell: then bytes count from when they are read.
+    """
+    try:
+        facts = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES)
+        (age_ms,) = _LAST_DATA_RECEIVED.unpack_from(facts)
+    except (OSError, struct.error):
+        return 0.0
+    return float(age_ms) / 1000
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -1,15 +1,12 @@
 """The fleet under soak: store, endpoints and links in this process, entry hosts beside it."""
 
-import json
 import os
 import random
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from datetime import datetime
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -38,9 +35,6 @@
 PROCESS_CHECK_S = 0.05
 """Pause between two looks whether a process has ended."""
 
-BEGAN_EVENT = b'"event": "accepting callers"'
-"""What a process logs when it begins to accept connections."""
-
 SIGNAL_CHECK_S = 0.001
 """Pause between two looks whether a process takes a signal."""
 
@@ -115,8 +109,6 @@
     log: Path
     lives: int = 0
     process: subprocess.Popen[bytes] | None = None
-    log_start: int = 0
-    """Length of the log when the process was started."""
 
     @property
     def life(self) -> str:
@@ -137,7 +129,6 @@
         """Start the process anew."""
         self.lives += 1
         with self.log.open("ab") as output:
-            self.log_start = output.seek(0, os.SEEK_END)
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "yewloom.platform"],
                 stdout=output,
@@ -145,18 +136,6 @@
                 env={**os.environ, "YEWLOOM_BOOT": str(self.settings)},
             )
 
-    def began_s(self) -> float | None:
-        """Return when the process began to accept connections, by its log; None if not yet."""
-        with self.log.open("rb") as log:
-            log.seek(self.log_start)
-            line = next(
-                (line for line in log if BEGAN_EVENT in line and line.endswith(b"\n")), None
-            )
-        if line is None:
-            return None
-        began = datetime.fromisoformat(json.loads(line)["timestamp"])
-        return trio.current_time() - (time.time() - began.timestamp())
-
     async def wait_ended(self) -> None:
         """Wait until the process has ended."""
         while self.is_running:  # noqa: ASYNC110 - a process
@@ -234,15 +213,6 @@
             self.entries.append(self._entry(f"entry-{number}", data_centre, link))
         for entry in self.entries:
             entry.start()
-        self.nursery.start_soon(self._note_begins)
-
-    async def _note_begins(self) -> None:
-        """Note when each process begins to accept connections, until cancelled."""
-        while True:
-            for entry in self.entries:
-                if entry.life not in self.ledger.began_s and (began_s := entry.began_s()):
-                    self.ledger.began_s[entry.life] = began_s
-            await trio.sleep(PROCESS_CHECK_S)
 
     def _view(self, entry: int, kind: str, spec: Any) -> Any:
         """Return an entry as one entry host reads it: with its own way to an engine.
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -127,8 +127,6 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     pauses: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     by_host: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
-    began_s: dict[str, float] = field(default_factory=dict)
-    """When each process began to accept connections."""
 
     @contextmanager
     def disturbing(self, hosts: Iterable[str]) -> Iterator[None]:
@@ -245,16 +243,13 @@
     def _is_unanswered(self, sent: Sent) -> bool:
         """Tell whether a request that was sent whole in calm times has no answer at all.
 
-        Excused are a caller that left at its deadline, one whose deadline passed before the process
-        had started, and a close by a planned stop that crossed the request; one that ran before the
-        stop cut it off counts as lost.
+        Excused are a caller that left at its deadline, and a close by a planned stop that crossed
+        the request; one that ran before the stop cut it off counts as lost.
         """
         if sent.sent_whole_s is None or sent.ended_s is None:
             return False
         if sent.status is not None or sent.has_left:
             return False
-        if self.began_s.get(sent.host_life, -math.inf) >= sent.sent_s + sent.deadline_s:
-            return False
         if self._is_disturbed(sent.sent_s, sent.ended_s):
             return False
         stopped_s = self.planned_stops.get(sent.host_life)
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -47,6 +47,23 @@
                 self.assertEqual((head.status, await exchange.whole_body()), (200, b"done"))
             nursery.cancel_scope.cancel()
 
+    def test_connections_that_were_accepted_before_are_served(self) -> None:
+        trio.run(self._serve_what_was_accepted)
+
+    async def _serve_what_was_accepted(self) -> None:
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            await reply.send_whole(200, [], b"done")
+
+        server, address = CallerServer(Handlers(handle), CallerLimits), free_address()
+        listener = listen(address)
+        async with trio.open_nursery() as nursery, open_exchange(address, 1.0) as exchange:
+            accepted, _ = listener.accept()
+            no_wait = trio.lowlevel.checkpoint
+            await nursery.start(server.serve, listener, no_wait, [accepted])
+            await exchange.send(REQUEST)
+            self.assertEqual((await exchange.head()).status, 200)
+            nursery.cancel_scope.cancel()
+
     def test_connections_that_wait_when_the_server_closes_are_refused_and_not_reset(self) -> None:
         """A host is stopped while it starts: nothing has been accepted, and callers have sent."""
         trio.run(self._stop_before_anything_is_accepted)
--- /dev/null
+++ b/yewloom/tests/test_early_listener.py
@@ -0,0 +1,119 @@
+"""Tests of the socket for callers while the program starts."""
+
+import signal
+import socket
+import time
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from yewloom.addresses import split_address
+from yewloom.early_listener import USUAL_WAIT_S, EarlyListener, listen
+from yewloom.tests.free_ports import free_address
+
+HEAD = b"POST /x HTTP/1.1\r\nhost: x.example\r\nContent-Length: 4\r\n"
+WHOLE = HEAD + b"\r\nbody"
+READ_BYTES = 1000
+ANSWER_LIMIT_S = 5.0
+"""Longest wait for an answer; reaching it fails a test."""
+
+
+class TestEarlyListener(unittest.TestCase):
+    """Who is refused before the program runs, and who waits for it."""
+
+    def setUp(self) -> None:
+        address = free_address()
+        self.address = split_address(address)
+        self.waited_s = 10.0
+        self.early = EarlyListener(listen(address), b"x-time-ms", lambda connection: self.waited_s)
+        self.addCleanup(self._close)
+
+    def _close(self) -> None:
+        listener, accepted = self.early.take_over()
+        for one in (listener, *accepted):
+            one.close()
+
+    @contextmanager
+    def _caller(self, data: bytes) -> Iterator[socket.socket]:
+        with socket.create_connection(self.address, timeout=ANSWER_LIMIT_S) as caller:
+            caller.sendall(data)
+            yield caller
+
+    def _read_all(self, caller: socket.socket) -> bytes:
+        answer = b""
+        while data := caller.recv(READ_BYTES):
+            answer += data
+        return answer
+
+    def test_a_request_that_has_come_whole_is_told_that_it_has_not_run(self) -> None:
+        with self._caller(WHOLE) as caller:
+            self.early.refuse_late()
+            answer = self._read_all(caller)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.assertIn(b"\r\nretry-after: 0.5\r\n", answer)
+        self.assertEqual((self.early.refused, self.early.errors), (1, []))
+
+    def test_a_request_that_has_come_in_part_is_kept_for_the_program_unread(self) -> None:
+        parts = (b"", HEAD, WHOLE[:-1], HEAD + b"Expect: 100-continue\r\n\r\nbody")
+        for data in parts:
+            with self.subTest(data=data), self._caller(data):
+                self.early.refuse_late()
+                _, accepted = self.early.take_over()
+                kept = accepted.pop()
+                self.addCleanup(kept.close)
+                if data:
+                    self.assertEqual(kept.recv(READ_BYTES), data)
+        self.assertEqual(self.early.refused, 0)
+
+    def test_a_request_whose_rest_comes_later_is_refused_then(self) -> None:
+        with self._caller(HEAD) as caller:
+            self.early.refuse_late()
+            caller.sendall(b"\r\nbody")
+            self.early.refuse_late()
+            self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+
+    def test_a_request_waits_for_a_part_of_its_time(self) -> None:
+        timed = HEAD + b"X-Time-Ms: 6000\r\n\r\nbody"
+        for data, limit_s in ((timed, 2.0), (WHOLE, USUAL_WAIT_S)):
+            with self.subTest(data=data), self._caller(data) as caller:
+                before = self.early.refused
+                self.waited_s = limit_s - 0.01
+                self.early.refuse_late()
+                self.assertEqual(self.early.refused, before)
+                self.waited_s = limit_s
+                self.early.refuse_late()
+                self.assertEqual(self.early.refused, before + 1)
+                self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+
+    def test_a_caller_that_left_is_forgotten(self) -> None:
+        with self._caller(b""):
+            pass
+        self.early.refuse_late()
+        self.assertEqual(self.early.take_over()[1], [])
+
+    def test_nobody_waits_for_a_program_that_takes_long_to_start(self) -> None:
+        """Guards against callers held by a host that can't read them yet."""
+        before = signal.getsignal(signal.SIGALRM)
+        self.addCleanup(signal.signal, signal.SIGALRM, before)
+        with self._caller(WHOLE) as caller:
+            self.early.start()
+            time.sleep(0.3)  # The program's imports.
+            self.early.take_over()
+            self.assertEqual(self.early.refused, 1)
+            self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+
+    def test_a_request_whose_age_the_system_does_not_tell_waits_from_when_it_is_seen(self) -> None:
+        self.waited_s = 0.0
+        with self._caller(HEAD + b"X-Time-Ms: 300\r\n\r\nbody") as caller:
+            self.early.refuse_late()
+            self.assertEqual(self.early.refused, 0)
+            time.sleep(0.1)  # A third of its time.
+            self.early.refuse_late()
+            self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+
+    def test_those_that_were_accepted_are_served_by_the_program(self) -> None:
+        with self._caller(HEAD):
+            self.early.refuse_late()
+        listener, accepted = self.early.take_over()
+        self.assertEqual(len(accepted), 1)
+        self.assertGreaterEqual(listener.fileno(), 0)
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -14,6 +14,7 @@
 import trio
 
 from yewloom.addresses import split_address
+from yewloom.early_listener import WAIT_SHARE
 from yewloom.tests.soak.balancer import Balancer
 from yewloom.tests.soak.callers import Caller
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, configuration
@@ -61,6 +62,12 @@
 SLOWEST_SHARE = 0.1
 """Part of the time for which the slowest process runs."""
 
+SLOW_START_SHARE = 0.03
+"""Part of the time for which a process runs whose start takes longer than callers wait."""
+
+SLOW_ANSWER_S = 0.8
+"""Time in which such a process, which runs ten times a second, answers once it means to."""
+
 Series = Sequence[signal.Signals]
 
 
@@ -251,6 +258,26 @@
 
         run(test)
 
+    def test_a_caller_that_connects_while_a_host_starts_slowly_does_not_wait_for_it(self) -> None:
+        """Guards against callers held by a host that can't read them yet."""
+
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            await _start_anew(entry)
+            await _wait_until_it_listens(entry)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_slow_down, entry, SLOW_START_SHARE)
+                for kind in (Kind.SAFE, Kind.UNSAFE):
+                    sent = await world.ask(entry, kind)
+                    self.assertEqual(sent.status, 503)
+                    assert sent.ended_s is not None
+                    limit_s = sent.deadline_s * WAIT_SHARE + SLOW_ANSWER_S
+                    self.assertLess(sent.ended_s - sent.sent_s, limit_s)
+                self.assertNotIn('"event": "started"', entry.log.read_text())
+                nursery.cancel_scope.cancel()
+
+        run(test)
+
     def test_a_stop_while_the_host_starts_answers_callers_that_wait(self) -> None:
         async def test(world: World) -> None:
             entry = world.fleet.entries[0]
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -229,13 +229,9 @@
         self.ledger.disturbances.append(Disturbance(0.0, 1.05))
         self.assertEqual(self._promises(), [])
 
-    def test_a_request_whose_deadline_passed_before_its_process_had_started(self) -> None:
-        """Nobody could read it; a process that started in time owes it an answer."""
+    def test_a_request_whose_deadline_passed_while_its_process_started(self) -> None:
+        """Guards against callers held by a host that can't read them yet."""
         self._add_silent(waited_s=5.0).deadline_s = 4.0
-        for began_s, promises in ((4.9, ["unanswered"]), (5.0, [])):
-            self.ledger.began_s["e/1"] = began_s
-            self.assertEqual(self._promises(), promises)
-        del self.ledger.began_s["e/1"]
         self.assertEqual(self._promises(), ["unanswered"])
 
     def test_a_close_by_a_planned_stop_may_only_cross_a_request(self) -> None:
