Count a request's time from when it came, not from when it was read

What callers saw: with a deadline of 1 s and a host that stood still for 1.5 s or 3 s, requests ran 0.5 s and 2 s after their deadline, an unsafe one after its caller had given it up.

Cause: the time of a request began when it was read; what it had waited for in the socket's queue or buffer was given to it anew.

Ruled out: the loop's lateness as the only measure (where the system tells the age of a connection's newest bytes, it is exact; an estimate refuses requests that had time left); to judge keys by the earlier time too (where it is an estimate it may lie before the sending, and make the configuration look fresher than it was).

Change: a request counts from when its first bytes may have come: by TCP_INFO, or, on a system that always tells zero, by how long the loop was held up, which an instrument of trio measures. Time over: 503, not run, come back at once. Else the endpoint is given the rest. The request's line tells what it waited (waited_ms); a line "loop held up" tells of every hold-up of 0.1 s and more, and how much of it was the loop's own work, which the traces beside load lacked.

Measured, tests before and after: held up for 1.5 s and 3 s with 1 s, each kind of request: 200 and ran; 503 and not run. Read 0.5 s late with 1.5 s: 1,459 ms passed on; 1,020 ms at most.

--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -8,6 +8,7 @@
 from yewloom.caller_messages import CallerGoneError, CallerRequest, Handler, Handlers, Reply
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import READ_BYTES
+from yewloom.socket_ages import ReadAges
 
 logger = structlog.get_logger(__name__)
 
@@ -34,11 +35,14 @@
         stream: trio.abc.HalfCloseableStream,
         handlers: Handlers,
         limits: CallerLimits,
+        ages: ReadAges,
     ) -> None:
         self._activity = activity
         self._stream = stream
         self._handlers = handlers
         self._limits = limits
+        self._ages = ages
+        self._arrived_s: float | None = None  # The next request's first bytes.
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -83,12 +87,15 @@
 
     def _request(self, head: h11.Request, body: bytes) -> CallerRequest:
         self._requests += 1
+        read_s = trio.current_time()
+        arrived_s, self._arrived_s = self._arrived_s, None
         return CallerRequest(
             head.method,
             head.target,
             list(head.headers),
             body,
-            trio.current_time(),
+            read_s if arrived_s is None else arrived_s,
+            read_s,
             self._requests,
             self._activity.stopping_ms(),
         )
@@ -109,9 +116,15 @@
             except trio.BrokenResourceError:
                 return False
         if data:
-            self._connection.receive_data(bytes(data))
+            self._take(data)
         return bool(data)
 
+    def _take(self, data: bytes | bytearray) -> None:
+        """Take in bytes that were just read; the first ones tell when their request came."""
+        if self._arrived_s is None and data:
+            self._arrived_s = trio.current_time() - self._ages.of(self._stream)
+        self._connection.receive_data(bytes(data))
+
     async def _read_body(self) -> bytes | None:
         body = bytearray()
         while True:
@@ -135,7 +148,7 @@
                     data = await self._stream.receive_some(READ_BYTES)
                 except trio.BrokenResourceError as error:
                     raise CallerGoneError from error
-                self._connection.receive_data(bytes(data))
+                self._take(data)
             if timer.cancelled_caught:
                 raise h11.RemoteProtocolError("the request stopped", error_status_hint=408)
 
@@ -174,7 +187,7 @@
                 scope.cancel()
                 return
             held += len(data)
-            self._connection.receive_data(bytes(data))
+            self._take(data)
 
     async def _refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close."""
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -18,8 +18,9 @@
 class CallerRequest:
     """A whole request of a caller; header names are in lower case.
 
-    ``number_on_connection`` is 1 for the first request of a connection; ``stopping_ms`` is how long
-    the host had been stopping when the request was read, or None.
+    ``arrived_s`` is when its first bytes may have come at the earliest, ``read_s`` when it was read
+    whole. ``number_on_connection`` is 1 for the first request of a connection; ``stopping_ms`` is
+    how long the host had been stopping when the request was read, or None.
     """
 
     method: bytes
@@ -27,6 +28,7 @@
     headers: Sequence[Header]
     body: bytes
     arrived_s: float
+    read_s: float
     number_on_connection: int
     stopping_ms: int | None
 
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -16,6 +16,7 @@
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import CallerGoneError, Handlers
 from yewloom.configuration import CallerLimits
+from yewloom.socket_ages import ReadAges
 
 logger = structlog.get_logger(__name__)
 
@@ -23,9 +24,15 @@
 class CallerServer:
     """Accepts callers' connections and hands their requests to handlers."""
 
-    def __init__(self, handlers: Handlers, limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self,
+        handlers: Handlers,
+        limits: Callable[[], CallerLimits],
+        ages: ReadAges | None = None,
+    ) -> None:
         self._handlers = handlers
         self._limits = limits
+        self._ages = ages or ReadAges()
         self.activity = CallerActivity()
         self._accepting = trio.CancelScope()
         self._listener: socket.socket | None = None
@@ -97,7 +104,9 @@
             await self._serve_connection(stream)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = CallerConnection(self.activity, stream, self._handlers, self._limits())
+        connection = CallerConnection(
+            self.activity, stream, self._handlers, self._limits(), self._ages
+        )
         try:
             await connection.run()
         except CallerGoneError:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -30,6 +30,7 @@
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
 from yewloom.key_trust import KeyTrust
+from yewloom.loop_lateness import LoopLateness
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_configurations import PeerConfigurations
 from yewloom.peer_intake import PeerIntake
@@ -43,6 +44,7 @@
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.selection import Selector
 from yewloom.shutdown import Shutdown
+from yewloom.socket_ages import ReadAges
 from yewloom.stalls import StallDetector
 from yewloom.store_retries import StoreRetries
 
@@ -66,9 +68,11 @@
         metrics: ForwardMetrics,
         rng: random.Random,
         listener: EarlyListener | None = None,
+        lateness: LoopLateness | None = None,
     ) -> None:
         self._settings = settings
         self._listener = listener
+        self._lateness = lateness or LoopLateness()
         self._parts = parts
         self._metrics = metrics
         self._book = ConfigurationBook()
@@ -101,7 +105,9 @@
         )
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(
-            Handlers(self._handle, self._forwarder.refuse), self._caller_limits
+            Handlers(self._handle, self._forwarder.refuse),
+            self._caller_limits,
+            ReadAges(self._lateness.late_s),
         )
         self._coordinator = self._build_coordinator()
         self._followed_endpoints = FollowedPosition()
@@ -245,6 +251,8 @@
         each, which a slow host does not have.
         """
         self._started_s = trio.current_time()
+        self._lateness.begin()
+        trio.lowlevel.add_instrument(self._lateness)
         async with trio.open_nursery() as nursery:
             await self._start(nursery)
             logger.info("started", data_centre=self._settings.host.data_centre)
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -80,7 +80,7 @@
         try:
             marks = self._admission.marks(source)
             request = self._admission.admit(source, reply, marks)
-            self._retries.on_request(request.wanted.service, source.arrived_s)
+            self._retries.on_request(request.wanted.service, source.read_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
             outcome = refusal.reason
@@ -189,7 +189,7 @@
         now_s = trio.current_time()
         took_ms = round((now_s - source.arrived_s) * 1000)
         if request is not None and outcome == ANSWERED:
-            self._choice.durations.note(request.route.name, now_s - source.arrived_s)
+            self._choice.durations.note(request.route.name, now_s - source.read_s)
         kind = request.route.kind.value if request is not None else "none"
         self._metrics.on_request(kind, reply.status, outcome, took_ms / 1000)
         logger.info(
@@ -199,6 +199,7 @@
             outcome=outcome,
             status=reply.status,
             took_ms=took_ms,
+            waited_ms=round((source.read_s - source.arrived_s) * 1000),
             first_ms=_since_ms(source, request),
             attempts=_attempts_text(request),
             number_on_connection=source.number_on_connection,
--- /dev/null
+++ b/yewloom/loop_lateness.py
@@ -0,0 +1,68 @@
+"""How late the loop is with what it reads: a process that stood still finds old bytes waiting.
+
+Signals, the system's scheduler and long work hold a loop up, and what arrives meanwhile is read
+afterwards as if it were new. Times are seconds of the system: whatever clock a run has, trio tells
+in them how long it waits for events at most.
+"""
+
+import time
+from collections.abc import Callable
+
+import structlog
+import trio
+
+logger = structlog.get_logger(__name__)
+
+LEAST_S = 0.1
+"""Shortest time of being held up that counts: a pass of a busy host takes some milliseconds."""
+
+CATCH_UP_S = 0.25
+"""Longest time for which a loop reads what had waited, once it runs again."""
+
+IDLE_S = 0.001
+"""Wait for events after which a loop has caught up: nothing was left to read."""
+
+
+class LoopLateness(trio.abc.Instrument):
+    """Measures by how much the loop was held up; to be added to the run as an instrument."""
+
+    def __init__(self, clock_s: Callable[[], float] = time.perf_counter) -> None:
+        self._clock_s = clock_s
+        self._pass_began_s = clock_s()
+        self._wait_began_s = 0.0
+        self._held_up_since_s: float | None = None
+        self._ran_again_s = 0.0
+
+    def begin(self) -> None:
+        """Take in that the loop begins."""
+        self._pass_began_s = self._clock_s()
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Take in that the loop has done its work and waits for events, for some time at most."""
+        self._wait_began_s = self._clock_s()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Take in that events came or the time is over, and that a pass begins."""
+        now_s = self._clock_s()
+        waited_s = now_s - self._wait_began_s
+        worked_s = self._wait_began_s - self._pass_began_s
+        late_s = worked_s + max(0.0, waited_s - timeout)
+        if late_s >= LEAST_S:
+            if self._held_up_since_s is None:
+                self._held_up_since_s = self._pass_began_s
+            self._ran_again_s = now_s
+            logger.info("loop held up", late_ms=_ms(late_s), worked_ms=_ms(worked_s))
+        elif waited_s >= IDLE_S:
+            self._held_up_since_s = None
+        self._pass_began_s = now_s
+
+    def late_s(self) -> float:
+        """Return how long ago what is read now may have come; zero unless the loop was held up."""
+        now_s = self._clock_s()
+        if self._held_up_since_s is None or now_s - self._ran_again_s > CATCH_UP_S:
+            return 0.0
+        return now_s - self._held_up_since_s
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -20,6 +20,10 @@
 DEFAULT_DEADLINE_MS = 60000
 """Time left to a request whose caller names none; the route's own limit is usually shorter."""
 
+AT_ONCE_S = 0.0
+"""When a caller should come back whose time was over when its request was read, if it still waits:
+the host has caught up by then."""
+
 
 class RequestAdmission:
     """Finds a request's route and customer, or refuses it."""
@@ -65,7 +69,7 @@
     def _find_customer(
         self, configuration: Configuration, key: str, source: CallerRequest
     ) -> CustomerId:
-        if not self._key_trust.may_accept(source.arrived_s):
+        if not self._key_trust.may_accept(source.read_s):
             raise self._unproved("keys", source)
         customer = configuration.customers.get(key)
         if customer is None:
@@ -74,12 +78,12 @@
 
     def _refusal_of_unknown(self, status: int, reason: str, source: CallerRequest) -> Refusal:
         """Return a refusal for good, or one for now if a newer configuration may know better."""
-        if self._key_trust.may_refuse(source.arrived_s):
+        if self._key_trust.may_refuse(source.read_s):
             return Refusal(status, reason)
         return self._unproved(f"{reason}; configuration", source)
 
     def _unproved(self, what: str, source: CallerRequest) -> Refusal:
-        age_s = self._book.age_s(source.arrived_s)
+        age_s = self._book.age_s(source.read_s)
         return Refusal(503, f"{what} {age_s:.1f} s old", NOT_READY_RETRY_AFTER_S)
 
     def _build(
@@ -92,7 +96,9 @@
         customer: CustomerId | None,
     ) -> ForwardRequest:
         deadline_ms = marks.deadline_ms if marks.deadline_ms is not None else DEFAULT_DEADLINE_MS
-        limit_ms = min(deadline_ms, route.timeout_ms)
+        ends_s = source.arrived_s + min(deadline_ms, route.timeout_ms) / 1000 - ANSWER_MARGIN_S
+        if source.arrived_s < source.read_s and ends_s <= source.read_s:
+            raise Refusal(503, "read too late", AT_ONCE_S)
         wanted = Wanted(self._selector.service_of(route), marks.model)
         return ForwardRequest(
             source=source,
@@ -102,7 +108,7 @@
             route=route,
             wanted=wanted,
             customer=customer,
-            ends_s=source.arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S,
+            ends_s=ends_s,
             record=AttemptRecord(route),
             cursor=StreamCursor(marks.last_event_id),
         )
--- a/yewloom/socket_ages.py
+++ b/yewloom/socket_ages.py
@@ -6,6 +6,7 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from typing import Protocol
 
 _INFO_BYTES = 104
@@ -34,3 +35,24 @@
     except (OSError, struct.error):
         return 0.0
     return float(age_ms) / 1000
+
+
+class ReadAges:
+    """How long ago what is read now may have come.
+
+    The system's word counts where it gives one; elsewhere ``late_s`` does, which tells for how long
+    the reader was held up.
+    """
+
+    def __init__(self, late_s: Callable[[], float] = lambda: 0.0) -> None:
+        self._late_s = late_s
+        self._is_told = False
+
+    def of(self, stream: object) -> float:
+        """Return the age of the newest bytes of a stream; without a socket it has none."""
+        connection = getattr(stream, "socket", None)
+        if connection is None:
+            return 0.0
+        age_s = received_ago_s(connection)
+        self._is_told = self._is_told or age_s > 0
+        return age_s if self._is_told else self._late_s()
--- a/yewloom/tests/caller_support.py
+++ b/yewloom/tests/caller_support.py
@@ -11,6 +11,7 @@
 from yewloom.caller_messages import CallerGoneError, CallerRequest, Handlers, Reply
 from yewloom.configuration import CallerLimits
 from yewloom.planned_stop import BALANCER_NOTICE_S
+from yewloom.socket_ages import ReadAges
 
 STREAM, PLAIN = "/stream", "/plain"
 
@@ -85,7 +86,9 @@
         return Caller(ours)
 
     async def _serve(self, stream: MemoryStream) -> None:
-        connection = CallerConnection(self.activity, stream, Handlers(self._handle), CallerLimits())
+        connection = CallerConnection(
+            self.activity, stream, Handlers(self._handle), CallerLimits(), ReadAges()
+        )
         with trio.CancelScope() as scope:
             self._running.add(scope)
             with suppress(CallerGoneError):
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -210,6 +211,23 @@
 
     async def send(self, stream: trio.SocketStream, path: str, **headers: str) -> h11.Connection:
         """Send a request on a connection."""
+        connection, data = self._request(path, headers)
+        await stream.send_all(data)
+        return connection
+
+    async def ask_held_up(self, path: str, held_up_s: float, **headers: str) -> Answer:
+        """Send a request to a host that is held up before it can read it, and read the answer."""
+        connection, data = self._request(path, headers)
+        caller = socket.create_connection(self.address)
+        caller.sendall(data)
+        time.sleep(held_up_s)  # noqa: ASYNC251 - nothing of the host runs meanwhile
+        caller.setblocking(False)
+        return await self.read(
+            trio.SocketStream(trio.socket.from_stdlib_socket(caller)), connection
+        )
+
+    def _request(self, path: str, headers: dict[str, str]) -> tuple[h11.Connection, bytes]:
+        """Return a request's bytes, and the connection that reads its answer."""
         connection = h11.Connection(h11.CLIENT)
         sent = {
             "host": "x.example",
@@ -221,8 +239,7 @@
         request = h11.Request(method="POST", target=path, headers=list(sent.items()))
         data = connection.send(request) or b""
         data += connection.send(h11.Data(data=b"abc")) or b""
-        await stream.send_all(data + (connection.send(h11.EndOfMessage()) or b""))
-        return connection
+        return connection, data + (connection.send(h11.EndOfMessage()) or b"")
 
     async def read(self, stream: trio.SocketStream, connection: h11.Connection) -> Answer:
         """Read an answer until its end or the connection's."""
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -16,8 +16,20 @@
     Reply,
 )
 from yewloom.configuration import CallerLimits
+from yewloom.socket_ages import ReadAges
 from yewloom.tests.caller_support import PLAIN, STREAM, Caller, Server, request_bytes
 
+OLD_S = 2.0
+"""Time for which bytes had waited before they were read."""
+
+
+class _OldBytes(ReadAges):
+    """All bytes had waited for a time."""
+
+    def of(self, stream: object) -> float:
+        """Return that time."""
+        return OLD_S
+
 
 def run_once(test: Callable[..., Awaitable[None]], *arguments: object) -> None:
     """Run a test on a clock that jumps, within a generous time of that clock."""
@@ -66,7 +78,9 @@
         async def test() -> None:
             ours, theirs = trio.testing.memory_stream_pair()
             handlers = Handlers(handle)
-            connection = CallerConnection(CallerActivity(), theirs, handlers, CallerLimits())
+            connection = CallerConnection(
+                CallerActivity(), theirs, handlers, CallerLimits(), ReadAges()
+            )
             await ours.send_all(b"GET /1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.run)
@@ -87,7 +101,9 @@
         async def test() -> None:
             ours, theirs = trio.testing.lockstep_stream_pair()
             handlers, began_s = Handlers(handle), trio.current_time()
-            connection = CallerConnection(CallerActivity(), theirs, handlers, CallerLimits())
+            connection = CallerConnection(
+                CallerActivity(), theirs, handlers, CallerLimits(), ReadAges()
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ours.send_all, request_bytes("/1"))
                 with trio.fail_after(2 * SEND_LIMIT_S):
@@ -96,6 +112,38 @@
 
         run_once(test)
 
+    def test_a_request_counts_from_when_its_first_bytes_may_have_come(self) -> None:
+        taken: list[tuple[float, float]] = []
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            taken.append((request.arrived_s, request.read_s))
+            await trio.sleep(1.0)
+            await reply.send_whole(200, [], b"")
+
+        async def test() -> None:
+            began_s = trio.current_time()
+            ours, theirs = trio.testing.memory_stream_pair()
+            connection = CallerConnection(
+                CallerActivity(), theirs, Handlers(handle), CallerLimits(), _OldBytes()
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                await trio.sleep(5.0)
+                first = request_bytes("/1")
+                await ours.send_all(first[:10])
+                await trio.sleep(1.0)
+                await ours.send_all(first[10:])
+                await trio.sleep(0.5)
+                await ours.send_all(request_bytes("/2"))  # While the first is answered.
+                await trio.sleep(3.0)
+                await ours.aclose()
+            expected = [(5.0 - OLD_S, 6.0), (6.5 - OLD_S, 7.0)]
+            for found, times_s in zip(taken, expected, strict=True):
+                for found_s, expected_s in zip(found, times_s, strict=True):
+                    self.assertAlmostEqual(found_s - began_s, expected_s)
+
+        run_once(test)
+
     async def _cut_off(self, answer: Callable[[Reply], Awaitable[None]]) -> None:
         """Answer a caller that reads nothing of the end of an answer until it was cut off."""
         asked: list[str] = []
@@ -106,7 +154,9 @@
                 await answer(reply)
 
         ours, theirs = trio.testing.lockstep_stream_pair()
-        connection = CallerConnection(CallerActivity(), theirs, Handlers(handle), CallerLimits())
+        connection = CallerConnection(
+            CallerActivity(), theirs, Handlers(handle), CallerLimits(), ReadAges()
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ours.send_all, request_bytes("/1") + request_bytes("/2"))
             if answer.__name__ == "streamed":
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -1,5 +1,6 @@
 """Tests of an entry host as a real process: signals while it starts, serves and stops."""
 
+import itertools
 import signal
 import tempfile
 import unittest
@@ -62,6 +63,12 @@
 SLOWEST_SHARE = 0.1
 """Part of the time for which the slowest process runs."""
 
+SHORT_DEADLINE_S = 1.0
+"""Time of a request that a process stands still for longer than."""
+
+LONG_PATIENCE_S = 5.0
+"""Time for which a caller waits beyond that, to see what becomes of its request."""
+
 SLOW_START_SHARE = 0.03
 """Part of the time for which a process runs whose start takes longer than callers wait."""
 
@@ -258,6 +265,28 @@
 
         run(test)
 
+    def test_a_request_that_waits_past_its_deadline_in_a_process_that_stands_still(self) -> None:
+        """Guards against late requests that run: an unsafe one after its caller gave it up."""
+
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            for kind, held_up_s in itertools.product(Kind, (1.5, 3.0)):
+                async with trio.open_nursery() as nursery:
+                    sent: list[Sent] = []
+                    entry.signal(signal.SIGSTOP)
+                    nursery.start_soon(self._ask_into, world, entry, sent, kind)
+                    await trio.sleep(held_up_s)
+                    entry.signal(signal.SIGCONT)
+                self.assertEqual([s.status for s in sent], [503], f"{kind} {held_up_s}")
+                self.assertEqual(world.fleet.ledger.runs.get(sent[0].request_id, []), [])
+
+        with (
+            mock.patch("yewloom.tests.soak.callers.DEADLINE_S", SHORT_DEADLINE_S),
+            mock.patch("yewloom.tests.soak.callers.PATIENCES_S", (LONG_PATIENCE_S,)),
+            mock.patch("yewloom.tests.test_entry_process.TIMEOUT_S", SHORT_DEADLINE_S),
+        ):
+            run(test)
+
     def test_a_caller_that_connects_while_a_host_starts_slowly_does_not_wait_for_it(self) -> None:
         """Guards against callers held by a host that can't read them yet."""
 
@@ -301,8 +330,10 @@
             entry.signal(signal.SIGTERM)
         self.assertEqual([s for s in sent if s.status is None], [])
 
-    async def _ask_into(self, world: World, entry: EntryProcess, sent: list[Sent]) -> None:
-        sent.append(await world.ask(entry))
+    async def _ask_into(
+        self, world: World, entry: EntryProcess, sent: list[Sent], kind: Kind = Kind.STREAM
+    ) -> None:
+        sent.append(await world.ask(entry, kind))
 
     def test_more_signals_beside_a_stop_change_nothing(self) -> None:
         hang_up, stop = signal.SIGHUP, signal.SIGTERM
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -24,6 +24,9 @@
     run,
 )
 
+TICK_MS = 20
+"""Steps in which the system tells how long bytes have waited, with some to spare."""
+
 
 class TestPlainForwarding(unittest.TestCase):
     """Requests to plain services."""
@@ -68,6 +71,30 @@
 
         run(test)
 
+    def test_a_request_that_is_read_after_its_deadline_runs_nowhere(self) -> None:
+        """Guards against work that nobody waits for, behind a host that was held up."""
+
+        async def test(fixture: Fixture) -> None:
+            endpoint = Endpoint(answer_ok)
+            await fixture.add_plain("p", endpoint)
+            for path in ("/u/1", "/r/1"):
+                answer = await fixture.ask_held_up(path, 0.5, yewloom_deadline_ms="300")
+                self.assertEqual(answer.status, 503)
+            self.assertEqual(endpoint.requests, [])
+
+        run(test)
+
+    def test_a_request_that_is_read_late_is_given_the_rest_of_its_time(self) -> None:
+        async def test(fixture: Fixture) -> None:
+            endpoint = Endpoint(answer_ok)
+            await fixture.add_plain("p", endpoint)
+            answer = await fixture.ask_held_up("/u/1", 0.5, yewloom_deadline_ms="1500")
+            self.assertEqual(answer.status, 200)
+            left_ms = int(dict(endpoint.requests[0].headers)[b"yewloom-deadline-ms"])
+            self.assertLessEqual(left_ms, 1000 + TICK_MS)
+
+        run(test)
+
     def test_a_refusal_names_when_to_come_back(self) -> None:
         async def test(fixture: Fixture) -> None:
             await fixture.add_plain("p", Endpoint(refuse_as_full))
--- a/yewloom/tests/test_key_trust.py
+++ b/yewloom/tests/test_key_trust.py
@@ -49,7 +49,7 @@
         """Return how a request is answered that comes at some time."""
         headers = [(b"host", b"x.example"), (b"authorization", f"Token {key}".encode())]
         headers.append((b"yewloom-request-id", b"r1"))
-        source = CallerRequest(b"POST", path.encode(), headers, b"", at_s, 1, None)
+        source = CallerRequest(b"POST", path.encode(), headers, b"", at_s, at_s, 1, None)
         try:
             self._admission.admit(source, mock.Mock(Reply), self._admission.marks(source))
         except Refusal as refusal:
