Let yewloomd count a request's time from when it may have come

What callers saw: a host that was held up gave X-Timeout-Ms anew to each request that had waited meanwhile, and ran requests whose time was over.

Ruled out: the age of the connection's newest bytes; hypercorn does not hand its sockets out. The loop's lateness stands in, as on a system that tells no ages.

Change: yewloomd measures its loop too, and a request whose time is over is refused as not run.

Measured: the unit test, with the loop late by 1.5 s: 1,500 ms are refused as read after the deadline, 2,000 ms go on. Without the change the lateness is not looked at, and the first is answered as any other.

--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -210,7 +210,7 @@
             service=service,
             call=call,
             deadline_s=min(
-                deadline_s(request, self._node.settings.requests.timeout_ms),
+                self._deadline_s(request),
                 trio.current_time() + row.timeout_ms / 1000,
             ),
             is_unsafe=key is not None or is_marked_unsafe(request) or is_unsafe_path(row, path),
@@ -304,10 +304,15 @@
             prompt=completion.prompt,
             max_tokens=completion.max_tokens,
             session=f"{customer}/{session}",
-            deadline_s=deadline_s(request, self._node.settings.requests.timeout_ms),
+            deadline_s=self._deadline_s(request),
             is_unsafe="idempotency-key" in request.headers or is_marked_unsafe(request),
         )
 
+    def _deadline_s(self, request: Request) -> float:
+        """Return when a request must have ended; what it waited for unread is gone."""
+        node = self._node
+        return deadline_s(request, node.settings.requests.timeout_ms, node.lateness.late_s())
+
     def _count_problem(self, customer: CustomerId, problem: Problem) -> None:
         self._count(customer, problem.outcome)
         if problem.status == OVERLOADED_STATUS:
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -69,6 +69,7 @@
     async def run(self, signals: ProcessSignals) -> None:
         """Run until a signal asks for a planned stop and work in progress has ended."""
         settings = self._settings
+        self._node.lateness.watch_this_run()
         # Calls to the platform and probes never wait for a connection behind callers' streams.
         control = HttpCaller(settings.requests.connect_timeout_ms / 1000)
         serving = HttpCaller(settings.requests.connect_timeout_ms / 1000)
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -251,8 +251,7 @@
         each, which a slow host does not have.
         """
         self._started_s = trio.current_time()
-        self._lateness.begin()
-        trio.lowlevel.add_instrument(self._lateness)
+        self._lateness.watch_this_run()
         async with trio.open_nursery() as nursery:
             await self._start(nursery)
             logger.info("started", data_centre=self._settings.host.data_centre)
--- a/yewloom/headers.py
+++ b/yewloom/headers.py
@@ -6,20 +6,27 @@
 from starlette.requests import Request
 
 from yewloom.ids import CustomerId, IdempotencyKey, RequestId
-from yewloom.problems import bad_request
+from yewloom.problems import bad_request, unavailable
 from yewloom.schema.table_pb2 import ServiceRow
+from yewloom.states import Outcome
 
 MAX_KEY_CHARACTERS = 200
 
 _TRUE_WORDS = {"1", "true", "yes"}
 
 
-def deadline_s(request: Request, longest_ms: int) -> float:
-    """Return the time by which a request must have ended, on the runtime's clock."""
+def deadline_s(request: Request, longest_ms: int, late_s: float) -> float:
+    """Return the time by which a request must have ended, on the runtime's clock.
+
+    ``late_s`` is how long ago it may have come. Raises Problem if nobody waits for it any more.
+    """
     text = request.headers.get("x-timeout-ms", "")
     if text and not (text.isdecimal() and 0 < int(text) <= longest_ms):
         raise bad_request(f"X-Timeout-Ms must be a whole number from 1 to {longest_ms}.")
-    return trio.current_time() + (int(text) if text else longest_ms) / 1000
+    left_s = (int(text) if text else longest_ms) / 1000 - late_s
+    if left_s <= 0:
+        raise unavailable("The request was read after its deadline.", Outcome.NOT_RUN)
+    return trio.current_time() + left_s
 
 
 def new_request_id() -> RequestId:
--- a/yewloom/loop_lateness.py
+++ b/yewloom/loop_lateness.py
@@ -24,7 +24,7 @@
 
 
 class LoopLateness(trio.abc.Instrument):
-    """Measures by how much the loop was held up; to be added to the run as an instrument."""
+    """Measures by how much the loop was held up."""
 
     def __init__(self, clock_s: Callable[[], float] = time.perf_counter) -> None:
         self._clock_s = clock_s
@@ -33,9 +33,10 @@
         self._held_up_since_s: float | None = None
         self._ran_again_s = 0.0
 
-    def begin(self) -> None:
-        """Take in that the loop begins."""
+    def watch_this_run(self) -> None:
+        """Begin to measure the loop of the run that this is called in, until its end."""
         self._pass_began_s = self._clock_s()
+        trio.lowlevel.add_instrument(self)
 
     def before_io_wait(self, timeout: float) -> None:
         """Take in that the loop has done its work and waits for events, for some time at most."""
--- a/yewloom/node.py
+++ b/yewloom/node.py
@@ -10,6 +10,7 @@
 from yewloom.fleet import Fleet
 from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.limits import ShareBook
+from yewloom.loop_lateness import LoopLateness
 from yewloom.membership import Membership
 from yewloom.metrics import Metrics
 from yewloom.prefixes import PrefixIndex
@@ -48,6 +49,7 @@
     metrics: Metrics
     rng: random.Random
     work: Work = field(default_factory=Work)
+    lateness: LoopLateness = field(default_factory=LoopLateness)
     has_table: bool = False
     experiments: defaultdict[str, ExperimentRecord] = field(
         default_factory=lambda: defaultdict(ExperimentRecord)
--- a/yewloom/tests/test_callers.py
+++ b/yewloom/tests/test_callers.py
@@ -15,6 +15,7 @@
 from yewloom.dispatch import Dispatcher
 from yewloom.idempotency import IdempotentRunner
 from yewloom.ids import AttemptId, CustomerId
+from yewloom.loop_lateness import LoopLateness
 from yewloom.node import build_node
 from yewloom.places import Places
 from yewloom.retries import RetryBudget
@@ -44,13 +45,15 @@
             self.body += message.get("body", b"")
 
 
-def _post(path: str, body: Any, share: int = 5, **headers: str) -> _Sent:
-    """Send one request to an entry host that sees no open group."""
+def _post(
+    path: str, body: Any, share: int = 5, late_s: float | None = None, **headers: str
+) -> _Sent:
+    """Send one request to an entry host that sees no open group, and is late if that is said."""
 
     async def scenario() -> _Sent:
         sent = _Sent()
         async with trio.open_nursery() as nursery:
-            application = _interface(nursery, share).application()
+            application = _interface(nursery, share, late_s).application()
             await application(_scope(path, headers), _receiver(body), sent.send)
             nursery.cancel_scope.cancel()
         return sent
@@ -58,8 +61,22 @@
     return run_on_mock_clock(scenario)
 
 
-def _interface(nursery: trio.Nursery, share: int) -> CallerInterface:
+class _Late(LoopLateness):
+    """A loop that was held up for a time."""
+
+    def __init__(self, late_s: float) -> None:
+        super().__init__()
+        self._held_up_s = late_s
+
+    def late_s(self) -> float:
+        """Return that time."""
+        return self._held_up_s
+
+
+def _interface(nursery: trio.Nursery, share: int, late_s: float | None) -> CallerInterface:
     node = build_node(parse_settings(SETTINGS, "test").unwrap(), random.Random(1), 1)
+    if late_s is not None:
+        node.lateness = _Late(late_s)
     customer = CustomerRow(key_digest=hashlib.sha256(KEY.encode()).hexdigest(), weight=1)
     rows = {
         "policy/p": Row(policy=make_policy()),
@@ -138,6 +155,15 @@
         self._check(_post("/services/other/x", {}), 404)
         self._check(_post("/nowhere", {}), 404)
 
+    def test_a_request_that_was_read_after_its_deadline(self) -> None:
+        """Guards against work that nobody waits for, behind a host that was held up."""
+        for path, body in (("/v1/chat/completions", CHAT), ("/services/s/u", {})):
+            sent = _post(path, body, late_s=1.5, x_timeout_ms="1500")
+            self._check(sent, 503)
+            self.assertIn(b"after its deadline", sent.body)
+            sent = _post(path, body, late_s=1.5, x_timeout_ms="2000")
+            self.assertNotIn(b"after its deadline", sent.body)
+
     def test_a_customer_without_a_share_is_told_when_to_come_back(self) -> None:
         for body in (CHAT, {**CHAT, "stream": True}):
             sent = _post("/v1/chat/completions", body, share=0)
