Count what a peer reports of groups from when its message may have come

What callers could see: a host that stood still for seconds read its peers' messages of that time and took them for news. A group that is well again was avoided for 2 s and looked at, and the word that a group moves held for one that stands still. Found by reading; no caller was seen to be harmed.

Cause: reports counted from when the message was read, with 0.1 s for reading late at most.

Ruled out: the time at which a message was heard, which decides whether a peer's load counts: counted from the beginning of a standstill it would drop all peers until their next message, and what it keeps wrongly is gone after a second. The configuration's age: it counts from this host's own message that the peer had read.

Change: the exchange hands on when a message may have come at the earliest, by the loop's lateness, and reports count from then. An older word never replaces a newer one.

Measured: the test failed on the code before (it had no such time: a word read 5 s late proved movement 5 s later).

--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -6,7 +6,7 @@
 """
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import structlog
 import trio
@@ -34,7 +34,10 @@
 
 
 class EntryExchange:
-    """Tells the peers what this host knows, and takes in what they tell."""
+    """Tells the peers what this host knows, and takes in what they tell.
+
+    ``late_s`` returns how long ago a message that is read now may have come.
+    """
 
     def __init__(
         self,
@@ -43,12 +46,14 @@
         duty: FollowDuty,
         own_state: OwnState,
         intake: PeerIntake,
+        late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._addresses = addresses
         self._board = board
         self._duty = duty
         self._own_state = own_state
         self._intake = intake
+        self._late_s = late_s
         self._turns = PeerTurns()
         self._newcomers: set[EntryHostId] = set()
         self._has_news = trio.Event()
@@ -142,9 +147,11 @@
     async def _receive(self) -> None:
         while True:
             await trio.lowlevel.wait_readable(self._socket)
+            now_s = trio.current_time()
+            came_s = now_s - self._late_s()
             for message in self._read_waiting():
                 self._learn_address(message.state)
-                self._intake.take(message, trio.current_time())
+                self._intake.take(message, now_s, came_s)
 
     def _learn_address(self, state: EntryState) -> None:
         """Take in where a peer reads that did not know this host yet; it is told soon."""
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -232,7 +232,14 @@
             PeerReports(self._stalls, self._selector),
             self._configuration_follower.list_anew,
         )
-        return EntryExchange(self._build_addresses(), self._board, self._duty, own_state, intake)
+        return EntryExchange(
+            self._build_addresses(),
+            self._board,
+            self._duty,
+            own_state,
+            intake,
+            self._lateness.late_s,
+        )
 
     def _build_addresses(self) -> EntryAddresses:
         own = PeerAddress(self._settings.host.peer_address, self._me.data_centre)
--- a/yewloom/peer_intake.py
+++ b/yewloom/peer_intake.py
@@ -38,26 +38,29 @@
         self._read_configuration = read_configuration
         self._asked_for_version = 0
 
-    def take(self, message: EntryMessage, now_s: float) -> None:
-        """Take in a message that came at ``now_s``."""
+    def take(self, message: EntryMessage, now_s: float, came_s: float) -> None:
+        """Take in a message that is read at ``now_s`` and came at ``came_s`` at the earliest.
+
+        What it reports of groups counts from then: by now it may be long over.
+        """
         match message.WhichOneof("content"):
             case "state":
-                self._take_state(message.state, now_s)
+                self._take_state(message.state, now_s, came_s)
             case "changes":
                 self._take_told(message.changes)
 
-    def _take_state(self, state: EntryState, now_s: float) -> None:
+    def _take_state(self, state: EntryState, now_s: float, came_s: float) -> None:
         words = self._board.take(state, now_s)
         if words.configuration is not None:
             self._take_configuration_word(words.configuration)
         if words.listing is not None:
             self._followed_endpoints.on_word(words.listing.word, words.listing.confirmed_s, now_s)
         for head in state.stalled:
-            self._reports.stands_still(HostId(head), now_s)
+            self._reports.stands_still(HostId(head), came_s)
         for head in state.unreachable:
-            self._reports.is_unreachable(HostId(head), now_s)
+            self._reports.is_unreachable(HostId(head), came_s)
         for group in state.moving:
-            self._reports.moves(HostId(group.leader), group.age_ms / 1000, now_s)
+            self._reports.moves(HostId(group.leader), group.age_ms / 1000, came_s)
 
     def _take_configuration_word(self, word: ConfigurationWord) -> None:
         current = self._book.current
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -40,8 +40,8 @@
 """Time for which an event of a group is news to peers: the pause between two messages to them."""
 
 READ_LATE_S = 0.1
-"""Time by which a message of a peer is read late at most: the way, and a loop on a slow host that
-has other work."""
+"""Time by which a message of a peer is read late at most by a loop that was not held up: the way,
+and other work on a slow host."""
 
 
 @dataclass
@@ -65,7 +65,7 @@
     def add(self, head: HostId, now_s: float) -> bool:
         """Take in a report; tell whether it is news."""
         is_news = not self.has(head, now_s)
-        self._reported_s[head] = now_s
+        self._reported_s[head] = max(now_s, self._reported_s.get(head, now_s))
         return is_news
 
     def has(self, head: HostId, now_s: float) -> bool:
@@ -146,7 +146,8 @@
 
     def move_by_peer(self, head: HostId, age_s: float, now_s: float) -> None:
         """Take in that another entry host saw a group move some time before it told of that."""
-        self._moved_by_peers_s[head] = now_s - age_s - READ_LATE_S
+        moved_s = now_s - age_s - READ_LATE_S
+        self._moved_by_peers_s[head] = max(moved_s, self._moved_by_peers_s.get(head, moved_s))
 
     def moving(self, now_s: float) -> dict[HostId, float]:
         """Return the heads that some host suspects and that this host saw move; how long ago."""
--- a/yewloom/tests/test_peer_reports.py
+++ b/yewloom/tests/test_peer_reports.py
@@ -51,10 +51,10 @@
     def _note_news(self) -> None:
         self.news += 1
 
-    def tell(self, other: "Host", now_s: float) -> None:
-        """Send the other host a message; both have one clock here."""
+    def tell(self, other: "Host", now_s: float, read_late_s: float = 0.0) -> None:
+        """Send the other host a message, which it may read late; both have one clock here."""
         sent = EntryMessage(state=self._own.next(now_s)).SerializeToString()
-        other._intake.take(EntryMessage.FromString(sent), now_s)
+        other._intake.take(EntryMessage.FromString(sent), now_s + read_late_s, now_s)
 
 
 class TestSuspectedGroups(unittest.TestCase):
@@ -83,6 +83,17 @@
         self.peer.tell(self.me, 1.0 + MOVING_S + 0.1)  # Nothing has moved since.
         self.assertFalse(self.me.stalls.moved_since(HEAD, 1.0 - READ_LATE_S))
 
+    def test_a_word_that_a_host_reads_late_tells_of_nothing_later(self) -> None:
+        """Guards against old words that a host which stood still takes for new ones."""
+        self.me.stalls.report_unreachable(HEAD, 1.1)
+        self.me.tell(self.peer, 1.1)
+        self.peer.tell(self.me, 1.1, read_late_s=5.0)
+        self.assertFalse(self.me.stalls.moved_since(HEAD, 1.1))
+        self.peer.stalls.report(HEAD, 1.2)
+        self.peer.tell(self.me, 1.2, read_late_s=5.0)
+        self.assertEqual(self.me.stalls.suspected(2.1), {HEAD})
+        self.assertEqual(self.me.stalls.suspected(6.2), set())
+
     def test_a_stream_that_waits_for_its_first_event_moves_nothing(self) -> None:
         self.peer.stalls.on_end(HEAD)
         self.peer.stalls.on_begin(HEAD, 1.1)
