Let a watch prove its time only if its answer was not read late

What callers could see: a key that was taken away may have worked for up to a watch's time longer, behind a host that stood still while its watch was cut.

Cause: an empty answer to a watch proves that nothing changed for the whole time if the watch lasted as long, and that was measured until the answer was read. One that was cut early and read after a standstill counted as whole.

Ruled out: to trust no watch across a standstill (it would cost a listing where the beginning is proof enough).

Change: a watch has lasted until its answer may have come at the earliest, by the loop's lateness.

Measured: the test of it, an answer read after 3 s that may have come 2.5 s before: proved the watch's whole time before, its beginning now.

--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -18,6 +18,7 @@
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
 from yewloom.log_sink import LogSink, set_up_logs
+from yewloom.loop_lateness import LoopLateness
 from yewloom.platform.engines import HttpEngineOrders
 from yewloom.platform.headers import WireHeaders
 from yewloom.platform.records import StoreRecords
@@ -39,7 +40,10 @@
 
 
 def build_parts(
-    settings: EntrySettings, rng: random.Random, metrics: ForwardMetrics
+    settings: EntrySettings,
+    rng: random.Random,
+    metrics: ForwardMetrics,
+    lateness: LoopLateness,
 ) -> PlatformParts:
     """Return the platform's side of an entry host."""
     store, watch_s = settings.store, follow_times(settings).watch_s
@@ -51,6 +55,7 @@
         store.timeout_ms / 1000,
         rng,
         on_call=metrics.on_store_call,
+        late_s=lateness.late_s,
     )
     return PlatformParts(
         configuration=open_store(watch_s=watch_s),
@@ -86,7 +91,9 @@
             pass
     set_up_logs(settings.host.log_level, sink, settings.host.id)
     rng = random.Random()
-    host = EntryHost(settings, build_parts(settings, rng, metrics), metrics, rng, listener)
+    lateness = LoopLateness()
+    parts = build_parts(settings, rng, metrics, lateness)
+    host = EntryHost(settings, parts, metrics, rng, listener, lateness)
     _collect_garbage_from_now_on()
 
     def end_process() -> None:
--- a/yewloom/platform/store.py
+++ b/yewloom/platform/store.py
@@ -65,7 +65,10 @@
         watch_s: float = 1.0,
         allows_stale: bool = False,
         on_call: OnCall = lambda call, kind, answer: None,
+        late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        """Take ``late_s``, which returns how long ago an answer that is read now may have come."""
+        self._late_s = late_s
         self._on_call = on_call
         self._caller = caller
         self._url = f"http://{address}/objects/"
@@ -157,7 +160,8 @@
         removed = [f"{prefix}/{name}" for name, e in latest.items() if e["tombstone"]]
         objects = [_decode_object(prefix, item) for item in changed]
         # A watch that was cut before its time proves nothing beyond its beginning.
-        ended_empty = not latest and trio.current_time() - sent_s >= wait_s
+        lasted_s = trio.current_time() - self._late_s() - sent_s
+        ended_empty = not latest and lasted_s >= wait_s
         proved_after_s = wait_s if ended_empty else 0.0
         return Ok(Listing(objects, int(fields["storeRevision"]), removed, proved_after_s))
 
--- a/yewloom/tests/test_platform_adapter.py
+++ b/yewloom/tests/test_platform_adapter.py
@@ -282,6 +282,18 @@
         self.assertGreaterEqual(run_on_mock_clock(lambda: watch(1.0)), 0.75)
         self.assertEqual(run_on_mock_clock(lambda: watch(0.5)), 0.0)
 
+    def test_a_watch_whose_answer_was_read_late_proves_its_beginning(self) -> None:
+        """Guards against old words that a host which stood still takes for new ones."""
+
+        async def watch(late_s: float) -> float:
+            caller = _FakeCaller(_json(200, {"events": [], "storeRevision": 10}))
+            caller.pause_s = 3.0
+            store = ObjectStore(caller, "s:1", 1.0, RNG, watch_s=1.0, late_s=lambda: late_s)
+            return (await store.watch("k", 5)).unwrap().proved_after_s
+
+        self.assertGreaterEqual(run_on_mock_clock(lambda: watch(1.5)), 0.75)
+        self.assertEqual(run_on_mock_clock(lambda: watch(2.5)), 0.0)
+
     def test_the_first_write_creates_and_later_ones_name_the_revision(self) -> None:
         caller = _FakeCaller(_json(201, _object("a", 4)), _json(200, _object("a", 6)))
         store = ObjectStore(caller, "s:1", 1.0, RNG)
