Let an event that was read late prove no later movement

What callers could see: a host that stood still told its peers that a group moves now, by events that had waited in its sockets for seconds; a group that stands still since was kept. Its own standstill counted as pauses of the groups it has streams at, which then looked slow. Found by reading; no caller was seen to be harmed.

Cause: an event's time was that of reading, for the silence of a group as for its movement.

Ruled out: to count silence from when the event may have come, too: then a host that goes on sees all groups stand still at once.

Change: silence counts from reading, movement from when the event may have come, by the loop's lateness; a pause in which the loop was held up is not noted as the group's.

Measured: the test of it failed before (an event read 3 s late proved movement 3 s later).

--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -23,6 +23,7 @@
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, WholeAnswer
+from yewloom.loop_lateness import LoopLateness
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
 from yewloom.stalls import AVOID_STALLED_S, StallDetector
@@ -56,8 +57,10 @@
         metrics: ForwardMetrics,
         reachability: Reachability,
         choice: EndpointChoice,
+        lateness: LoopLateness,
     ) -> None:
         self._codec = codec
+        self._lateness = lateness
         self._reachability = reachability
         self._choice = choice
         self._selector = selector
@@ -188,9 +191,9 @@
             chunk = await self._unless_stalled(request, endpoint, exchange.next_chunk)
             if chunk is None:
                 break
-            now_s = trio.current_time()
-            self._stalls.on_event(endpoint.id, now_s)
-            if last_s is not None:
+            now_s, late_s = trio.current_time(), self._lateness.late_s()
+            self._stalls.on_event(endpoint.id, now_s, late_s)
+            if last_s is not None and not late_s:  # Else the pause was this host's own.
                 self._selector.paces.note(endpoint.id, now_s - last_s, now_s)
             last_s = now_s
             data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -148,7 +148,13 @@
             self._selector,
             retries,
             EndpointAttempts(
-                parts.codec, self._selector, self._stalls, self._metrics, self._reachability, choice
+                parts.codec,
+                self._selector,
+                self._stalls,
+                self._metrics,
+                self._reachability,
+                choice,
+                self._lateness,
             ),
             self._metrics,
             self._build_key_trust(),
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -46,7 +46,13 @@
 
 @dataclass
 class _Pace:
+    """How a group's streams move: ``read_s`` is when their newest event was read.
+
+    ``moved_s`` is when that event may have come at the earliest.
+    """
+
     streams: int = 0
+    read_s: float = 0.0
     moved_s: float = 0.0
     has_events: bool = False
 
@@ -99,13 +105,16 @@
         """Take in that a stream was opened."""
         pace = self._paces[head]
         if not pace.streams:
-            pace.moved_s, pace.has_events = now_s, False
+            pace.read_s, pace.moved_s, pace.has_events = now_s, now_s, False
         pace.streams += 1
 
-    def on_event(self, head: HostId, now_s: float) -> None:
-        """Take in that an event came."""
+    def on_event(self, head: HostId, now_s: float, late_s: float = 0.0) -> None:
+        """Take in an event that is read now and came ``late_s`` before at the earliest.
+
+        Silence counts from when it was read; it proves movement from when it may have come.
+        """
         pace = self._paces[head]
-        pace.moved_s, pace.has_events = now_s, True
+        pace.read_s, pace.moved_s, pace.has_events = now_s, now_s - late_s, True
 
     def on_end(self, head: HostId) -> None:
         """Take in that a stream is over."""
@@ -195,7 +204,7 @@
         if pace is None:
             return False
         is_told = self._still_by_peers.has(head, now_s)
-        return now_s - pace.moved_s >= (TOLD_QUIET_S if is_told else pace.quiet_limit_s)
+        return now_s - pace.read_s >= (TOLD_QUIET_S if is_told else pace.quiet_limit_s)
 
     def next_look_s(self, head: HostId, now_s: float) -> float:
         """Return when to ask again whether a group stands still, if nothing moves.
@@ -205,4 +214,4 @@
         pace = self._paces[head]
         if not pace.has_events:
             return now_s + LOOK_S
-        return max(pace.moved_s + pace.quiet_limit_s, now_s + LOOK_S)
+        return max(pace.read_s + pace.quiet_limit_s, now_s + LOOK_S)
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -20,6 +20,7 @@
 from yewloom.forwarding import Forwarder
 from yewloom.ids import EntryHostId
 from yewloom.key_trust import KeyTrust
+from yewloom.loop_lateness import LoopLateness
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform.headers import WireHeaders
 from yewloom.reachability import Reachability
@@ -147,6 +148,7 @@
         codec, metrics = WireHeaders(), ForwardMetrics()
         self.stop, self.metrics = PlannedStop(GRACE_S), metrics
         self.retries_left = 10.0
+        self.stalls, self.lateness = StallDetector(), LoopLateness()
         retries = RetryWindow(0.2, 10.0, lambda: self.retries_left)
         choice = self.choice = EndpointChoice(self.selector, retries, self.stop)
         self.forwarder = Forwarder(
@@ -154,7 +156,9 @@
             codec,
             self.selector,
             retries,
-            EndpointAttempts(codec, self.selector, StallDetector(), metrics, reachability, choice),
+            EndpointAttempts(
+                codec, self.selector, self.stalls, metrics, reachability, choice, self.lateness
+            ),
             metrics,
             KeyTrust(self.book, 5.0, 2.0, needs_proof=True),
             lambda: True,
@@ -169,6 +173,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to serve callers."""
         self._nursery = nursery
+        self.lateness.watch_this_run()
         self.book.apply(self.configuration, trio.current_time())
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.address = listeners[0].socket.getsockname()
--- a/yewloom/tests/test_stalls.py
+++ b/yewloom/tests/test_stalls.py
@@ -86,6 +86,17 @@
 class TestRestart(unittest.TestCase):
     """A head that started again is suspected of nothing."""
 
+    def test_an_event_that_was_read_late_proves_no_later_movement(self) -> None:
+        """Guards against old words that a host which stood still takes for new ones."""
+        stalls = StallDetector()
+        stalls.on_begin(HEAD, 0.0)
+        stalls.on_event(HEAD, 5.0, late_s=3.0)
+        self.assertFalse(stalls.moved_since(HEAD, 2.0))
+        self.assertTrue(stalls.moved_since(HEAD, 1.9))
+        self.assertFalse(stalls.is_stalled(HEAD, 5.0 + QUIET_S - 0.01))
+        stalls.report_unreachable_by_peer(HEAD, 5.0)
+        self.assertEqual(stalls.moving(5.0), {})
+
     def test_reports_of_the_earlier_process_count_no_more(self) -> None:
         stalls = StallDetector()
         for report in (
