Let a host that was held up blame others only the second time

What callers saw: behind a host that was held up for some tenths of a second, requests were refused with "no endpoint free" or sent once more, and streams left groups that were well; by its word peers avoided them too, and a coordinator could give a group up.

Cause: the time for a connection, for the next event and for an engine's word of itself went on while the host's own loop stood still, and the timer won over an answer that had come.

Three tests show each case on the code before: 503; stream cut off; suspected after one question.

Ruled out: to count only the time in which the loop ran (a host that is always late would find no dead endpoint); longer times.

Change: a host that was held up just before connects once more, looks at a silent group twice, and asks a member again, and then believes.

Measured: the three tests pass; their removals are noticed.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -73,4 +73,25 @@
         "now_s, now_s, True",
         "test_stalls",
     ),
+    Mutation(
+        "late: a held-up host connects once more",
+        "endpoint_attempts",
+        "error.failure is not ExchangeFailure.NOT_CONNECTED or not self._lateness.late_s()",
+        "True",
+        "test_forwarding",
+    ),
+    Mutation(
+        "late: a held-up host looks twice at a group that seems to stand still",
+        "endpoint_attempts",
+        "if is_stalled and not was_late and self._lateness.late_s():",
+        "if False:",
+        "test_forwarding",
+    ),
+    Mutation(
+        "late: a held-up coordinator asks a member again",
+        "stalled_groups",
+        "if report is None and self._late_s():",
+        "if False:",
+        "test_slow_engines",
+    ),
 )
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -87,7 +87,7 @@
     async def _try(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
         """Tell whether the answer is with the caller, and how the attempt ended."""
         try:
-            return await self._exchange(request, endpoint)
+            return await self._exchange_unless_late(request, endpoint)
         except ExchangeError as error:
             return False, self._note_failure(request, endpoint, error)
         except _Stalled:
@@ -96,6 +96,17 @@
         except StreamOrderError as error:
             return False, f"unreadable: {error}"
 
+    async def _exchange_unless_late(
+        self, request: ForwardRequest, endpoint: Endpoint
+    ) -> tuple[bool, str]:
+        """Connect once more if this host was held up meanwhile: that is no endpoint's fault."""
+        try:
+            return await self._exchange(request, endpoint)
+        except ExchangeError as error:
+            if error.failure is not ExchangeFailure.NOT_CONNECTED or not self._lateness.late_s():
+                raise
+        return await self._exchange(request, endpoint)
+
     def _note_failure(
         self, request: ForwardRequest, endpoint: Endpoint, error: ExchangeError
     ) -> str:
@@ -218,14 +229,18 @@
     ) -> T:
         """Run a step that may be cancelled and begun again.
 
-        Raises _Stalled when the group stands still and another one could go on.
+        Raises _Stalled when the group stands still and another one could go on. A host that was
+        held up looks twice: what came meanwhile may not have been read yet.
         """
         if not request.route.may_repeat:
             return await step()
+        was_late = False
         while True:
             look_s = self._stalls.next_look_s(endpoint.id, trio.current_time())
             with trio.move_on_at(look_s):
                 return await step()
             is_stalled = self._stalls.is_stalled(endpoint.id, trio.current_time())
-            if is_stalled and self._choice.has_another(request):
+            if is_stalled and not was_late and self._lateness.late_s():
+                was_late = True
+            elif is_stalled and self._choice.has_another(request):
                 raise _Stalled
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -182,6 +182,7 @@
             self._metrics,
             self._is_before_traffic,
             self._duty.is_mine,
+            self._lateness.late_s,
         )
 
     def _build_configuration_follower(self) -> Follower:
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -49,6 +49,7 @@
         metrics: ForwardMetrics,
         is_before_traffic: Callable[[], bool],
         may_lead: Callable[[], bool],
+        late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._data_centre = DataCentreId(settings.host.data_centre)
         self._book = book
@@ -61,7 +62,7 @@
         self._lease = LeaseRecord(settings, parts.records_store, parts.stale_store)
         self._placement = PlacementRecord(self._data_centre, parts.records_store)
         self._delivery = OrderDelivery(parts.orders, self._state, metrics)
-        self._stalled_groups = StalledGroups(directory, stalls, parts.orders, self._state)
+        self._stalled_groups = StalledGroups(directory, stalls, parts.orders, self._state, late_s)
         self._is_holding = False
         self._data_centres = 1
         self.is_leaving = False
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -1,6 +1,6 @@
 """The look at groups that may have lost a member: which of their members answer no more."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import structlog
@@ -55,7 +55,10 @@
         stalls: StallDetector,
         engine_orders: EngineOrders,
         state: PlanState,
+        late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        """Take ``late_s``, which is not zero if this host was held up just before."""
+        self._late_s = late_s
         self._directory = directory
         self._stalls = stalls
         self._engine_orders = engine_orders
@@ -131,6 +134,9 @@
         """
         asked_s = trio.current_time()
         report = await self._engine_orders.read_report(asked.address)
+        if report is None and self._late_s():
+            # The answer may have come while this host was held up.
+            report = await self._engine_orders.read_report(asked.address)
         if report is not None and is_same_process(report.started_unix_ms, asked.started_unix_ms):
             self._state.suspects.discard(asked.member)
             return
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -1,15 +1,19 @@
 """Tests of forwarding over real connections: what endpoints see and what callers are told."""
 
+import time
 import unittest
 from collections.abc import Callable
+from typing import Any
+from unittest import mock
 
 import h11
 import trio
 
+from yewloom.endpoint_calls import CONNECT_TIMEOUT_S
 from yewloom.ids import HostId
 from yewloom.planned_stop import STOP_MARGIN_S
 from yewloom.route_durations import LEAST
-from yewloom.stalls import QUIET_S
+from yewloom.stalls import LOOK_S, QUIET_S
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
     GRACE_S,
@@ -95,6 +99,26 @@
 
         run(test)
 
+    def test_a_host_that_was_held_up_takes_no_endpoint_to_be_out_of_reach(self) -> None:
+        """Guards against a host that takes its own standstill for the silence of others."""
+        connect, calls = trio.open_tcp_stream, list[int]()
+
+        async def connect_late(*where: Any, **options: Any) -> trio.SocketStream:
+            calls.append(1)
+            if len(calls) == 1:
+                time.sleep(2 * CONNECT_TIMEOUT_S)  # noqa: ASYNC251 - holds the host up
+                await trio.lowlevel.checkpoint()
+            return await connect(*where, **options)
+
+        async def test(fixture: Fixture) -> None:
+            await fixture.add_plain("p", Endpoint(answer_ok))
+            with mock.patch("yewloom.endpoint_calls.trio.open_tcp_stream", connect_late):
+                answer = await fixture.ask_held_up("/u/1", 0.0)
+            self.assertEqual((answer.status, len(calls)), (200, 2))
+            self.assertEqual(fixture.stalls.suspected(trio.current_time()), set())
+
+        run(test)
+
     def test_a_refusal_names_when_to_come_back(self) -> None:
         async def test(fixture: Fixture) -> None:
             await fixture.add_plain("p", Endpoint(refuse_as_full))
@@ -282,6 +306,30 @@
 
         run(test)
 
+    def test_a_host_that_was_held_up_takes_no_group_to_stand_still(self) -> None:
+        """Guards against a host that takes its own standstill for the silence of others."""
+
+        async def go_on_after_a_standstill(endpoint: Endpoint, request: h11.Request) -> None:
+            await endpoint.start(200)
+            await endpoint.send(event(1))
+            await trio.sleep(0.1)
+            time.sleep(QUIET_S)  # noqa: ASYNC251 - of the host, too
+            await trio.sleep(LOOK_S / 2)
+            await endpoint.send(event(2))
+            await endpoint.finish()
+
+        async def test(fixture: Fixture) -> None:
+            other = Endpoint(answer_ok)
+            await fixture.add_engine("a", Endpoint(go_on_after_a_standstill))
+            await fixture.add_engine("b", other)
+            fixture.selector.begin(HostId("b"))
+            answer = await fixture.ask("/s/1")
+            self.assertEqual((answer.body, answer.is_whole), (event(1) + event(2), True))
+            self.assertEqual(other.requests, [])
+            self.assertEqual(fixture.stalls.suspected(trio.current_time()), set())
+
+        run(test)
+
     def test_a_slow_stream_that_can_not_go_on_elsewhere_is_not_left(self) -> None:
         """A busy engine is silent for a second while retries are used up, or a stop is near."""
 
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -4,6 +4,7 @@
 each for as long as an answer may take, while the groups of others are to be repaired.
 """
 
+import functools
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -217,6 +218,26 @@
 
         _run(test)
 
+    def test_a_member_that_a_late_host_did_not_hear_is_asked_again(self) -> None:
+        """Guards against a host that takes its own standstill for the silence of others."""
+
+        async def test(tasks: BackgroundTasks) -> None:
+            for late_s, asked in ((0.0, 1), (2.0, 2)):
+                engines, state, stalls = Engines(), PlanState(), StallDetector()
+                group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+                group.members.add(host_id="dead", address="dead")
+                stalls.report(HostId("dead"), trio.current_time())
+                late = functools.partial(float, late_s)
+                groups = StalledGroups(EndpointDirectory(), stalls, engines, state, late)
+                groups.look([group], tasks)
+                await trio.sleep(REPORT_TIMEOUT_S * asked - 0.1)
+                self.assertEqual(state.suspects, set())
+                await trio.sleep(0.2)
+                self.assertEqual(state.suspects, {"dead"})
+                self.assertEqual(engines.asked, ["dead"] * asked)
+
+        _run(test)
+
     def test_a_member_that_started_again_does_not_answer_for_its_group(self) -> None:
         async def test(tasks: BackgroundTasks) -> None:
             engines, state, stalls = Engines(), PlanState(), StallDetector()
