Wait for the slow answer of a suspect

Cause: a member that gave no word of itself within 0.4 s became a suspect and was asked every 2 s with the same patience, so that engines which answer after 0.41 s served nobody for as long as they were slow.

Ruled out: a longer first question, which would replace dead members later.

Change: a suspect's word is waited for for 1.8 s of the 2 s until it is asked again.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -94,4 +94,11 @@
         "if False:",
         "test_slow_engines",
     ),
+    Mutation(
+        "late: a suspect's slow answer is waited for",
+        "stalled_groups",
+        "timeout_s=SUSPECT_REPORT_TIMEOUT_S,",
+        "",
+        "test_slow_engines",
+    ),
 )
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -11,7 +11,7 @@
 from yewloom.ids import HostId
 from yewloom.plan_state import PlanState, key_of
 from yewloom.process_starts import is_same_process
-from yewloom.replica_orders import EngineOrders
+from yewloom.replica_orders import REPORT_TIMEOUT_S, EngineOrders
 from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.stalls import StallDetector
 from yewloom.states import GroupIntent
@@ -22,6 +22,10 @@
 PROBE_AFTER_STALL_S = 2.0
 """Least pause between two looks at the members of a group that stands still."""
 
+SUSPECT_REPORT_TIMEOUT_S = 1.8
+"""Longest wait for the report of a suspect: it is asked again only after that, and one that answers
+slowly can still serve."""
+
 PROBE_UNLISTED_S = 0.8
 """Pause between two questions to a member that the store no longer lists."""
 
@@ -37,13 +41,15 @@
 class _Asked:
     """The process of an engine that is asked whether it still answers.
 
-    ``head`` leads the group that it is asked for, None if it is asked for itself.
+    ``head`` leads the group that it is asked for, None if it is asked for itself; ``timeout_s`` is
+    how long an answer is waited for.
     """
 
     member: HostId
     address: str
     started_unix_ms: int
     head: HostId | None = None
+    timeout_s: float = REPORT_TIMEOUT_S
 
 
 class StalledGroups:
@@ -89,9 +95,13 @@
             if endpoint is None:
                 self._state.suspects.discard(suspect)
             elif self._may_look(suspect, now_s, PROBE_AFTER_STALL_S):
-                self._start_probe(
-                    _Asked(suspect, endpoint.address, endpoint.started_unix_ms), tasks
+                asked = _Asked(
+                    suspect,
+                    endpoint.address,
+                    endpoint.started_unix_ms,
+                    timeout_s=SUSPECT_REPORT_TIMEOUT_S,
                 )
+                self._start_probe(asked, tasks)
 
     def _look_at_unlisted(self, group: Group, now_s: float, tasks: BackgroundTasks) -> None:
         """Ask members that the store lists no more; one cut off from the store may still work."""
@@ -133,10 +143,10 @@
         lose its group, while callers elsewhere have their streams at it.
         """
         asked_s = trio.current_time()
-        report = await self._engine_orders.read_report(asked.address)
+        report = await self._engine_orders.read_report(asked.address, asked.timeout_s)
         if report is None and self._late_s():
             # The answer may have come while this host was held up.
-            report = await self._engine_orders.read_report(asked.address)
+            report = await self._engine_orders.read_report(asked.address, asked.timeout_s)
         if report is not None and is_same_process(report.started_unix_ms, asked.started_unix_ms):
             self._state.suspects.discard(asked.member)
             return
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -7,6 +7,7 @@
 import functools
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import trio
 import trio.testing
@@ -28,10 +29,10 @@
     StageModel,
 )
 from yewloom.schema.records_pb2 import Group, GroupMember
-from yewloom.stalled_groups import StalledGroups
+from yewloom.stalled_groups import PROBE_AFTER_STALL_S, StalledGroups
 from yewloom.stalls import READ_LATE_S, StallDetector
 from yewloom.states import GroupIntent
-from yewloom.tests.entry_support import SMALL
+from yewloom.tests.entry_support import SMALL, make_engine
 
 ANSWER_S = 0.4
 """Time after which an engine that is dead counts as silent."""
@@ -218,6 +219,25 @@
 
         _run(test)
 
+    def test_a_suspect_that_answers_slowly_is_none_any_more(self) -> None:
+        """Guards against engines that serve nobody although they live, while all are slow."""
+
+        async def test(tasks: BackgroundTasks) -> None:
+            engines, state, directory = Engines(), PlanState(), EndpointDirectory()
+            for name in ("slow", "dead"):
+                directory.put(replace(make_engine(name), address=name))
+                state.suspects.add(HostId(name))
+            groups = StalledGroups(directory, StallDetector(), engines, state)
+            groups.look([], tasks)
+            await trio.sleep(SLOW_S + 0.1)
+            self.assertEqual(state.suspects, {"dead"})
+            await trio.sleep(PROBE_AFTER_STALL_S)
+            groups.look([], tasks)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(sorted(engines.asked), ["dead", "dead", "slow"])
+
+        _run(test)
+
     def test_a_member_that_a_late_host_did_not_hear_is_asked_again(self) -> None:
         """Guards against a host that takes its own standstill for the silence of others."""
 
