Ask in the soak that nothing runs after its deadline, and play long pauses

The soak had pauses, shorter than its requests' time, and no promise about what a host does with requests that waited meanwhile.

New mix "pauses": hosts stand still for 1 s to 7 s, in service and while they start.

Measured: its unit test.

--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -20,6 +20,7 @@
     LapseEntries,
     LoseEngine,
     PauseEntry,
+    PauseStartingEntry,
     ReloadEntry,
     SilenceStore,
     SpoilEntries,
@@ -123,12 +124,26 @@
 
 @happen.register
 async def _(fault: PauseEntry, fleet: Fleet, ledger: Ledger) -> None:
+    await _pause(fleet.entries[fault.entry], fault.for_s, ledger)
+
+
+@happen.register
+async def _(fault: PauseStartingEntry, fleet: Fleet, ledger: Ledger) -> None:
     entry = fleet.entries[fault.entry]
+    entry.signal(signal.SIGKILL)
+    with ledger.disturbing([entry.name]):
+        await _start_again(entry, 0.0)
+        await trio.sleep(fault.start_s)
+        await _pause(entry, fault.for_s, ledger)
+
+
+async def _pause(entry: EntryProcess, for_s: float, ledger: Ledger) -> None:
+    """Let a process stand still for a time."""
     life, begin_s = entry.life, trio.current_time()
     entry.signal(signal.SIGSTOP)
-    ledger.pauses[life].append(Disturbance(begin_s, begin_s + fault.for_s + PAUSE_SLACK_S))
+    ledger.pauses[life].append(Disturbance(begin_s, begin_s + for_s + PAUSE_SLACK_S))
     with ledger.disturbing([entry.name]):
-        await trio.sleep(fault.for_s)
+        await trio.sleep(for_s)
         entry.signal(signal.SIGCONT)
 
 
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -10,13 +10,15 @@
 class FaultMix(Enum):
     """What a soak plays: signals alone leave times calm, in which most is promised.
 
-    ``WAYS`` cuts engines off from some entry hosts, from the store, or from both.
+    ``WAYS`` cuts engines off from some entry hosts, from the store, or from both. ``PAUSES`` lets
+    hosts stand still for longer than requests have, also while they start.
     """
 
     FAULTS = "faults"
     SIGNALS = "signals"
     BOTH = "both"
     WAYS = "ways"
+    PAUSES = "pauses"
 
 
 class StoreFault(Enum):
@@ -67,6 +69,14 @@
     entry: int
 
 
+@dataclass(frozen=True)
+class PauseStartingEntry(Fault):
+    """An entry host is killed and started again, and stands still from ``start_s`` after that."""
+
+    entry: int
+    start_s: float
+
+
 @dataclass(frozen=True)
 class ReloadEntry(Fault):
     """An entry host is told that its settings changed."""
@@ -295,3 +305,19 @@
             [LoseEngine(at_s, for_s, few[0])],
         ]
     )
+
+
+def draw_pauses(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return pauses of entry hosts, most of them longer than requests have, which overlap."""
+    faults: list[Fault] = []
+    at_s = 1.0
+    while at_s < duration_s:
+        for_s, start_s = rng.uniform(1.0, 7.0), rng.uniform(0.05, 1.0)
+        entry = rng.randrange(entries)
+        pause, start = (
+            PauseEntry(at_s, for_s, entry),
+            PauseStartingEntry(at_s, for_s, entry, start_s),
+        )
+        faults.append(rng.choice([pause, pause, start]))
+        at_s += rng.uniform(0.5, 4.0)
+    return faults
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -41,6 +41,14 @@
 """Time before a deadline from which an end counts as the deadline's: a host gives requests up some
 40 ms before it, so that the caller still hears it."""
 
+OVERDUE_S = 0.5
+"""Time behind a request's deadline from which an endpoint must not begin to run it; from the
+platform's pages."""
+
+OWN_DELAY_S = 1.0
+"""Time before a run in which a hold-up of the soak's own process, which carries requests to
+endpoints and plays those, may have made it late."""
+
 STREAM_EVENTS = 5
 """Events of a whole stream of the shorter kind."""
 
@@ -127,6 +135,8 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     pauses: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     by_host: defaultdict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    own_delays: list[Disturbance] = field(default_factory=list)
+    """Times in which the soak's own process was held up."""
 
     @contextmanager
     def disturbing(self, hosts: Iterable[str]) -> Iterator[None]:
@@ -189,6 +199,19 @@
             yield Broken("refused", sent.request_id, f"{sent.status}, ran at {runs[0].endpoint}")
         if sent.status == 200 and sent.is_whole:
             yield from self._check_answer(sent, runs)
+        for run in runs:
+            if self._is_overdue(sent, run):
+                late_s = run.at_s - sent.sent_s - sent.deadline_s
+                detail = f"by {sent.host_life}, {late_s:.2f} s after its deadline"
+                yield Broken("overdue", sent.request_id, detail)
+
+    def _is_overdue(self, sent: Sent, run: Ran) -> bool:
+        """Tell whether an endpoint began to run a request that nobody waits for any more."""
+        if run.at_s <= sent.sent_s + sent.deadline_s + OVERDUE_S:
+            return False
+        return not any(
+            _overlaps(span, run.at_s - OWN_DELAY_S, run.at_s) for span in self.own_delays
+        )
 
     def _check_answer(self, sent: Sent, runs: list[Ran]) -> Iterable[Broken]:
         if sent.stamp not in {run.endpoint for run in runs}:
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -14,7 +14,14 @@
 from yewloom.tests.soak.balancer import Balancer
 from yewloom.tests.soak.callers import STREAM_DEADLINE_S, Caller
 from yewloom.tests.soak.fault_play import play
-from yewloom.tests.soak.faults import Fault, FaultMix, draw_faults, draw_signals, draw_way_faults
+from yewloom.tests.soak.faults import (
+    Fault,
+    FaultMix,
+    draw_faults,
+    draw_pauses,
+    draw_signals,
+    draw_way_faults,
+)
 from yewloom.tests.soak.fleet import Fleet
 from yewloom.tests.soak.ledger import Broken, Kind, Ledger
 from yewloom.tests.soak.loop_lag import LoopLag
@@ -52,6 +59,8 @@
         """Return what is to happen; the faults of a seed are the same with signals and without."""
         if self.mix is FaultMix.WAYS:
             return draw_way_faults(rng, self.duration_s, self.entries, self.engines)
+        if self.mix is FaultMix.PAUSES:
+            return draw_pauses(rng, self.duration_s, self.entries)
         faults = draw_faults(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.FAULTS:
             return faults
@@ -76,6 +85,7 @@
     """Run one soak."""
     folder = Path(tempfile.mkdtemp(prefix=f"yewloom-soak-{plan.seed}-"))
     ledger, lag = Ledger(), LoopLag()
+    ledger.own_delays = lag.held_up
     trio.run(_soak, plan, folder, ledger, lag)
     broken = ledger.check()
     if not broken:
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -31,6 +31,7 @@
     LAST_WORK_S,
     NOTICE_S,
     NOTICE_SLACK_S,
+    OVERDUE_S,
     REGRESSION_S,
     REVOCATION_S,
     Disturbance,
@@ -229,6 +230,18 @@
         self.ledger.disturbances.append(Disturbance(0.0, 1.05))
         self.assertEqual(self._promises(), [])
 
+    def test_a_request_that_runs_after_its_deadline(self) -> None:
+        """Guards against late requests that run, behind a host that stood still."""
+        sent = replace(_sent("a", sent_s=1.0), deadline_s=4.0)
+        for late_s, promises in ((OVERDUE_S - 0.1, []), (OVERDUE_S + 0.1, ["overdue"])):
+            self.setUp()
+            self._add(sent, replace(_ran(sent), at_s=5.0 + late_s))
+            self.assertEqual(self._promises(), promises)
+        self.ledger.disturbances.append(Disturbance(0.0, 9.0))
+        self.assertEqual(self._promises(), ["overdue"])
+        self.ledger.own_delays.append(Disturbance(5.3, 5.5))
+        self.assertEqual(self._promises(), [])
+
     def test_a_request_whose_deadline_passed_while_its_process_started(self) -> None:
         """Guards against callers held by a host that can't read them yet."""
         self._add_silent(waited_s=5.0).deadline_s = 4.0
