Ask a group once more whose members are all silent before it is given up

Cause: a group that stands still is given up if a member gives no word of itself within 0.4 s. Engines that are all slow are late with events and with that word alike.

Ruled out: a longer first question for all: a single dead member of a group whose others answer is the usual loss, and its replacement waits.

Change: if none of several members answers, all are asked once more, for 1.8 s, before any is suspected. A group lost whole frees no host.

Measured: the test failed before; its removal is noticed.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -90,7 +90,7 @@
     Mutation(
         "late: a held-up coordinator asks a member again",
         "stalled_groups",
-        "if report is None and self._late_s():",
+        "if self._late_s():",
         "if False:",
         "test_slow_engines",
     ),
@@ -101,4 +101,11 @@
         "",
         "test_slow_engines",
     ),
+    Mutation(
+        "late: a group whose members are all silent is asked again",
+        "stalled_groups",
+        "if look is not None and look.is_all_silent:",
+        "if False:",
+        "test_slow_engines",
+    ),
 )
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -1,6 +1,7 @@
 """The look at groups that may have lost a member: which of their members answer no more."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from functools import partial
 
 import structlog
@@ -11,7 +12,7 @@
 from yewloom.ids import HostId
 from yewloom.plan_state import PlanState, key_of
 from yewloom.process_starts import is_same_process
-from yewloom.replica_orders import REPORT_TIMEOUT_S, EngineOrders
+from yewloom.replica_orders import REPORT_TIMEOUT_S, EngineOrders, EngineReport
 from yewloom.schema.records_pb2 import Group, GroupMember
 from yewloom.stalls import StallDetector
 from yewloom.states import GroupIntent
@@ -23,8 +24,8 @@
 """Least pause between two looks at the members of a group that stands still."""
 
 SUSPECT_REPORT_TIMEOUT_S = 1.8
-"""Longest wait for the report of a suspect: it is asked again only after that, and one that answers
-slowly can still serve."""
+"""Longest wait for the report of a suspect, and of a group's members that are all silent: a suspect
+is asked again only after that, and one that answers slowly can still serve."""
 
 PROBE_UNLISTED_S = 0.8
 """Pause between two questions to a member that the store no longer lists."""
@@ -37,18 +38,32 @@
     member: HostId
 
 
+@dataclass
+class _GroupLook:
+    """A look at the members of a group; ``heard`` tells whether any has answered."""
+
+    head: HostId
+    members: int
+    heard: bool = False
+
+    @property
+    def is_all_silent(self) -> bool:
+        """Tell whether several were asked and none has answered."""
+        return self.members > 1 and not self.heard
+
+
 @value_class
 class _Asked:
     """The process of an engine that is asked whether it still answers.
 
-    ``head`` leads the group that it is asked for, None if it is asked for itself; ``timeout_s`` is
-    how long an answer is waited for.
+    ``look`` is the one at its group, None if it is asked for itself; ``timeout_s`` is how long an
+    answer is waited for.
     """
 
     member: HostId
     address: str
     started_unix_ms: int
-    head: HostId | None = None
+    look: _GroupLook | None = None
     timeout_s: float = REPORT_TIMEOUT_S
 
 
@@ -127,10 +142,10 @@
 
     def _look_at_members(self, group: Group, tasks: BackgroundTasks) -> None:
         logger.info("group stands still", group=str(key_of(group)))
-        head = HostId(group.members[0].host_id)
+        look = _GroupLook(HostId(group.members[0].host_id), len(group.members))
         for member in group.members:
             host = HostId(member.host_id)
-            self._start_probe(_Asked(host, member.address, member.started_unix_ms, head), tasks)
+            self._start_probe(_Asked(host, member.address, member.started_unix_ms, look), tasks)
 
     def _start_probe(self, asked: _Asked, tasks: BackgroundTasks) -> None:
         tasks.start(_Question(asked.member), partial(self._probe, asked))
@@ -142,18 +157,34 @@
         that all members work. Without that a leader out of reach of its coordinator alone would
         lose its group, while callers elsewhere have their streams at it.
         """
-        asked_s = trio.current_time()
-        report = await self._engine_orders.read_report(asked.address, asked.timeout_s)
-        if report is None and self._late_s():
-            # The answer may have come while this host was held up.
-            report = await self._engine_orders.read_report(asked.address, asked.timeout_s)
+        asked_s, look = trio.current_time(), asked.look
+        report = await self._ask(asked)
         if report is not None and is_same_process(report.started_unix_ms, asked.started_unix_ms):
             self._state.suspects.discard(asked.member)
             return
-        is_seen = asked.head is not None and self._stalls.moved_since(asked.head, asked_s)
+        is_seen = look is not None and self._stalls.moved_since(look.head, asked_s)
         if report is None and is_seen:
             logger.info("member silent to this host alone", engine=asked.member)
             return
         reason = "no answer" if report is None else "started again"
         logger.info("member silent", engine=asked.member, reason=reason)
         self._state.suspects.add(asked.member)
+
+    async def _ask(self, asked: _Asked) -> EngineReport | None:
+        """Return a member's word of itself; None if it does not give it, asked twice if need be.
+
+        If all members of a group are silent, none is there to be used elsewhere soon. All may be
+        slow, so the second answer is waited for longer.
+        """
+        report = await self._engine_orders.read_report(asked.address, asked.timeout_s)
+        look = asked.look
+        if report is not None:
+            if look is not None:
+                look.heard = True
+            return report
+        if look is not None and look.is_all_silent:
+            return await self._engine_orders.read_report(asked.address, SUSPECT_REPORT_TIMEOUT_S)
+        if self._late_s():
+            # The answer may have come while this host was held up.
+            return await self._engine_orders.read_report(asked.address, asked.timeout_s)
+        return None
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -29,7 +29,11 @@
     StageModel,
 )
 from yewloom.schema.records_pb2 import Group, GroupMember
-from yewloom.stalled_groups import PROBE_AFTER_STALL_S, StalledGroups
+from yewloom.stalled_groups import (
+    PROBE_AFTER_STALL_S,
+    SUSPECT_REPORT_TIMEOUT_S,
+    StalledGroups,
+)
 from yewloom.stalls import READ_LATE_S, StallDetector
 from yewloom.states import GroupIntent
 from yewloom.tests.entry_support import SMALL, make_engine
@@ -219,6 +223,28 @@
 
         _run(test)
 
+    def test_members_that_are_all_slow_are_not_suspected(self) -> None:
+        """Guards against groups given up, streams and all, while all engines are slow."""
+
+        async def test(tasks: BackgroundTasks) -> None:
+            for members, suspects in (
+                (("slow", "slow"), set()),
+                (("slow", "a"), {"slow-0"}),
+                (("dead", "dead"), {"dead-0", "dead-1"}),
+            ):
+                engines, state, stalls = Engines(), PlanState(), StallDetector()
+                group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+                for number, address in enumerate(members):
+                    group.members.add(host_id=f"{address}-{number}", address=address)
+                stalls.report(HostId(f"{members[0]}-0"), trio.current_time())
+                StalledGroups(EndpointDirectory(), stalls, engines, state).look([group], tasks)
+                await trio.sleep(REPORT_TIMEOUT_S + 0.1)
+                self.assertEqual(state.suspects, suspects if "a" in members else set())
+                await trio.sleep(SUSPECT_REPORT_TIMEOUT_S)
+                self.assertEqual(state.suspects, suspects)
+
+        _run(test)
+
     def test_a_suspect_that_answers_slowly_is_none_any_more(self) -> None:
         """Guards against engines that serve nobody although they live, while all are slow."""
 
