Let an earlier hold-up of the loop count only until it has caught up

Found in the reading of the diff: a loop that is busy without a rest kept the beginning of its first hold-up, so that a second one, however much later, made everything read then look as old as the first. Where the system tells no ages, requests would have been refused as read too late.

Measured: two tests, failed before (100 passes of 0.2 s: late by 20 s).

--- a/yewloom/loop_lateness.py
+++ b/yewloom/loop_lateness.py
@@ -6,11 +6,14 @@
 """
 
 import time
+from collections import deque
 from collections.abc import Callable
 
 import structlog
 import trio
 
+from yewloom.values import value_class
+
 logger = structlog.get_logger(__name__)
 
 LEAST_S = 0.1
@@ -23,6 +26,14 @@
 """Wait for events after which a loop has caught up: nothing was left to read."""
 
 
+@value_class
+class _HoldUp:
+    """A time in which the loop read nothing."""
+
+    began_s: float
+    ended_s: float
+
+
 class LoopLateness(trio.abc.Instrument):
     """Measures by how much the loop was held up."""
 
@@ -30,8 +41,9 @@
         self._clock_s = clock_s
         self._pass_began_s = clock_s()
         self._wait_began_s = 0.0
-        self._held_up_since_s: float | None = None
-        self._ran_again_s = 0.0
+        self._hold_ups: deque[_HoldUp] = (
+            deque()
+        )  # Those from which the loop may not have caught up.
 
     def watch_this_run(self) -> None:
         """Begin to measure the loop of the run that this is called in, until its end."""
@@ -49,20 +61,18 @@
         worked_s = self._wait_began_s - self._pass_began_s
         late_s = worked_s + max(0.0, waited_s - timeout)
         if late_s >= LEAST_S:
-            if self._held_up_since_s is None:
-                self._held_up_since_s = self._pass_began_s
-            self._ran_again_s = now_s
+            self._hold_ups.append(_HoldUp(self._pass_began_s, now_s))
             logger.info("loop held up", late_ms=_ms(late_s), worked_ms=_ms(worked_s))
         elif waited_s >= IDLE_S:
-            self._held_up_since_s = None
+            self._hold_ups.clear()
         self._pass_began_s = now_s
 
     def late_s(self) -> float:
         """Return how long ago what is read now may have come; zero unless the loop was held up."""
         now_s = self._clock_s()
-        if self._held_up_since_s is None or now_s - self._ran_again_s > CATCH_UP_S:
-            return 0.0
-        return now_s - self._held_up_since_s
+        while self._hold_ups and now_s - self._hold_ups[0].ended_s > CATCH_UP_S:
+            self._hold_ups.popleft()
+        return now_s - self._hold_ups[0].began_s if self._hold_ups else 0.0
 
 
 def _ms(seconds: float) -> int:
--- a/yewloom/tests/test_loop_lateness.py
+++ b/yewloom/tests/test_loop_lateness.py
@@ -56,6 +56,18 @@
             self._work(SHORT_S)
         self.assertEqual(self.lateness.late_s(), 0.0)
 
+    def test_a_loop_that_is_held_up_in_each_pass_is_late_by_the_latest_ones(self) -> None:
+        for _ in range(100):
+            self._work(2 * LEAST_S)
+        self.assertLessEqual(self.lateness.late_s(), CATCH_UP_S + 2 * LEAST_S)
+
+    def test_a_hold_up_long_after_another_one_counts_alone(self) -> None:
+        self._work(HELD_UP_S)
+        for _ in range(100):
+            self._work(SHORT_S)
+        self._work(2 * LEAST_S)
+        self.assertAlmostEqual(self.lateness.late_s(), 2 * LEAST_S)
+
     def test_short_work_is_not_late(self) -> None:
         self._work(SHORT_S)
         self.assertEqual(self.lateness.late_s(), 0.0)
