Let the soak's new promise ask for time that a host gave without having it

Trace, by the host's log: a stream left a group that stood still at 28.220 s, 0.11 s before its own end, was handed to another group with what was left, and ended at 28.329 s of the host's clock, 39 ms before its deadline; no loop was held up, and the soak's endpoints, which took 0.4 s to 0.9 s for requests that work for 0.03 s, began to run it after that.

The fault that it guards against (a request read late and given its whole time anew) is still found; its test says both.

--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -239,6 +239,10 @@
             self.assertEqual(self._promises(), promises)
         self.ledger.disturbances.append(Disturbance(0.0, 9.0))
         self.assertEqual(self._promises(), ["overdue"])
+        for left_s, promises in ((OVERDUE_S, []), (OVERDUE_S + 0.1, ["overdue"])):
+            self.setUp()
+            self._add(sent, replace(_ran(sent), at_s=5.6, left_s=left_s))
+            self.assertEqual(self._promises(), promises)
         for delay, promises in (
             (Disturbance(4.0, 5.05), ["overdue"]),
             (Disturbance(4.0, 5.15), []),
