--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -42,8 +42,8 @@
 40 ms before it, so that the caller still hears it."""
 
 OVERDUE_S = 0.5
-"""Time behind a request's deadline from which an endpoint must not begin to run it, and longest time
-that may be given to one beyond what is left; from the platform's pages."""
+"""Time behind a request's deadline from which an endpoint must not begin to run it, and longest
+time that may be given to one beyond what is left; from the platform's pages."""
 
 STREAM_EVENTS = 5
 """Events of a whole stream of the shorter kind."""
