--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -87,7 +87,7 @@
     async def _try(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
         """Tell whether the answer is with the caller, and how the attempt ended."""
         try:
-            return await self._exchange_unless_late(request, endpoint)
+            return await self._exchange_again_if_late(request, endpoint)
         except ExchangeError as error:
             return False, self._note_failure(request, endpoint, error)
         except _Stalled:
@@ -96,7 +96,7 @@
         except StreamOrderError as error:
             return False, f"unreadable: {error}"
 
-    async def _exchange_unless_late(
+    async def _exchange_again_if_late(
         self, request: ForwardRequest, endpoint: Endpoint
     ) -> tuple[bool, str]:
         """Connect once more if this host was held up meanwhile: that is no endpoint's fault."""
