--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -73,6 +73,7 @@
         self._deadline = re.compile(_DEADLINE % re.escape(deadline_header), re.IGNORECASE)
         self._waited_s = waited_s
         self._seen_s: dict[socket.socket, float] = {}  # Accepted connections, and since when.
+        self._has_timer = False
         self.refused = 0
         self.errors: list[OSError] = []
 
@@ -81,12 +82,14 @@
         signal.signal(signal.SIGALRM, self._on_alarm)
         try:
             signal.setitimer(signal.ITIMER_REAL, LOOK_S, LOOK_S)
+            self._has_timer = True
         except OSError as error:
             self.errors.append(error)  # Callers wait for the program, as they do on a quick start.
 
     def take_over(self) -> tuple[socket.socket, list[socket.socket]]:
         """Return the socket, and the connections that were accepted but not answered."""
-        signal.setitimer(signal.ITIMER_REAL, 0)
+        if self._has_timer:
+            signal.setitimer(signal.ITIMER_REAL, 0)
         return self._listener, list(self._seen_s)
 
     def refuse_late(self) -> None:
--- a/yewloom/tests/test_early_listener.py
+++ b/yewloom/tests/test_early_listener.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
+from unittest import mock
 
 from yewloom.addresses import split_address
 from yewloom.early_listener import USUAL_WAIT_S, EarlyListener, listen
@@ -102,6 +103,15 @@
             self.assertEqual(self.early.refused, 1)
             self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
 
+    def test_a_system_without_the_timer_lets_callers_wait_and_the_program_start(self) -> None:
+        before = signal.getsignal(signal.SIGALRM)
+        self.addCleanup(signal.signal, signal.SIGALRM, before)
+        error = OSError("no timer")
+        with mock.patch("yewloom.early_listener.signal.setitimer", side_effect=error):
+            self.early.start()
+            self.early.take_over()
+        self.assertEqual(self.early.errors, [error])
+
     def test_a_request_whose_age_the_system_does_not_tell_waits_from_when_it_is_seen(self) -> None:
         self.waited_s = 0.0
         with self._caller(HEAD + b"X-Time-Ms: 300\r\n\r\nbody") as caller:
