Name in the log what was asked when an attempt fails

The line of a failed attempt now carries a fingerprint of host name, target, customer and body. Hypotheses that it tells apart: the same request comes again and is new to every host; retries within a try alone do it; unrelated endpoints end.

--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -21,6 +21,7 @@
 )
 from yewloom.endpoint_choice import EndpointChoice
 from yewloom.event_stream import EventSplitter, StreamOrderError
+from yewloom.fingerprints import fingerprint_text
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, WholeAnswer
 from yewloom.loop_lateness import LoopLateness
@@ -78,6 +79,7 @@
             logger.info(
                 "attempt failed",
                 request_id=request.marks.request_id,
+                fingerprint=fingerprint_text(request.fingerprint),
                 endpoint=endpoint.id,
                 outcome=outcome,
                 last_event_id=request.cursor.last_event_id,
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -10,7 +10,8 @@
 from yewloom.configuration import Configuration
 from yewloom.endpoint_calls import Header
 from yewloom.event_stream import StreamCursor
-from yewloom.ids import CustomerId
+from yewloom.fingerprints import fingerprint_of
+from yewloom.ids import CustomerId, Fingerprint
 from yewloom.routes import Route
 from yewloom.selection import Wanted
 from yewloom.values import value_class
@@ -44,6 +45,17 @@
     cursor: StreamCursor
     first_event_s: float | None = None
     answer: WholeAnswer | None = None
+    _fingerprint: Fingerprint | None = None
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return what names this request whenever it comes; drawn from it once it is asked for."""
+        if self._fingerprint is None:
+            source = self.source
+            self._fingerprint = fingerprint_of(
+                self.marks.host, source.target, self.customer, source.body
+            )
+        return self._fingerprint
 
     def left_ms(self, now_s: float) -> int:
         """Return the time left in whole milliseconds."""
--- a/yewloom/ids.py
+++ b/yewloom/ids.py
@@ -23,3 +23,5 @@
 """Kind and name of a table row, for example ``policy/hotel``."""
 
 IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", int)
+"""Names what a request asks, 64 bits: repeats of one request share it, and nothing else does."""
--- /dev/null
+++ b/yewloom/tests/test_fingerprints.py
@@ -0,0 +1,33 @@
+"""Tests of the names by which a request is known when it comes again."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yewloom.fingerprints import fingerprint_of, fingerprint_text
+from yewloom.ids import CustomerId, Fingerprint
+
+CUSTOMERS = st.none() | st.sampled_from([CustomerId("a"), CustomerId("ab")])
+REQUESTS = st.tuples(
+    st.sampled_from(["", "h", "ha"]),
+    st.binary(max_size=3),
+    CUSTOMERS,
+    st.binary(max_size=3),
+)
+
+
+class TestFingerprints(unittest.TestCase):
+    """A fingerprint tells requests apart by all that they ask, and by nothing else."""
+
+    @given(REQUESTS, REQUESTS)
+    def test_two_requests_share_a_fingerprint_only_if_they_ask_the_same(
+        self,
+        one: tuple[str, bytes, CustomerId | None, bytes],
+        other: tuple[str, bytes, CustomerId | None, bytes],
+    ) -> None:
+        same = fingerprint_of(*one) == fingerprint_of(*other)
+        self.assertEqual(same, one == other)
+
+    def test_operators_read_sixteen_digits(self) -> None:
+        self.assertEqual(fingerprint_text(Fingerprint(255)), "00000000000000ff")
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -20,6 +20,7 @@
     "entry_states",
     "event_paces",
     "event_stream",
+    "fingerprints",
     "experiments",
     "fleet",
     "follow_duty",
