Quarantine requests that end the endpoints which run them

Cause: what a request did to endpoints was kept for one try. Each further try, at any host, was a new request, and within a try it went on to the next endpoint 5 ms later. The class of fault: a loss is held against the endpoint alone, never against what was sent to it.

Ruled out: retries within a try alone (no try reaches more than two endpoints; the request came back under other ids, with one fingerprint), and the forming of groups (plain endpoints fall in the same way).

Change: a cut exchange is followed by a look at the endpoint's port. A port that refuses, or a later start in the store, proves a crash; silence, an endpoint that lives, and one that had said that it leaves prove nothing. Hosts tell each other which of their requests were there. Three crashes that no other guilty request explains, with no good answer between, quarantine a request on all hosts: 503 at once, Retry-After the time until it may be tried again, by one host after the other. A suspect waits for the first look, a round trip, before it goes elsewhere. Operators list and lift at the metrics port. Three rather than two: endpoints that go down in series take a retried request twice often enough.

Each part's removal is noticed by a test (tools/mutations_crashes.py).

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -10,6 +10,7 @@
 import tempfile
 from pathlib import Path
 
+import mutations_crashes
 import mutations_entry
 import mutations_groups
 import mutations_lateness
@@ -26,6 +27,7 @@
     *mutations_entry.MUTATIONS,
     *mutations_size.MUTATIONS,
     *mutations_lateness.MUTATIONS,
+    *mutations_crashes.MUTATIONS,
 )
 
 
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -8,6 +8,8 @@
 
 from yewloom.attempts import AttemptState
 from yewloom.caller_headers import HeaderCodec, Sending
+from yewloom.crash_checks import CrashChecks
+from yewloom.crash_record import CrashRecord
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import (
     CONNECT_TIMEOUT_S,
@@ -40,6 +42,9 @@
 SERVER_ERROR = 500
 """Lowest status that says a request failed at the endpoint."""
 
+_CUT_OFF = {ExchangeFailure.BROKEN, ExchangeFailure.CUT}
+"""Failures behind which the endpoint's process may have ended."""
+
 T = TypeVar("T")
 
 
@@ -59,7 +64,11 @@
         reachability: Reachability,
         choice: EndpointChoice,
         lateness: LoopLateness,
+        crashes: CrashRecord,
+        crash_checks: CrashChecks,
     ) -> None:
+        self._crashes = crashes
+        self._crash_checks = crash_checks
         self._codec = codec
         self._lateness = lateness
         self._reachability = reachability
@@ -75,7 +84,9 @@
         """
         is_answered, outcome = await self._try(request, endpoint)
         self._metrics.on_attempt(outcome.split(":")[0])
-        if not is_answered:
+        if is_answered:
+            self._note_answer(request)
+        else:
             logger.info(
                 "attempt failed",
                 request_id=request.marks.request_id,
@@ -86,12 +97,21 @@
             )
         return is_answered
 
+    def _note_answer(self, request: ForwardRequest) -> None:
+        """Clear a request of suspicion that an endpoint answered without failing."""
+        status = request.answer.status if request.answer is not None else request.reply.status
+        if status < SERVER_ERROR and self._crashes.has_any:
+            self._crashes.note_answer(request.fingerprint, trio.current_time())
+
     async def _try(self, request: ForwardRequest, endpoint: Endpoint) -> tuple[bool, str]:
         """Tell whether the answer is with the caller, and how the attempt ended."""
         try:
             return await self._exchange_again_if_late(request, endpoint)
         except ExchangeError as error:
-            return False, self._note_failure(request, endpoint, error)
+            outcome = self._note_failure(request, endpoint, error)
+            if error.failure in _CUT_OFF:
+                await self._crash_checks.note_cut(endpoint, request.fingerprint)
+            return False, outcome
         except _Stalled:
             self._avoid_and_report(endpoint, AVOID_STALLED_S)
             return False, "stalled"
@@ -116,12 +136,12 @@
         if not error.is_sent:
             request.record.note(endpoint.id, AttemptState.NOTHING_SENT)
         match error.failure:
-            case ExchangeFailure.NOT_CONNECTED:
+            case ExchangeFailure.NOT_CONNECTED | ExchangeFailure.REFUSED:
                 self._reachability.on_failure(endpoint, now_s)
                 self._stalls.report_unreachable(endpoint.id, now_s)
             case ExchangeFailure.BROKEN:
                 self._avoid_and_report(endpoint, AVOID_BROKEN_S)
-            case ExchangeFailure.UNREADABLE:
+            case ExchangeFailure.CUT | ExchangeFailure.UNREADABLE:
                 pass  # It says nothing of other requests: one answer was wrong.
         return str(error)
 
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -32,10 +32,15 @@
 
 
 class ExchangeFailure(Enum):
-    """How an exchange with an endpoint failed."""
+    """How an exchange with an endpoint failed.
+
+    ``REFUSED``: its host answered that nobody listens there. ``CUT``: the answer ended too soon.
+    """
 
     NOT_CONNECTED = "not_connected"
+    REFUSED = "refused"
     BROKEN = "broken"
+    CUT = "cut"
     UNREADABLE = "unreadable"
 
 
@@ -151,7 +156,10 @@
                     raise ExchangeError(ExchangeFailure.BROKEN, True, "closed before its answer")
                 self._connection.receive_data(data)
             except h11.RemoteProtocolError as error:
-                raise ExchangeError(ExchangeFailure.UNREADABLE, True, str(error)) from error
+                # The last bytes that were handed over are the stream's end, if it has ended.
+                has_ended = self._connection.trailing_data[1]
+                failure = ExchangeFailure.CUT if has_ended else ExchangeFailure.UNREADABLE
+                raise ExchangeError(failure, True, str(error)) from error
             except trio.BrokenResourceError as error:
                 raise ExchangeError(ExchangeFailure.BROKEN, True, "the connection broke") from error
 
@@ -168,10 +176,19 @@
         try:
             stream = await trio.open_tcp_stream(host, port, happy_eyeballs_delay=None)
         except OSError as error:
-            raise ExchangeError(ExchangeFailure.NOT_CONNECTED, False, str(error)) from error
+            raise ExchangeError(_connection_failure(error), False, str(error)) from error
     if stream is None:
         raise ExchangeError(ExchangeFailure.NOT_CONNECTED, False, "no connection in time")
     try:
         yield Exchange(stream)
     finally:
         await trio.aclose_forcefully(stream)
+
+
+def _connection_failure(error: OSError) -> ExchangeFailure:
+    """Return how a connection failed; the cause holds one error for each address that was tried."""
+    cause = error.__cause__
+    errors = cause.exceptions if isinstance(cause, BaseExceptionGroup) else (cause,)
+    if all(isinstance(each, ConnectionRefusedError) for each in errors):
+        return ExchangeFailure.REFUSED
+    return ExchangeFailure.NOT_CONNECTED
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -9,6 +9,7 @@
 from yewloom.directory import Endpoint
 from yewloom.forward_request import ForwardRequest
 from yewloom.planned_stop import PlannedStop
+from yewloom.quarantine import Quarantine
 from yewloom.retry_window import RetryWindow
 from yewloom.route_durations import RouteDurations
 from yewloom.selection import Selector
@@ -20,7 +21,14 @@
     ``durations`` are those of answered requests, which tell what still fits before a stop.
     """
 
-    def __init__(self, selector: Selector, retries: RetryWindow, stop: PlannedStop) -> None:
+    def __init__(
+        self,
+        selector: Selector,
+        retries: RetryWindow,
+        stop: PlannedStop,
+        quarantine: Quarantine,
+    ) -> None:
+        self._quarantine = quarantine
         self._selector = selector
         self._retries = retries
         self._stop = stop
@@ -53,8 +61,14 @@
         record = request.record
         if record.states and not record.may_try_another:
             return None
-        if not self.has_time_before_stop(request):
+        if not self.has_time_before_stop(request) or self._was_quarantined(request):
             return None
         return self._selector.choose(
             request.wanted, request.configuration, record.states, trio.current_time()
         )
+
+    def _was_quarantined(self, request: ForwardRequest) -> bool:
+        """Tell whether a request was found to end endpoints since it was admitted."""
+        if not self._quarantine.has_any:
+            return False
+        return self._quarantine.count_of(request.fingerprint) > request.quarantine_count
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -11,6 +11,7 @@
 from yewloom.caller_messages import CallerRequest, Handlers, Reply
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationBook
+from yewloom.crash_parts import CrashParts
 from yewloom.directory import EndpointDirectory
 from yewloom.early_listener import EarlyListener
 from yewloom.endpoint_attempts import EndpointAttempts
@@ -77,7 +78,7 @@
         self._metrics = metrics
         self._book = ConfigurationBook()
         self._directory = EndpointDirectory()
-        self._stalls = StallDetector(lambda: self._exchange.tell_soon())
+        self._stalls = StallDetector(self._tell_peers_soon)
         self._has_had_requests = False
         self._started_s = float("-inf")
         self._stop_plan = PlannedStop(settings.host.stop_grace_s)
@@ -103,6 +104,9 @@
         self._selector = Selector(
             self._directory, data_centre, self._board, rng, self._reachability
         )
+        self._crashes = CrashParts(
+            host_id, self._board.known_hosts, self._directory, self._tell_peers_soon
+        )
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(
             Handlers(self._handle, self._forwarder.refuse),
@@ -132,6 +136,7 @@
             self._peer_configurations.answer,
             metrics,
             HostStanding(self._knows_all, self._is_ready),
+            self._crashes.page,
         )
 
     def _build_forwarder(self) -> Forwarder:
@@ -141,7 +146,7 @@
             bounds.retry_window_s,
             lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
         )
-        choice = EndpointChoice(self._selector, retries, self._stop_plan)
+        choice = EndpointChoice(self._selector, retries, self._stop_plan, self._crashes.quarantine)
         return Forwarder(
             self._book,
             parts.codec,
@@ -155,11 +160,14 @@
                 self._reachability,
                 choice,
                 self._lateness,
+                self._crashes.record,
+                self._crashes.checks,
             ),
             self._metrics,
             self._build_key_trust(),
             lambda: self._directory.is_known,
             choice,
+            self._crashes.quarantine,
         )
 
     def _build_key_trust(self) -> KeyTrust:
@@ -230,6 +238,7 @@
             self._stalls,
             self._followed_endpoints,
             self._standing,
+            self._crashes.messages,
         )
         intake = PeerIntake(
             self._board,
@@ -238,6 +247,7 @@
             self._endpoint_intake.take_told,
             PeerReports(self._stalls, self._selector),
             self._configuration_follower.list_anew,
+            self._crashes.messages,
         )
         return EntryExchange(
             self._build_addresses(),
@@ -293,6 +303,7 @@
             self._endpoint_follower.run,
             self._endpoint_intake.drop_lapsed,
             self._probes.run,
+            self._crashes.checks.run,
             self._peer_configurations.run,
             self._exchange.run,
             self._coordinator.run,
@@ -304,6 +315,11 @@
         """Drop what was seen of an earlier process of an endpoint."""
         self._stalls.forget(endpoint_id)
         self._reachability.forget(endpoint_id)
+        self._crashes.checks.on_started_again(endpoint_id)
+
+    def _tell_peers_soon(self) -> None:
+        """Let peers hear at once of what is urgent news."""
+        self._exchange.tell_soon()
 
     def _knows_all(self) -> bool:
         """Tell whether the configuration and the endpoints are known."""
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -13,6 +13,7 @@
 from yewloom.configuration import CallerLimits
 from yewloom.early_listener import EarlyListener, listen
 from yewloom.forward_metrics import ForwardMetrics
+from yewloom.quarantine_page import QuarantinePage
 from yewloom.schema.entry_pb2 import EntryHost as HostSettings
 from yewloom.values import value_class
 
@@ -44,13 +45,15 @@
         answer_peers: Handler,
         metrics: ForwardMetrics,
         standing: HostStanding,
+        quarantine_page: QuarantinePage,
     ) -> None:
+        self._quarantine_page = quarantine_page
         self._settings = settings
         self._callers = callers
         self._metrics = metrics
         self._standing = standing
         self._readiness = CallerServer(Handlers(self._answer_readiness), CallerLimits)
-        self._metrics_server = CallerServer(Handlers(self._answer_metrics), CallerLimits)
+        self._metrics_server = CallerServer(Handlers(self._answer_operator), CallerLimits)
         self._peer_server = CallerServer(Handlers(answer_peers), CallerLimits)
 
     async def start(self, nursery: trio.Nursery, early: EarlyListener | None) -> None:
@@ -84,6 +87,9 @@
     async def _answer_readiness(self, request: CallerRequest, reply: Reply) -> None:
         await reply.send_whole(200 if self._standing.is_ready() else 503, [], b"")
 
-    async def _answer_metrics(self, request: CallerRequest, reply: Reply) -> None:
+    async def _answer_operator(self, request: CallerRequest, reply: Reply) -> None:
+        if self._quarantine_page.answers(request):
+            await self._quarantine_page.answer(request, reply)
+            return
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         await reply.send_whole(200, headers, generate_latest(self._metrics.registry))
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.schema.entry_pb2 import EntryState, ListingWord
@@ -77,6 +77,10 @@
         """Take in that an entry host exists, whether it can be reached or not."""
         self._known.add(host)
 
+    def known_hosts(self) -> Collection[EntryHostId]:
+        """Return the entry hosts that were ever known, this one included."""
+        return self._known
+
     def hosts_to_share_with(self) -> int:
         """Return among how many entry hosts a bound for all is divided, this one included.
 
--- a/yewloom/explanation.py
+++ b/yewloom/explanation.py
@@ -10,6 +10,7 @@
 CONTEXT_EVENTS = frozenset(
     {
         "configuration applied",
+        "endpoint crashed",
         "endpoint gone",
         "endpoint leaving",
         "group stands still",
@@ -17,6 +18,8 @@
         "platform lost",
         "platform regained",
         "placement written",
+        "request let go",
+        "request quarantined",
         "started",
         "stopping",
     }
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -31,6 +31,7 @@
     """One request on its way; times are seconds of the runtime's clock.
 
     ``answer`` is the final answer of an endpoint that is no stream, once it is here.
+    ``quarantine_count`` is how often the request had been quarantined when it was admitted.
     """
 
     source: CallerRequest
@@ -45,6 +46,7 @@
     cursor: StreamCursor
     first_event_s: float | None = None
     answer: WholeAnswer | None = None
+    quarantine_count: int = 0
     _fingerprint: Fingerprint | None = None
 
     @property
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -16,10 +16,12 @@
 from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
 from yewloom.endpoint_choice import EndpointChoice
+from yewloom.fingerprints import fingerprint_text
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.key_trust import KeyTrust
-from yewloom.request_admission import RequestAdmission
+from yewloom.quarantine import Quarantine
+from yewloom.request_admission import QUARANTINED, RequestAdmission
 from yewloom.retry_window import RetryWindow
 from yewloom.selection import Selector
 
@@ -64,6 +66,7 @@
         key_trust: KeyTrust,
         is_ready: Callable[[], bool],
         choice: EndpointChoice,
+        quarantine: Quarantine,
     ) -> None:
         self._book = book
         self._selector = selector
@@ -72,7 +75,7 @@
         self._metrics = metrics
         self._choice = choice
         self._timers: dict[trio.CancelScope, None] = {}  # In the order in which they began.
-        self._admission = RequestAdmission(book, codec, selector, key_trust, is_ready)
+        self._admission = RequestAdmission(book, codec, selector, key_trust, is_ready, quarantine)
 
     async def handle(self, source: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
@@ -80,6 +83,7 @@
         try:
             marks = self._admission.marks(source)
             request = self._admission.admit(source, reply, marks)
+            self._admission.check_quarantine(request)
             self._retries.on_request(request.wanted.service, source.read_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
@@ -206,6 +210,7 @@
             stopping_ms=source.stopping_ms,
             configuration=request.configuration.version if request is not None else None,
             configuration_age_ms=self._book.stated_age_ms(now_s),
+            **_fingerprint_fields(request, outcome),
         )
 
 
@@ -215,6 +220,13 @@
     return round((request.first_event_s - source.arrived_s) * 1000)
 
 
+def _fingerprint_fields(request: ForwardRequest | None, outcome: str) -> dict[str, str]:
+    """Return the name by which operators find and let go a request that is held."""
+    if request is None or outcome != QUARANTINED:
+        return {}
+    return {"fingerprint": fingerprint_text(request.fingerprint)}
+
+
 def _attempts_text(request: ForwardRequest | None) -> list[str]:
     if request is None:
         return []
--- a/yewloom/own_state.py
+++ b/yewloom/own_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from yewloom.configuration import ConfigurationBook
+from yewloom.crash_messages import CrashMessages
 from yewloom.follow_duty import Standing
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import DataCentreId, EntryHostId
@@ -33,7 +34,9 @@
         stalls: StallDetector,
         followed_endpoints: FollowedPosition,
         standing: Callable[[], Standing],
+        crash_messages: CrashMessages,
     ) -> None:
+        self._crash_messages = crash_messages
         self._me = me
         self._book = book
         self._selector = selector
@@ -46,7 +49,7 @@
         """Return the state at ``now_s``, under the next number."""
         self._sequence += 1
         configuration, standing = self._book.current, self._standing()
-        return EntryState(
+        state = EntryState(
             host_id=self._me.host_id,
             data_centre=self._me.data_centre,
             started_unix_ms=self._me.started_unix_ms,
@@ -68,3 +71,5 @@
             is_coordinator=standing.is_coordinator,
             listing=self._followed_endpoints.word(now_s),
         )
+        self._crash_messages.write(state, now_s)
+        return state
--- a/yewloom/peer_intake.py
+++ b/yewloom/peer_intake.py
@@ -5,6 +5,7 @@
 import structlog
 
 from yewloom.configuration import ConfigurationBook
+from yewloom.crash_messages import CrashMessages
 from yewloom.entry_states import ConfigurationWord, PeerBoard
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import HostId
@@ -29,7 +30,9 @@
         take_changes: Callable[[ChangedEndpoints], None],
         reports: PeerReports,
         read_configuration: Callable[[], None],
+        crash_messages: CrashMessages,
     ) -> None:
+        self._crash_messages = crash_messages
         self._board = board
         self._book = book
         self._followed_endpoints = followed_endpoints
@@ -61,6 +64,7 @@
             self._reports.is_unreachable(HostId(head), came_s)
         for group in state.moving:
             self._reports.moves(HostId(group.leader), group.age_ms / 1000, came_s)
+        self._crash_messages.take(state, came_s, now_s)
 
     def _take_configuration_word(self, word: ConfigurationWord) -> None:
         current = self._book.current
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -1,5 +1,6 @@
 """What a caller's request must bring to be forwarded: a route, a known key, and the time left."""
 
+import math
 from collections.abc import Callable
 
 from yewloom.attempts import AttemptRecord
@@ -11,6 +12,7 @@
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.ids import CustomerId
 from yewloom.key_trust import KeyTrust
+from yewloom.quarantine import Quarantine
 from yewloom.routes import Route
 from yewloom.selection import Selector, Wanted
 
@@ -25,6 +27,10 @@
 the host has caught up by then."""
 
 
+QUARANTINED = "quarantined"
+"""Why a request is refused that ended endpoints; it is not sent anywhere."""
+
+
 class RequestAdmission:
     """Finds a request's route and customer, or refuses it."""
 
@@ -35,7 +41,9 @@
         selector: Selector,
         key_trust: KeyTrust,
         is_ready: Callable[[], bool],
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._book = book
         self._codec = codec
         self._selector = selector
@@ -60,6 +68,17 @@
             customer = self._find_customer(configuration, marks.api_key or "", source)
         return self._build(source, reply, marks, configuration, route, customer)
 
+    def check_quarantine(self, request: ForwardRequest) -> None:
+        """Raise Refusal for a request that is known to end endpoints, unless it may be tried."""
+        if not self._quarantine.has_any:
+            return
+        fingerprint, now_s = request.fingerprint, request.source.read_s
+        wait_s = self._quarantine.wait_s(fingerprint, now_s)
+        if wait_s > 0:
+            raise Refusal(503, QUARANTINED, math.ceil(wait_s))
+        request.quarantine_count = self._quarantine.count_of(fingerprint)
+        self._quarantine.note_trial(fingerprint, now_s)
+
     def _find_route(self, configuration: Configuration, host: str, source: CallerRequest) -> Route:
         route = configuration.routes.find(host, source.path)
         if route is None:
