Count the time for which a machine is suspended

Cause: trio's own clock is the system's steady one, which stands still while a machine is suspended. What was true before then stays true behind it: a coordinator holds a lease that another host has taken, keys that were taken away are accepted, requests run after their deadline, peers' words look new. Signal times, the early listener's waits and the loop's lateness were counted in the same way, and so does the system the age of bytes in a socket (TCP_INFO).

With trio's own clock in place of the new one, three tests of test_boot_clock fail (a lease still held, a deadline not passed, a key still accepted); with the loop's lateness as it was a fourth does.

Change: both programs run by the time since boot; ages of bytes are corrected by the suspensions that were noticed since they came. A wait for events ends late by the time of a suspension, as the system counts it; a host's longest one is 0.2 s.

Ruled out: the time of day, which jumps. Left: httpcore's keep-alive, which lets a connection rest for 0.5 s of the steady clock; one that has died meanwhile is reset or times out, as any that fell silent.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -115,4 +115,25 @@
         "LAST_PASSES = 0",
         "test_shutdown",
     ),
+    Mutation(
+        "suspended: the runtime counts the time",
+        "boot_time",
+        "return time.clock_gettime(time.CLOCK_BOOTTIME)",
+        "return time.clock_gettime(time.CLOCK_MONOTONIC)",
+        "test_boot_clock",
+    ),
+    Mutation(
+        "suspended: bytes that waited meanwhile are older by it",
+        "socket_ages",
+        "age_s + self._suspended.since(age_s)",
+        "age_s",
+        "test_boot_clock",
+    ),
+    Mutation(
+        "suspended: an entry host runs by the time since boot",
+        "platform/program",
+        ", clock=BootClock()",
+        "",
+        "test_boot_clock",
+    ),
 )
--- a/yewloom/daemon.py
+++ b/yewloom/daemon.py
@@ -15,6 +15,7 @@
 from starlette.types import ASGIApp
 
 from yewloom import log
+from yewloom.boot_clock import BootClock
 from yewloom.callers import CallerInterface
 from yewloom.claim_writer import ClaimWriter
 from yewloom.coordinators import Coordinator
@@ -209,7 +210,7 @@
     match read_settings(config):
         case Ok(settings):
             log.set_up(settings.host.log_level)
-            trio.run(Daemon(settings).run, signals)
+            trio.run(Daemon(settings).run, signals, clock=BootClock())
         case Err(error):
             typer.echo(f"yewloomd: {error}", err=True)
             raise typer.Exit(2)
--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -13,12 +13,12 @@
 import re
 import signal
 import socket
-import time
 from collections.abc import Callable
 from pathlib import Path
 from types import FrameType
 
 from yewloom.addresses import split_address
+from yewloom.boot_time import boot_s
 from yewloom.ini_files import new_parser
 from yewloom.socket_ages import received_ago_s
 
@@ -113,7 +113,7 @@
             except BlockingIOError:
                 return  # None waits any more.
             connection.setblocking(False)
-            self._seen_s[connection] = time.monotonic()
+            self._seen_s[connection] = boot_s()
 
     def _has_refused(self, connection: socket.socket) -> bool:
         """Refuse a request if it is due; tell whether the connection is done with."""
@@ -139,7 +139,7 @@
             return False
         stated = self._deadline.search(data)
         limit_s = int(stated[1]) / 1000 * WAIT_SHARE if stated is not None else USUAL_WAIT_S
-        seen_for_s = time.monotonic() - self._seen_s[connection]
+        seen_for_s = boot_s() - self._seen_s[connection]
         return max(self._waited_s(connection), seen_for_s) >= limit_s
 
 
--- a/yewloom/early_signals.py
+++ b/yewloom/early_signals.py
@@ -5,9 +5,10 @@
 """
 
 import signal
-import time
 from types import FrameType
 
+from yewloom.boot_time import boot_s
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 """Signals that ask for a planned stop: of the platform, and of a terminal."""
 
@@ -16,7 +17,7 @@
     """Keeps when a stop was first asked for; takes the signals until ``ProcessSignals`` does."""
 
     def __init__(self) -> None:
-        self.asked_ns: int | None = None
+        self.asked_s: float | None = None
 
     def listen(self) -> None:
         """Take the signals from now on."""
@@ -26,5 +27,5 @@
 
     def note_stop(self, number: int, frame: FrameType | None) -> None:
         """Take in a signal that asks for a stop; the first of several counts."""
-        if self.asked_ns is None:
-            self.asked_ns = time.perf_counter_ns()
+        if self.asked_s is None:
+            self.asked_s = boot_s()
--- a/yewloom/exit_timer.py
+++ b/yewloom/exit_timer.py
@@ -8,12 +8,13 @@
 """
 
 import signal
-import time
 from collections.abc import Callable
 from types import FrameType
 
 import structlog
 
+from yewloom.boot_time import boot_s
+
 logger = structlog.get_logger(__name__)
 
 TICK_S = 0.2
@@ -47,7 +48,7 @@
 
     def _set(self) -> None:
         delay_s = max(min(self._left_s(), TICK_S), LEAST_DELAY_S)
-        self._due_s = time.monotonic() + delay_s
+        self._due_s = boot_s() + delay_s
         try:
             signal.setitimer(signal.ITIMER_REAL, delay_s)
         except OSError as error:
@@ -55,7 +56,7 @@
             logger.warning("no timer for the end of the process", reason=str(error))
 
     def _on_alarm(self, number: int, frame: FrameType | None) -> None:
-        self._on_late(time.monotonic() - self._due_s)
+        self._on_late(boot_s() - self._due_s)
         if self._left_s() <= 0:
             self._end()
         else:
--- a/yewloom/loop_lateness.py
+++ b/yewloom/loop_lateness.py
@@ -5,13 +5,13 @@
 in them how long it waits for events at most.
 """
 
-import time
 from collections import deque
 from collections.abc import Callable
 
 import structlog
 import trio
 
+from yewloom.boot_time import boot_s
 from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
@@ -37,7 +37,7 @@
 class LoopLateness(trio.abc.Instrument):
     """Measures by how much the loop was held up."""
 
-    def __init__(self, clock_s: Callable[[], float] = time.perf_counter) -> None:
+    def __init__(self, clock_s: Callable[[], float] = boot_s) -> None:
         self._clock_s = clock_s
         self._pass_began_s = clock_s()
         self._wait_began_s = 0.0
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -11,6 +11,7 @@
 import trio
 from result import Err, Ok
 
+from yewloom.boot_clock import BootClock
 from yewloom.early_listener import EarlyListener
 from yewloom.early_signals import EarlySignals
 from yewloom.entry_host import EntryHost
@@ -100,7 +101,7 @@
         sink.flush()
         end(0)
 
-    trio.run(host.run, signals, lambda: _reload(path), end_process)
+    trio.run(host.run, signals, lambda: _reload(path), end_process, clock=BootClock())
     return 0
 
 
--- a/yewloom/process_signals.py
+++ b/yewloom/process_signals.py
@@ -1,12 +1,12 @@
 """Signals of the platform to an entry host's process, with the time at which they arrived."""
 
 import signal
-import time
 from collections.abc import Callable
 from types import FrameType
 
 import trio
 
+from yewloom.boot_time import boot_s
 from yewloom.early_signals import STOP_SIGNALS, EarlySignals
 
 
@@ -31,7 +31,7 @@
     async def wait_for_stop(self, reload: Callable[[], None]) -> float:
         """Return when a stop was first asked for, on trio's clock; call ``reload`` until then."""
         self._token = trio.lowlevel.current_trio_token()
-        while (asked_ns := self._stops.asked_ns) is None:
+        while (asked_s := self._stops.asked_s) is None:
             if self._has_reload:
                 self._has_reload = False
                 reload()
@@ -39,7 +39,7 @@
             self._has_changed = trio.Event()
             # A signal that came just now has run ``_note`` with the token, so this wakes up.
             await self._has_changed.wait()
-        return trio.current_time() - (time.perf_counter_ns() - asked_ns) / 1e9
+        return trio.current_time() - (boot_s() - asked_s)
 
     def _note(self, number: int, frame: FrameType | None) -> None:
         if number == signal.SIGHUP:
--- a/yewloom/socket_ages.py
+++ b/yewloom/socket_ages.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from yewloom.boot_time import SuspendedTime
+
 _INFO_BYTES = 104
 """Size of the system's facts about a connection, as of the first versions that tell them."""
 
@@ -40,11 +42,16 @@
 class ReadAges:
     """How long ago what is read now may have come.
 
-    The system's word counts where it gives one; elsewhere ``late_s`` does, which tells for how long
-    the reader was held up.
+    The system's word counts where it gives one, with the time of suspensions since, which its clock
+    leaves out; elsewhere ``late_s`` does, which tells for how long the reader was held up.
     """
 
-    def __init__(self, late_s: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self,
+        late_s: Callable[[], float] = lambda: 0.0,
+        suspended: SuspendedTime | None = None,
+    ) -> None:
+        self._suspended = suspended or SuspendedTime()
         self._late_s = late_s
         self._is_told = False
 
@@ -55,4 +62,4 @@
             return 0.0
         age_s = received_ago_s(connection)
         self._is_told = self._is_told or age_s > 0
-        return age_s if self._is_told else self._late_s()
+        return age_s + self._suspended.since(age_s) if self._is_told else self._late_s()
