--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,7 +19,13 @@
 LANES: Sequence[Sequence[str]] = (
     ("test_soak_seeds",),
     ("test_soak", "test_route_soak"),
-    ("test_processes", "test_tls", "test_daemon", "test_crashing_request"),
+    (
+        "test_processes",
+        "test_tls",
+        "test_daemon",
+        "test_crashing_request",
+        "test_limited_endpoints",
+    ),
     ("test_entry_process", "test_engine_restart", "test_entry_host", "test_program_start"),
 )
 """Modules of tests that run one after the other, by lane; some 2 to 4 minutes each."""
--- a/yewloom/tests/soak/crashing.py
+++ b/yewloom/tests/soak/fragile.py
@@ -1,5 +1,6 @@
-"""Plain endpoints that end whenever they begin to run one request, and are started again."""
+"""Plain endpoints that one request ends, or that name a limit of the requests that they take."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 import h11
@@ -25,17 +26,33 @@
 
 
 @dataclass
-class CrashLedger:
-    """When the crashing request came to endpoints, and when it ended one of them."""
+class EndpointLedger:
+    """When the crashing request came to endpoints, when it ended one, and all that came to each.
+
+    ``limited_since_s`` is when an endpoint first named its limit.
+    """
 
     arrived_s: list[float] = field(default_factory=list)
     ended_s: list[float] = field(default_factory=list)
+    all_arrived_s: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    limited_since_s: dict[str, float] = field(default_factory=dict)
+
 
+class FragileEndpoint:
+    """One address of a plain service; each process at it has an id of its own.
 
-class CrashingEndpoint:
-    """One address of a plain service; each process at it has an id of its own."""
+    ``limit`` is the text by which it names a limit in all of its answers, if it is not empty.
+    """
 
-    def __init__(self, name: str, service: str, store: StandinStore, ledger: CrashLedger) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        store: StandinStore,
+        ledger: EndpointLedger,
+        limit: str = "",
+    ) -> None:
+        self.limit = limit
         self._name = name
         self._service = service
         self._store = store
@@ -61,7 +78,7 @@
         host, port = split_address(self._address)
         listeners = await trio.open_tcp_listeners(port, host=host)
         async with trio.open_nursery() as nursery:
-            process = _Process(self._id, self._ledger, nursery.cancel_scope)
+            process = _Process(self, self._id, self._ledger, nursery.cancel_scope)
             nursery.start_soon(trio.serve_listeners, process.serve, listeners)
             self._publish()
 
@@ -81,7 +98,14 @@
 class _Process:
     """One process of an endpoint."""
 
-    def __init__(self, name: str, ledger: CrashLedger, scope: trio.CancelScope) -> None:
+    def __init__(
+        self,
+        endpoint: FragileEndpoint,
+        name: str,
+        ledger: EndpointLedger,
+        scope: trio.CancelScope,
+    ) -> None:
+        self._endpoint = endpoint
         self._name = name
         self._ledger = ledger
         self._scope = scope
@@ -121,6 +145,7 @@
         no_body = (b"content-length", b"0")
         if headers.get(b"yewloom-expect-instance") != self._name.encode():
             return [h11.Response(status_code=421, headers=[*echoed, no_body]), h11.EndOfMessage()]
+        self._ledger.all_arrived_s[self._name].append(trio.current_time())
         if body == CRASHING_BODY:
             self._ledger.arrived_s.append(trio.current_time())
         await trio.sleep(WORK_S)
@@ -129,7 +154,12 @@
             self._scope.cancel()
             await trio.lowlevel.checkpoint()
         stamp = (b"yewloom-server-stamp", self._name.encode())
-        return [
-            h11.Response(status_code=200, headers=[*echoed, stamp, no_body]),
-            h11.EndOfMessage(),
-        ]
+        head = [*echoed, *self._named_limit(), stamp, no_body]
+        return [h11.Response(status_code=200, headers=head), h11.EndOfMessage()]
+
+    def _named_limit(self) -> list[tuple[bytes, bytes]]:
+        """Return the header that names the endpoint's limit, if it has one."""
+        if not self._endpoint.limit:
+            return []
+        self._ledger.limited_since_s.setdefault(self._name, trio.current_time())
+        return [(b"server-limit", self._endpoint.limit.encode())]
