Keep the limits that endpoints name, in all hosts together

Cause: nothing read what an answer says of its endpoint. The class: a bound that holds for all hosts together, and that none can see kept by itself.

Evidence: the hosts' logs hold 23 requests to the first of these endpoints from 7 s to 15 s, 2 to 4 in each second before and after it named its limit, from two hosts, none a repeat. The failing test: 19 in 4 s to one of four such endpoints, among twelve, at 50 requests a second.

Ruled out: repeats and probes (none), hosts that keep it each for itself (no line read it).

Change: 2 x limit + 2 hosts at most send to a limited endpoint, drawn by a hash, those of its data centre first; each has an equal part of the rate and of a burst of as many for all. In any 4 s that is 6 x limit + 2, three less than allowed, which a change of who sends may take. Nobody is asked; hosts tell each other what endpoints said to them, and a silent host keeps its part for 30 s. A limited endpoint is passed over; what finds no other one is refused at once with the time until one takes it. Texts that are no plain decimal number are logged once and change nothing; zero counts as 0.1.

The wiring of the forwarder has a module of its own now, which the tests share; what hosts tell each other beside their loads comes as topics.

Each part's removal is noticed by a test (tools/mutations_limits.py).

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -14,6 +14,7 @@
 import mutations_entry
 import mutations_groups
 import mutations_lateness
+import mutations_limits
 import mutations_size
 import mutations_yewloomd
 from removals import Mutation, take_out
@@ -28,6 +29,7 @@
     *mutations_size.MUTATIONS,
     *mutations_lateness.MUTATIONS,
     *mutations_crashes.MUTATIONS,
+    *mutations_limits.MUTATIONS,
 )
 
 
--- a/yewloom/caller_headers.py
+++ b/yewloom/caller_headers.py
@@ -24,16 +24,31 @@
     last_event_id: int
 
 
+@value_class
+class NamedLimit:
+    """A limit that an answer names, in requests a second; None if it names none.
+
+    ``is_told`` is false for an answer that tells nothing: of another process at the address, or
+    with a text that is no limit, which is ``unreadable``.
+    """
+
+    per_s: float | None = None
+    is_told: bool = True
+    unreadable: str = ""
+
+
 @value_class
 class AnswerMarks:
     """What an endpoint says of its answer.
 
     ``is_not_run`` promises that the endpoint did not run the request; ``request_id`` names the
-    request that the answer belongs to.
+    request that the answer belongs to. ``limit`` is what the endpoint says of the requests that it
+    takes from all hosts together.
     """
 
     request_id: RequestId | None
     is_not_run: bool
+    limit: NamedLimit
 
 
 @value_class
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -1,6 +1,7 @@
 """One request at one endpoint: sending it, checking the answer and passing it on."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 import structlog
@@ -22,6 +23,7 @@
     open_exchange,
 )
 from yewloom.endpoint_choice import EndpointChoice
+from yewloom.endpoint_limits import EndpointLimits
 from yewloom.event_stream import EventSplitter, StreamOrderError
 from yewloom.fingerprints import fingerprint_text
 from yewloom.forward_metrics import ForwardMetrics
@@ -66,7 +68,9 @@
         lateness: LoopLateness,
         crashes: CrashRecord,
         crash_checks: CrashChecks,
+        limits: EndpointLimits,
     ) -> None:
+        self._limits = limits
         self._crashes = crashes
         self._crash_checks = crash_checks
         self._codec = codec
@@ -157,11 +161,12 @@
             request.record.note(endpoint.id, AttemptState.SENT)
             await exchange.send(self._outgoing(request, endpoint))
             if not request.route.is_stream:
-                head = await exchange.head()
+                head = await self._head(endpoint, exchange)
                 return await self._pass_whole(request, endpoint, exchange, head)
             self._stalls.on_begin(endpoint.id, trio.current_time())
             try:
-                head = await self._unless_stalled(request, endpoint, exchange.head)
+                read = partial(self._head, endpoint, exchange)
+                head = await self._unless_stalled(request, endpoint, read)
                 if head.status != 200:
                     return await self._pass_whole(request, endpoint, exchange, head)
                 self._check_answer(request, head)
@@ -169,6 +174,16 @@
             finally:
                 self._stalls.on_end(endpoint.id)
 
+    async def _head(self, endpoint: Endpoint, exchange: Exchange) -> AnswerHead:
+        """Wait for the head of an answer, and take in the limit that it names."""
+        head = await exchange.head()
+        limit = self._codec.decode_answer(head).limit
+        if limit.is_told:
+            self._limits.note(endpoint.id, limit.per_s, trio.current_time())
+        elif limit.unreadable:
+            self._limits.note_unreadable(endpoint.id, limit.unreadable)
+        return head
+
     def _outgoing(self, request: ForwardRequest, endpoint: Endpoint) -> OutgoingRequest:
         resumes = request.cursor.has_events or request.marks.last_event_id > 0
         sending = Sending(
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -7,6 +7,7 @@
 import trio
 
 from yewloom.directory import Endpoint
+from yewloom.endpoint_limits import EndpointLimits
 from yewloom.forward_request import ForwardRequest
 from yewloom.planned_stop import PlannedStop
 from yewloom.quarantine import Quarantine
@@ -27,7 +28,9 @@
         retries: RetryWindow,
         stop: PlannedStop,
         quarantine: Quarantine,
+        limits: EndpointLimits,
     ) -> None:
+        self._limits = limits
         self._quarantine = quarantine
         self._selector = selector
         self._retries = retries
@@ -42,6 +45,7 @@
         service, now_s = request.wanted.service, trio.current_time()
         if request.record.is_repeat() and not self._retries.try_repeat(service, now_s):
             return None
+        self._limits.spend(endpoint, now_s)
         return endpoint
 
     def has_another(self, request: ForwardRequest) -> bool:
@@ -50,6 +54,12 @@
             return False
         return self._retries.may_repeat(request.wanted.service, trio.current_time())
 
+    def limit_wait_s(self, request: ForwardRequest) -> float:
+        """Return how long the limits of endpoints alone keep a request; 0 if they don't."""
+        return self._selector.limit_wait_s(
+            request.wanted, request.configuration, request.record.states, trio.current_time()
+        )
+
     def has_time_before_stop(self, request: ForwardRequest) -> bool:
         """Tell whether a planned stop leaves the time that half of the latest on a route took."""
         if not self._stop.is_begun:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -14,8 +14,7 @@
 from yewloom.crash_parts import CrashParts
 from yewloom.directory import EndpointDirectory
 from yewloom.early_listener import EarlyListener
-from yewloom.endpoint_attempts import EndpointAttempts
-from yewloom.endpoint_choice import EndpointChoice
+from yewloom.endpoint_limits import EndpointLimits
 from yewloom.endpoint_probes import EndpointProbes
 from yewloom.entry_addresses import EntryAddresses, PeerAddress
 from yewloom.entry_exchange import EntryExchange
@@ -27,21 +26,22 @@
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, FollowPace
 from yewloom.forward_metrics import ForwardMetrics
+from yewloom.forward_parts import ForwardParts, build_forwarder
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import ConfigurationIntake, EndpointIntake
-from yewloom.key_trust import KeyTrust
+from yewloom.limit_messages import LimitMessages
 from yewloom.loop_lateness import LoopLateness
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_configurations import PeerConfigurations
 from yewloom.peer_intake import PeerIntake
 from yewloom.peer_reports import PeerReports
+from yewloom.peer_topics import PeerTopic
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
 from yewloom.reachability import Reachability
 from yewloom.replica_coordinator import ReplicaCoordinator
-from yewloom.retry_window import RetryWindow
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.selection import Selector
 from yewloom.shutdown import Shutdown
@@ -101,8 +101,11 @@
         self._store_retries = StoreRetries(settings.store.retry_pause_ms / 1000, draw)
         self._reachability = Reachability(self._directory, lambda: self._probes.wake())
         self._probes = EndpointProbes(self._reachability)
+        self._limits = EndpointLimits(
+            host_id, self._directory, self._board.sharing_hosts, self._tell_peers_soon
+        )
         self._selector = Selector(
-            self._directory, data_centre, self._board, rng, self._reachability
+            self._directory, data_centre, self._board, rng, self._reachability, self._limits
         )
         self._crashes = CrashParts(
             host_id, self._board.known_hosts, self._directory, self._tell_peers_soon
@@ -140,43 +143,23 @@
         )
 
     def _build_forwarder(self) -> Forwarder:
-        parts, bounds = self._parts, self._settings.bounds
-        retries = RetryWindow(
-            bounds.retry_ratio,
-            bounds.retry_window_s,
-            lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
-        )
-        choice = EndpointChoice(self._selector, retries, self._stop_plan, self._crashes.quarantine)
-        return Forwarder(
-            self._book,
-            parts.codec,
-            self._selector,
-            retries,
-            EndpointAttempts(
-                parts.codec,
+        bounds = self._settings.bounds
+        return build_forwarder(
+            ForwardParts(
+                bounds,
+                self._parts.codec,
+                self._metrics,
+                self._book,
+                self._directory,
                 self._selector,
                 self._stalls,
-                self._metrics,
                 self._reachability,
-                choice,
+                self._stop_plan,
                 self._lateness,
-                self._crashes.record,
-                self._crashes.checks,
-            ),
-            self._metrics,
-            self._build_key_trust(),
-            lambda: self._directory.is_known,
-            choice,
-            self._crashes.quarantine,
-        )
-
-    def _build_key_trust(self) -> KeyTrust:
-        bounds = self._settings.bounds
-        return KeyTrust(
-            self._book,
-            bounds.key_revocation_ms / 1000,
-            bounds.configuration_apply_ms / 1000,
-            bounds.keys_need_proof,
+                self._crashes,
+                self._limits,
+                lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
+            )
         )
 
     def _build_coordinator(self) -> ReplicaCoordinator:
@@ -231,6 +214,7 @@
         return self._store_retries.pause_s(failures, duty.is_mine(), duty.near_hosts())
 
     def _build_exchange(self) -> EntryExchange:
+        topics: list[PeerTopic] = [self._crashes.messages, LimitMessages(self._limits)]
         own_state = OwnState(
             self._me,
             self._book,
@@ -238,7 +222,7 @@
             self._stalls,
             self._followed_endpoints,
             self._standing,
-            self._crashes.messages,
+            topics,
         )
         intake = PeerIntake(
             self._board,
@@ -247,7 +231,7 @@
             self._endpoint_intake.take_told,
             PeerReports(self._stalls, self._selector),
             self._configuration_follower.list_anew,
-            self._crashes.messages,
+            topics,
         )
         return EntryExchange(
             self._build_addresses(),
@@ -315,6 +299,7 @@
         """Drop what was seen of an earlier process of an endpoint."""
         self._stalls.forget(endpoint_id)
         self._reachability.forget(endpoint_id)
+        self._limits.forget(endpoint_id)
         self._crashes.checks.on_started_again(endpoint_id)
 
     def _tell_peers_soon(self) -> None:
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -25,6 +25,9 @@
 MESSAGE_SLACK_S = 0.4
 """Time beyond those intervals by which a message may be late."""
 
+SHARE_KEPT_S = 30.0
+"""Time for which a silent host keeps its part of a limit that is divided: most cuts are shorter."""
+
 LEAST_HOSTS = 12
 """Entry hosts among which a bound for all is divided at least, as some may not be known yet."""
 
@@ -37,6 +40,14 @@
     confirmed_s: float
 
 
+@value_class
+class SharingHost:
+    """A host among which limits are divided."""
+
+    host: EntryHostId
+    data_centre: DataCentreId
+
+
 @value_class
 class ConfirmedListing:
     """A peer's word that it knew the endpoints so far at ``confirmed_s`` of this host's clock."""
@@ -59,6 +70,12 @@
     heard_s: float
 
 
+@value_class
+class _LastHeard:
+    data_centre: DataCentreId
+    heard_s: float
+
+
 class PeerBoard:
     """Keeps the latest message of each peer, and the peers that were ever known."""
 
@@ -72,6 +89,7 @@
         self._near: dict[EntryHostId, EntryState] = {}
         self._running: Counter[HostId] = Counter()
         self._known = {me}
+        self._last_heard: dict[EntryHostId, _LastHeard] = {}
 
     def know(self, host: EntryHostId) -> None:
         """Take in that an entry host exists, whether it can be reached or not."""
@@ -88,6 +106,16 @@
         """
         return max(LEAST_HOSTS, len(self._known))
 
+    def sharing_hosts(self, now_s: float) -> list[SharingHost]:
+        """Return the hosts among which a limit is divided, this one included.
+
+        A host that fell silent stays among them for a time: it may serve on behind a cut.
+        """
+        recent = {p: h for p, h in self._last_heard.items() if now_s - h.heard_s < SHARE_KEPT_S}
+        self._last_heard = recent
+        mine = SharingHost(self._me, self._data_centre)
+        return [mine, *(SharingHost(peer, heard.data_centre) for peer, heard in recent.items())]
+
     def take(self, state: EntryState, now_s: float) -> PeerWords:
         """Take in a message; return what it proves."""
         peer = EntryHostId(state.host_id)
@@ -98,6 +126,7 @@
             self._count(known.state, -1)
         self._count(state, 1)
         self._heard[peer] = _Heard(state, now_s)
+        self._last_heard[peer] = _LastHeard(DataCentreId(state.data_centre), now_s)
         if state.data_centre == self._data_centre:
             self._near[peer] = state
         is_echo = state.echoed_ms and state.echoed_started_unix_ms == self._started_unix_ms
--- a/yewloom/explanation.py
+++ b/yewloom/explanation.py
@@ -13,6 +13,7 @@
         "endpoint crashed",
         "endpoint gone",
         "endpoint leaving",
+        "endpoint limit",
         "group stands still",
         "member silent",
         "platform lost",
--- /dev/null
+++ b/yewloom/forward_parts.py
@@ -0,0 +1,85 @@
+"""The parts by which an entry host forwards requests, wired together."""
+
+from collections.abc import Callable
+
+from yewloom.caller_headers import HeaderCodec
+from yewloom.configuration import ConfigurationBook
+from yewloom.crash_parts import CrashParts
+from yewloom.directory import EndpointDirectory
+from yewloom.endpoint_attempts import EndpointAttempts
+from yewloom.endpoint_choice import EndpointChoice
+from yewloom.endpoint_limits import EndpointLimits
+from yewloom.forward_metrics import ForwardMetrics
+from yewloom.forwarding import Forwarder
+from yewloom.key_trust import KeyTrust
+from yewloom.loop_lateness import LoopLateness
+from yewloom.planned_stop import PlannedStop
+from yewloom.reachability import Reachability
+from yewloom.retry_window import RetryWindow
+from yewloom.schema.entry_pb2 import ServingBounds
+from yewloom.selection import Selector
+from yewloom.stalls import StallDetector
+from yewloom.values import value_class
+
+
+@value_class
+class ForwardParts:
+    """What forwarding needs; ``retry_extra`` returns this host's part of the bound's extra."""
+
+    bounds: ServingBounds
+    codec: HeaderCodec
+    metrics: ForwardMetrics
+    book: ConfigurationBook
+    directory: EndpointDirectory
+    selector: Selector
+    stalls: StallDetector
+    reachability: Reachability
+    stop: PlannedStop
+    lateness: LoopLateness
+    crashes: CrashParts
+    limits: EndpointLimits
+    retry_extra: Callable[[], float]
+
+
+def build_forwarder(parts: ForwardParts) -> Forwarder:
+    """Return a forwarder of these parts."""
+    bounds, quarantine = parts.bounds, parts.crashes.quarantine
+    retries = RetryWindow(bounds.retry_ratio, bounds.retry_window_s, parts.retry_extra)
+    choice = EndpointChoice(parts.selector, retries, parts.stop, quarantine, parts.limits)
+    return Forwarder(
+        parts.book,
+        parts.codec,
+        parts.selector,
+        retries,
+        _build_attempts(parts, choice),
+        parts.metrics,
+        _build_key_trust(parts),
+        lambda: parts.directory.is_known,
+        choice,
+        quarantine,
+    )
+
+
+def _build_attempts(parts: ForwardParts, choice: EndpointChoice) -> EndpointAttempts:
+    return EndpointAttempts(
+        parts.codec,
+        parts.selector,
+        parts.stalls,
+        parts.metrics,
+        parts.reachability,
+        choice,
+        parts.lateness,
+        parts.crashes.record,
+        parts.crashes.checks,
+        parts.limits,
+    )
+
+
+def _build_key_trust(parts: ForwardParts) -> KeyTrust:
+    bounds = parts.bounds
+    return KeyTrust(
+        parts.book,
+        bounds.key_revocation_ms / 1000,
+        bounds.configuration_apply_ms / 1000,
+        bounds.keys_need_proof,
+    )
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of callers' requests to endpoints: attempts, final answers and the line in the log."""
 
 import itertools
+import math
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -37,6 +38,9 @@
 ANSWERED = "answered"
 """What became of a request whose caller has the whole answer of an endpoint."""
 
+LIMITED = "endpoints limited"
+"""Why a request is refused whose endpoints all name a limit that is reached."""
+
 STOPPING = "host is stopping"
 """Why a stopping host refuses a request."""
 
@@ -171,9 +175,12 @@
 
     def _refusal(self, request: ForwardRequest) -> Refusal:
         """Return why a request that has not run is refused, and when it may come back."""
-        if self._choice.has_time_before_stop(request):
-            return Refusal(503, "no endpoint free", RETRY_AFTER_S)
-        return Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
+        if not self._choice.has_time_before_stop(request):
+            return Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S)
+        limit_wait_s = self._choice.limit_wait_s(request)
+        if limit_wait_s > 0:
+            return Refusal(503, LIMITED, math.ceil(limit_wait_s * 100) / 100)
+        return Refusal(503, "no endpoint free", RETRY_AFTER_S)
 
     async def _send_refusal(self, reply: Reply, refusal: Refusal) -> None:
         headers: list[Header] = []
--- a/yewloom/own_state.py
+++ b/yewloom/own_state.py
@@ -1,13 +1,13 @@
 """What an entry host tells its peers of itself."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from yewloom.configuration import ConfigurationBook
-from yewloom.crash_messages import CrashMessages
 from yewloom.follow_duty import Standing
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import DataCentreId, EntryHostId
+from yewloom.peer_topics import PeerTopic
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState, GroupMovement
 from yewloom.selection import Selector
 from yewloom.stalls import StallDetector
@@ -34,9 +34,9 @@
         stalls: StallDetector,
         followed_endpoints: FollowedPosition,
         standing: Callable[[], Standing],
-        crash_messages: CrashMessages,
+        topics: Sequence[PeerTopic],
     ) -> None:
-        self._crash_messages = crash_messages
+        self._topics = topics
         self._me = me
         self._book = book
         self._selector = selector
@@ -71,5 +71,6 @@
             is_coordinator=standing.is_coordinator,
             listing=self._followed_endpoints.word(now_s),
         )
-        self._crash_messages.write(state, now_s)
+        for topic in self._topics:
+            topic.write(state, now_s)
         return state
--- a/yewloom/peer_intake.py
+++ b/yewloom/peer_intake.py
@@ -1,16 +1,16 @@
 """What the peers of an entry host tell, taken in: their states, and changes of endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import structlog
 
 from yewloom.configuration import ConfigurationBook
-from yewloom.crash_messages import CrashMessages
 from yewloom.entry_states import ConfigurationWord, PeerBoard
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import HostId
 from yewloom.listed_endpoints import ChangedEndpoints, decode_changes
 from yewloom.peer_reports import PeerReports
+from yewloom.peer_topics import PeerTopic
 from yewloom.schema.entry_pb2 import EndpointChanges, EntryMessage, EntryState
 
 logger = structlog.get_logger(__name__)
@@ -30,9 +30,9 @@
         take_changes: Callable[[ChangedEndpoints], None],
         reports: PeerReports,
         read_configuration: Callable[[], None],
-        crash_messages: CrashMessages,
+        topics: Sequence[PeerTopic],
     ) -> None:
-        self._crash_messages = crash_messages
+        self._topics = topics
         self._board = board
         self._book = book
         self._followed_endpoints = followed_endpoints
@@ -64,7 +64,8 @@
             self._reports.is_unreachable(HostId(head), came_s)
         for group in state.moving:
             self._reports.moves(HostId(group.leader), group.age_ms / 1000, came_s)
-        self._crash_messages.take(state, came_s, now_s)
+        for topic in self._topics:
+            topic.take(state, came_s, now_s)
 
     def _take_configuration_word(self, word: ConfigurationWord) -> None:
         current = self._book.current
--- a/yewloom/platform/headers.py
+++ b/yewloom/platform/headers.py
@@ -1,8 +1,9 @@
 """The platform's header names, decoded into what they say."""
 
+import re
 from collections.abc import Sequence
 
-from yewloom.caller_headers import AnswerMarks, HeaderError, RequestMarks, Sending
+from yewloom.caller_headers import AnswerMarks, HeaderError, NamedLimit, RequestMarks, Sending
 from yewloom.endpoint_calls import AnswerHead, Header
 from yewloom.ids import ModelName, RequestId
 from yewloom.platform.names import DEADLINE_HEADER
@@ -30,6 +31,9 @@
     {b"authorization", DEADLINE_HEADER, _EXPECTED_ENDPOINT, _CUSTOMER, b"content-length"}
 )
 _MISDIRECTED_STATUS = 421
+_LIMIT = b"server-limit"
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+_SHOWN_BYTES = 40
 
 
 class WireHeaders:
@@ -70,6 +74,7 @@
         return AnswerMarks(
             request_id=RequestId(request_id.decode("latin-1")) if request_id else None,
             is_not_run=is_not_run,
+            limit=_limit(head),
         )
 
     def returned_headers(self, head: AnswerHead) -> list[Header]:
@@ -78,6 +83,18 @@
         return [header for header in head.headers if header[0] not in dropped]
 
 
+def _limit(head: AnswerHead) -> NamedLimit:
+    """Return the limit that an answer names; another process answers what is misdirected."""
+    if head.status == _MISDIRECTED_STATUS:
+        return NamedLimit(is_told=False)
+    text = head.get(_LIMIT)
+    if text is None:
+        return NamedLimit()
+    if not _DECIMAL.fullmatch(text):
+        return NamedLimit(is_told=False, unreadable=repr(text[:_SHOWN_BYTES]))
+    return NamedLimit(float(text))
+
+
 def _api_key(value: bytes) -> str:
     return value.removeprefix(_KEY_SCHEME).strip().decode("latin-1")
 
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -6,6 +6,7 @@
 
 from yewloom.configuration import Configuration, EngineProfile
 from yewloom.directory import Endpoint, EndpointDirectory, MemberState
+from yewloom.endpoint_limits import EndpointLimits
 from yewloom.entry_states import PeerBoard
 from yewloom.event_paces import EventPaces
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
@@ -54,7 +55,9 @@
         peers: PeerBoard,
         rng: random.Random,
         reachability: Reachability,
+        limits: EndpointLimits,
     ) -> None:
+        self._limits = limits
         self._directory = directory
         self._reachability = reachability
         self._peers = peers
@@ -85,7 +88,7 @@
         candidates = list(self._candidates(wanted, engine))
         slow = self.paces.slow_among((endpoint.id for endpoint, _ in candidates), now_s)
         for endpoint, penalty in candidates:
-            if endpoint.id in tried:
+            if endpoint.id in tried or self._limits.wait_s(endpoint, now_s) > 0:
                 continue
             if endpoint.id in slow:
                 penalty += SLOW_PENALTY
@@ -96,6 +99,21 @@
                 best, best_score = endpoint, score
         return best
 
+    def limit_wait_s(
+        self,
+        wanted: Wanted,
+        configuration: Configuration,
+        tried: Container[HostId],
+        now_s: float,
+    ) -> float:
+        """Return how long limits alone keep this host from sending a request; 0 if they don't."""
+        if not self._limits.has_any:
+            return 0.0
+        service = configuration.services.get(wanted.service)
+        engine = service.engine if service is not None else None
+        untried = (e for e, _ in self._candidates(wanted, engine) if e.id not in tried)
+        return min((self._limits.wait_s(endpoint, now_s) for endpoint in untried), default=0.0)
+
     def begin(self, endpoint: HostId) -> None:
         """Count a request as running at an endpoint."""
         self._running[endpoint] += 1
--- a/yewloom/tests/entry_support.py
+++ b/yewloom/tests/entry_support.py
@@ -1,14 +1,30 @@
 """Builders shared by the tests of an entry host on the users' platform."""
 
+import random
+
 from yewloom.configuration import Configuration, EngineProfile, ReplicaModel, Service
 from yewloom.directory import Endpoint, EndpointDirectory, GroupKey, Membership, MemberState
-from yewloom.ids import CustomerId, DataCentreId, GroupId, HostId, ModelName, RouteName, ServiceName
+from yewloom.endpoint_limits import EndpointLimits
+from yewloom.entry_states import PeerBoard
+from yewloom.ids import (
+    CustomerId,
+    DataCentreId,
+    EntryHostId,
+    GroupId,
+    HostId,
+    ModelName,
+    RouteName,
+    ServiceName,
+)
+from yewloom.reachability import Reachability
 from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
+from yewloom.selection import Selector
 
 ENGINES = ServiceName("engines")
 PLAIN = ServiceName("plain")
 LARGE, SMALL = ModelName("large"), ModelName("small")
 HALL = DataCentreId("hall-a")
+ME = EntryHostId("me")
 
 
 def make_profile(slots: int = 13) -> EngineProfile:
@@ -106,3 +122,21 @@
         member = Membership(key, rank, shown)
         directory.put(make_engine(name, domain, staged or model, member, model, data_centre))
     return key
+
+
+def make_selector(
+    directory: EndpointDirectory,
+    board: PeerBoard | None = None,
+    reachability: Reachability | None = None,
+    limits: EndpointLimits | None = None,
+) -> Selector:
+    """Return the choice of endpoints of a host in ``HALL`` whose draws are the same in each run."""
+    board = board or PeerBoard(ME, HALL)
+    return Selector(
+        directory,
+        HALL,
+        board,
+        random.Random(1),
+        reachability or Reachability(directory),
+        limits or EndpointLimits(ME, directory, board.sharing_hosts),
+    )
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -1,6 +1,5 @@
 """A forwarder before scripted endpoints, and callers that ask it, on the loopback."""
 
-import random
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -14,29 +13,27 @@
 from yewloom.configuration import CallerLimits, Configuration, ConfigurationBook
 from yewloom.crash_parts import CrashParts
 from yewloom.directory import EndpointDirectory
-from yewloom.endpoint_attempts import EndpointAttempts
-from yewloom.endpoint_choice import EndpointChoice
+from yewloom.endpoint_limits import EndpointLimits
 from yewloom.entry_states import PeerBoard
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forwarding import Forwarder
-from yewloom.ids import EntryHostId
-from yewloom.key_trust import KeyTrust
+from yewloom.forward_parts import ForwardParts, build_forwarder
 from yewloom.loop_lateness import LoopLateness
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform.headers import WireHeaders
 from yewloom.reachability import Reachability
-from yewloom.retry_window import RetryWindow
 from yewloom.routes import Route, RouteKind
-from yewloom.selection import Selector
+from yewloom.schema.entry_pb2 import ServingBounds
 from yewloom.stalls import StallDetector
 from yewloom.tests.entry_support import (
     ENGINES,
     HALL,
+    ME,
     SMALL,
     make_configuration,
     make_engine,
     make_plain,
     make_route,
+    make_selector,
     put_group,
 )
 
@@ -48,6 +45,13 @@
 LONG_BODY = b"x" * (15 << 20)
 """More than the sockets of a caller that does not read hold."""
 
+BOUNDS = ServingBounds(
+    key_revocation_ms=5000,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    keys_need_proof=True,
+    configuration_apply_ms=2000,
+)
 LIMITS = CallerLimits(max_header_bytes=2000, max_body_bytes=5000, header_timeout_ms=300)
 STREAM_ROUTE = make_route(RouteKind.STREAM, "/s/", ENGINES, is_resumable=True)
 ONCE_ROUTE = make_route(RouteKind.STREAM, "/once/", ENGINES)
@@ -143,39 +147,33 @@
     def __init__(self, configuration: Configuration | None = None) -> None:
         self.book = ConfigurationBook()
         self.directory = EndpointDirectory()
+        self.directory.is_known = True
         reachability = Reachability(self.directory)
-        board = PeerBoard(EntryHostId("me"), HALL)
-        self.selector = Selector(self.directory, HALL, board, random.Random(1), reachability)
-        codec, metrics = WireHeaders(), ForwardMetrics()
-        self.stop, self.metrics = PlannedStop(GRACE_S), metrics
+        board = PeerBoard(ME, HALL)
+        self.limits = EndpointLimits(ME, self.directory, board.sharing_hosts)
+        self.selector = make_selector(self.directory, board, reachability, self.limits)
+        self.stop, self.metrics = PlannedStop(GRACE_S), ForwardMetrics()
         self.retries_left = 10.0
         self.stalls, self.lateness = StallDetector(), LoopLateness()
-        retries = RetryWindow(0.2, 10.0, lambda: self.retries_left)
-        self.crashes = CrashParts(EntryHostId("me"), board.known_hosts, self.directory)
-        choice = EndpointChoice(self.selector, retries, self.stop, self.crashes.quarantine)
-        self.choice = choice
-        self.forwarder = Forwarder(
-            self.book,
-            codec,
-            self.selector,
-            retries,
-            EndpointAttempts(
-                codec,
+        self.crashes = CrashParts(ME, board.known_hosts, self.directory)
+        self.forwarder = build_forwarder(
+            ForwardParts(
+                BOUNDS,
+                WireHeaders(),
+                self.metrics,
+                self.book,
+                self.directory,
                 self.selector,
                 self.stalls,
-                metrics,
                 reachability,
-                choice,
+                self.stop,
                 self.lateness,
-                self.crashes.record,
-                self.crashes.checks,
-            ),
-            metrics,
-            KeyTrust(self.book, 5.0, 2.0, needs_proof=True),
-            lambda: True,
-            choice,
-            self.crashes.quarantine,
+                self.crashes,
+                self.limits,
+                lambda: self.retries_left,
+            )
         )
+        self.choice = self.forwarder._choice
         handlers = Handlers(self.forwarder.handle, self.forwarder.refuse)
         self.server = CallerServer(handlers, lambda: LIMITS)
         self.configuration = configuration or make_configuration(*ROUTES)
--- a/yewloom/tests/test_foreign_entries.py
+++ b/yewloom/tests/test_foreign_entries.py
@@ -27,10 +27,9 @@
 from yewloom.platform.records import StoreRecords
 from yewloom.platform.store import ObjectStore
 from yewloom.platforms import Listing, StoredObject
-from yewloom.reachability import Reachability
 from yewloom.schema.entry_pb2 import EntryAddress
 from yewloom.schema.records_pb2 import Lease, Placement
-from yewloom.selection import Selector
+from yewloom.tests.entry_support import make_selector
 from yewloom.tests.support import FakePlatform, run_on_mock_clock
 from yewloom.writes import RecordError, parse_record, to_json
 
@@ -78,13 +77,7 @@
         self.directory = EndpointDirectory()
         self.told: list[ChangedEndpoints] = []
         followed = FollowedPosition()
-        selector = Selector(
-            self.directory,
-            DataCentreId("hall-a"),
-            PeerBoard(EntryHostId("me"), DataCentreId("hall-a")),
-            random.Random(1),
-            Reachability(self.directory),
-        )
+        selector = make_selector(self.directory)
         self.intake = EndpointIntake(StoreRecords(), self.directory, selector, followed, self._tell)
 
     def _tell(self, changes: ChangedEndpoints) -> None:
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -1,6 +1,5 @@
 """Tests of taking in endpoints, from the store and from peers."""
 
-import random
 import unittest
 from dataclasses import replace
 from functools import partial
@@ -9,18 +8,15 @@
 from hypothesis import strategies as st
 
 from yewloom.directory import EndpointDirectory, GroupKey, Membership, MemberState
-from yewloom.entry_states import PeerBoard
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Update
-from yewloom.ids import EntryHostId, GroupId, HostId
+from yewloom.ids import GroupId, HostId
 from yewloom.intake import EndpointIntake
 from yewloom.listed_endpoints import ChangedEndpoints, decode_endpoint, encode_endpoint
 from yewloom.platform.records import StoreRecords
 from yewloom.platforms import Listing, StoredObject
-from yewloom.reachability import Reachability
 from yewloom.schema.entry_pb2 import EndpointMembership, ListedEndpoint
-from yewloom.selection import Selector
-from yewloom.tests.entry_support import HALL, LARGE, SMALL, make_engine, make_plain
+from yewloom.tests.entry_support import LARGE, SMALL, make_engine, make_plain, make_selector
 from yewloom.tests.support import run_on_mock_clock
 
 
@@ -36,10 +32,7 @@
         self.directory = EndpointDirectory()
         self.followed = FollowedPosition()
         self.told: list[ChangedEndpoints] = []
-        board = PeerBoard(EntryHostId("me"), HALL)
-        selector = Selector(
-            self.directory, HALL, board, random.Random(1), Reachability(self.directory)
-        )
+        selector = make_selector(self.directory)
         self.intake = EndpointIntake(
             StoreRecords(), self.directory, selector, self.followed, self.told.append
         )
@@ -105,9 +98,7 @@
 
     def setUp(self) -> None:
         self.directory, self.followed = EndpointDirectory(), FollowedPosition()
-        board = PeerBoard(EntryHostId("me"), HALL)
-        reachability = Reachability(self.directory)
-        self.selector = Selector(self.directory, HALL, board, random.Random(1), reachability)
+        self.selector = make_selector(self.directory)
         self.started: list[HostId] = []
         self.told: list[ChangedEndpoints] = []
         self.intake = EndpointIntake(
--- a/yewloom/tests/test_key_trust.py
+++ b/yewloom/tests/test_key_trust.py
@@ -5,7 +5,6 @@
 """
 
 import unittest
-from random import Random
 from unittest import mock
 
 from hypothesis import given
@@ -20,11 +19,9 @@
 from yewloom.key_trust import PROOF_SHARE, KeyTrust
 from yewloom.platform.headers import WireHeaders
 from yewloom.quarantine import Quarantine
-from yewloom.reachability import Reachability
 from yewloom.request_admission import RequestAdmission
 from yewloom.routes import RouteKind
-from yewloom.selection import Selector
-from yewloom.tests.entry_support import ENGINES, HALL, make_configuration, make_route
+from yewloom.tests.entry_support import ENGINES, HALL, make_configuration, make_route, make_selector
 
 REVOCATION_S = 5.0
 APPLY_S = 2.0
@@ -43,7 +40,7 @@
         trust = KeyTrust(self.book, REVOCATION_S, APPLY_S, needs_proof)
         board = PeerBoard(EntryHostId("me"), HALL)
         directory = EndpointDirectory()
-        selector = Selector(directory, HALL, board, Random(1), Reachability(directory))
+        selector = make_selector(directory, board)
         quarantine = Quarantine(EntryHostId("me"), list)
         self._admission = RequestAdmission(
             self.book, WireHeaders(), selector, trust, lambda: True, quarantine
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -19,6 +19,7 @@
     "crash_record",
     "directory",
     "drafts",
+    "endpoint_limits",
     "entry_states",
     "event_paces",
     "event_stream",
@@ -33,6 +34,7 @@
     "groups",
     "key_trust",
     "leases",
+    "limit_messages",
     "listed_endpoints",
     "medians",
     "membership",
@@ -65,6 +67,7 @@
 IO_MODULES = {"asyncio", "grpc", "httpcore", "hypercorn", "socket", "starlette", "time", "trio"}
 MAX_LINES = 380
 WIRE_NAMES = (
+    "server-limit",
     "yewloom-deadline-ms",
     "yewloom-expect-instance",
     "yewloom-model",
--- a/yewloom/tests/test_peer_reports.py
+++ b/yewloom/tests/test_peer_reports.py
@@ -7,17 +7,19 @@
 from yewloom.crash_parts import CrashParts
 from yewloom.crash_record import CRASHES, TELL_S, EndpointProcess
 from yewloom.directory import EndpointDirectory
-from yewloom.entry_states import PeerBoard
+from yewloom.endpoint_limits import EndpointLimits
+from yewloom.entry_states import SHARE_KEPT_S, PeerBoard
 from yewloom.follow_duty import Standing
 from yewloom.followed_position import FollowedPosition
 from yewloom.ids import EntryHostId, Fingerprint, HostId
+from yewloom.limit_messages import LimitMessages
 from yewloom.own_state import EntryIdentity, OwnState
 from yewloom.peer_intake import PeerIntake
 from yewloom.peer_reports import PeerReports
 from yewloom.schema.entry_pb2 import EntryMessage, EntryState
 from yewloom.selection import Selector
 from yewloom.stalls import MOVING_S, READ_LATE_S, StallDetector
-from yewloom.tests.entry_support import HALL
+from yewloom.tests.entry_support import HALL, make_plain
 
 HEAD = HostId("h")
 GUILTY = Fingerprint(2**64 - 1)
@@ -42,11 +44,11 @@
         self.stalls = StallDetector(self._note_news)
         selector = cast(Selector, NoSelector())
         me = EntryIdentity(EntryHostId(name), HALL, 1)
-        board = PeerBoard(me.host_id, HALL, 1)
+        board = self.board = PeerBoard(me.host_id, HALL, 1)
+        directory = self.directory = EndpointDirectory()
         book, followed = ConfigurationBook(), FollowedPosition()
-        self.crashes = CrashParts(
-            me.host_id, board.known_hosts, EndpointDirectory(), self._note_news
-        )
+        self.crashes = CrashParts(me.host_id, board.known_hosts, directory, self._note_news)
+        self.limits = EndpointLimits(me.host_id, directory, board.sharing_hosts, self._note_news)
         self._own = OwnState(
             me,
             book,
@@ -54,7 +56,7 @@
             self.stalls,
             followed,
             lambda: Standing(True, False),
-            self.crashes.messages,
+            [self.crashes.messages, LimitMessages(self.limits)],
         )
         reports = PeerReports(self.stalls, selector)
         self._intake = PeerIntake(
@@ -64,7 +66,7 @@
             lambda changes: None,
             reports,
             lambda: None,
-            self.crashes.messages,
+            [self.crashes.messages, LimitMessages(self.limits)],
         )
 
     def _note_news(self) -> None:
@@ -185,3 +187,44 @@
     def test_a_quiet_host_tells_nothing_of_crashes(self) -> None:
         message = self.me.message(1.0)
         self.assertFalse(message.crashed or message.answered or message.quarantined)
+
+
+class TestLimits(unittest.TestCase):
+    """Hosts that have not heard a limit themselves learn of it."""
+
+    def setUp(self) -> None:
+        self.me, self.peer = Host("me"), Host("peer")
+        self.endpoint = make_plain("e")
+        for host in (self.me, self.peer):
+            host.directory.put(self.endpoint)
+
+    def test_a_limit_that_one_host_heard_holds_at_the_others(self) -> None:
+        self.me.limits.note(self.endpoint.id, 1.0, 1.0)
+        self.assertEqual(self.me.news, 1)
+        self.me.tell(self.peer, 1.1)
+        self.assertGreater(self.peer.limits.wait_s(self.endpoint, 1.1), 0.0)
+
+    def test_so_does_its_end(self) -> None:
+        self.me.limits.note(self.endpoint.id, 1.0, 1.0)
+        self.me.tell(self.peer, 1.1)
+        self.me.limits.note(self.endpoint.id, None, 2.0)
+        self.me.tell(self.peer, 2.1)
+        self.assertEqual(self.peer.limits.wait_s(self.endpoint, 2.1), 0.0)
+
+    def test_hosts_that_hear_each_other_divide_it(self) -> None:
+        hosts = [Host(f"h{number}") for number in range(8)]
+        for host in hosts:
+            host.directory.put(self.endpoint)
+            host.limits.note(self.endpoint.id, 1.0, 1.0)
+        for source in hosts:
+            for target in hosts:
+                source.tell(target, 1.1)
+        may_send = [host for host in hosts if host.limits.wait_s(self.endpoint, 20.0) == 0]
+        self.assertEqual(len(may_send), 4)
+
+    def test_a_host_that_fell_silent_keeps_its_part_for_a_time(self) -> None:
+        """Guards against a limit that each side of a cut takes for its own."""
+        self.me.tell(self.peer, 1.0)
+        self.peer.board.drop_silent(10.0)
+        self.assertEqual(len(self.peer.board.sharing_hosts(10.0)), 2)
+        self.assertEqual(len(self.peer.board.sharing_hosts(1.0 + SHARE_KEPT_S)), 1)
--- a/yewloom/tests/test_platform_adapter.py
+++ b/yewloom/tests/test_platform_adapter.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from result import Err
 
-from yewloom.caller_headers import HeaderError, Sending
+from yewloom.caller_headers import HeaderError, NamedLimit, Sending
 from yewloom.directory import GroupKey, MemberState
 from yewloom.endpoint_calls import AnswerHead
 from yewloom.http_calls import HttpAnswer, HttpCaller, HttpCallError, HttpFailure
@@ -202,6 +202,38 @@
         self.assertTrue(self.codec.decode_answer(AnswerHead(421, [])).is_not_run)
         self.assertFalse(self.codec.decode_answer(AnswerHead(503, [])).is_not_run)
 
+    def test_an_answer_names_a_limit_or_none(self) -> None:
+        for text, per_s in ((b"1", 1.0), (b"0.25", 0.25), (b"0", 0.0), (b"120.50", 120.5)):
+            head = AnswerHead(200, [(b"server-limit", text)])
+            self.assertEqual(self.codec.decode_answer(head).limit, NamedLimit(per_s))
+        self.assertEqual(self.codec.decode_answer(AnswerHead(200, [])).limit, NamedLimit())
+
+    def test_a_text_that_is_no_limit_tells_nothing(self) -> None:
+        """Guards against limits of nothing, of all, or below nothing that a text stands for."""
+        texts = (
+            b"",
+            b"-1",
+            b"+1",
+            b"nan",
+            b"inf",
+            b"1e9",
+            b"1,5",
+            b"0x1",
+            b".5",
+            b"5.",
+            b"9" * 400,
+        )
+        for text in (*texts, b"9" * 400):
+            head = AnswerHead(200, [(b"server-limit", text)])
+            limit = self.codec.decode_answer(head).limit
+            self.assertFalse(limit.is_told)
+            self.assertTrue(limit.unreadable)
+            self.assertLess(len(limit.unreadable), 60)
+
+    def test_another_process_at_the_address_tells_nothing_of_a_limit(self) -> None:
+        head = AnswerHead(421, [(b"server-limit", b"1")])
+        self.assertEqual(self.codec.decode_answer(head).limit, NamedLimit(is_told=False))
+
     def test_framing_stays_with_the_connection(self) -> None:
         head = AnswerHead(
             200,
--- a/yewloom/tests/test_reachability.py
+++ b/yewloom/tests/test_reachability.py
@@ -4,7 +4,6 @@
 sending 13 requests a second to each of their hosts, a third of them meant for the lost endpoints.
 """
 
-import random
 import unittest
 from collections.abc import Container
 
@@ -12,8 +11,7 @@
 from hypothesis import strategies as st
 
 from yewloom.directory import Endpoint, EndpointDirectory
-from yewloom.entry_states import PeerBoard
-from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.ids import DataCentreId, HostId
 from yewloom.reachability import (
     CUT_PROBE_PAUSE_S,
     ENDPOINTS_OF_A_CUT,
@@ -21,8 +19,15 @@
     PROBE_PAUSE_S,
     Reachability,
 )
-from yewloom.selection import Selector, Wanted
-from yewloom.tests.entry_support import ENGINES, HALL, SMALL, make_configuration, put_group
+from yewloom.selection import Wanted
+from yewloom.tests.entry_support import (
+    ENGINES,
+    HALL,
+    SMALL,
+    make_configuration,
+    make_selector,
+    put_group,
+)
 
 HALLS = (HALL, DataCentreId("hall-b"), DataCentreId("hall-c"))
 CUT_OFF = HALLS[2]
@@ -40,9 +45,7 @@
     def __init__(self) -> None:
         self.directory = EndpointDirectory()
         self.reachability = Reachability(self.directory)
-        board = PeerBoard(EntryHostId("me"), HALL)
-        rng = random.Random(1)
-        self.selector = Selector(self.directory, HALL, board, rng, self.reachability)
+        self.selector = make_selector(self.directory, reachability=self.reachability)
         for hall in HALLS:
             for number in range(HEADS_OF_A_HALL):
                 names = [f"{hall}-{number}-{rank}" for rank in (0, 1)]
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -1,6 +1,5 @@
 """Tests of the choice of endpoints."""
 
-import random
 import unittest
 
 from hypothesis import given
@@ -9,9 +8,8 @@
 from yewloom.directory import EndpointDirectory, MemberState
 from yewloom.entry_states import PeerBoard
 from yewloom.ids import DataCentreId, EntryHostId, HostId
-from yewloom.reachability import Reachability
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
-from yewloom.selection import Selector, Wanted
+from yewloom.selection import Wanted
 from yewloom.tests.entry_support import (
     ENGINES,
     HALL,
@@ -21,6 +19,7 @@
     make_configuration,
     make_engine,
     make_plain,
+    make_selector,
     put_group,
 )
 
@@ -33,9 +32,7 @@
     def setUp(self) -> None:
         self.directory = EndpointDirectory()
         self.board = PeerBoard(EntryHostId("me"), HALL)
-        self.selector = Selector(
-            self.directory, HALL, self.board, random.Random(1), Reachability(self.directory)
-        )
+        self.selector = make_selector(self.directory, self.board)
 
     def choose(self, *tried: str) -> str | None:
         """Choose a leader of the small model."""
@@ -122,9 +119,7 @@
 
     @given(st.lists(st.sampled_from("abc"), max_size=30))
     def test_counts_return_to_nothing(self, names: list[str]) -> None:
-        selector = Selector(
-            self.directory, HALL, self.board, random.Random(1), Reachability(self.directory)
-        )
+        selector = make_selector(self.directory, self.board)
         for name in names:
             selector.begin(HostId(name))
         for name in names:
