--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -207,11 +207,13 @@
         address = await self._listen(endpoint, ends_with_a_request)
         self.directory.put(make_plain(name, address))
 
-    async def add_engine(self, name: str, endpoint: Endpoint) -> None:
+    async def add_engine(
+        self, name: str, endpoint: Endpoint, ends_with_a_request: bool = False
+    ) -> None:
         """List the leader of a group of the small model."""
         key = put_group(self.directory, f"group-{name}", SMALL, [name, f"{name}-2"])
         member = self.directory.members(key)[0].membership
-        address = await self._listen(endpoint)
+        address = await self._listen(endpoint, ends_with_a_request)
         engine = make_engine(name, membership=member, model=SMALL)
         self.directory.put(replace(engine, address=address))
 
--- a/yewloom/tests/test_crash_checks.py
+++ b/yewloom/tests/test_crash_checks.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from unittest import mock
 
+import h11
 import trio
 import trio.testing
 
@@ -15,7 +16,7 @@
 from yewloom.quarantine import Quarantine
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import Endpoint as ScriptedEndpoint
-from yewloom.tests.forwarding_support import Fixture, answer_ok, close_without_answer, run
+from yewloom.tests.forwarding_support import Fixture, answer_ok, close_without_answer, event, run
 from yewloom.tests.free_ports import free_address
 
 F = Fingerprint(7)
@@ -142,6 +143,20 @@
 
         run(test)
 
+    def test_a_stream_that_ends_leaders_reaches_three_and_is_then_refused_at_once(self) -> None:
+        """Guards against a stream that takes one group after the other with it."""
+
+        async def test(fixture: Fixture) -> None:
+            leaders = [ScriptedEndpoint(_cut_stream) for _ in range(CRASHES + 3)]
+            for number, leader in enumerate(leaders):
+                await fixture.add_engine(f"e{number}", leader, ends_with_a_request=True)
+            answers = [await fixture.ask("/s/1") for _ in range(3)]
+            self.assertEqual(sum(len(leader.requests) for leader in leaders), CRASHES)
+            self.assertEqual([answer.status for answer in answers], [200, 200, 503])
+            self.assertEqual([answer.is_whole for answer in answers], [False, False, True])
+
+        run(test)
+
     def test_other_requests_of_the_same_caller_are_served_meanwhile(self) -> None:
         async def test(fixture: Fixture) -> None:
             for number in range(CRASHES):
@@ -172,6 +187,12 @@
     return endpoint
 
 
+async def _cut_stream(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+    """Send the first event of a stream and end."""
+    await endpoint.start(200)
+    await endpoint.send(event(1))
+
+
 async def _hold(stream: trio.SocketStream) -> None:
     await trio.sleep_forever()
 
