Keep the quarantine in the store, so that it outlasts the hosts

Cause: verdicts were kept by hosts alone. Each restart of all let the request end three endpoints more.

The test failed before, with the store's part unwired: two restarts, 9 endpoints ended, 6 of the sendings later than 3 s after the third end, 3 allowed. It passes now.

Change: one object of the store holds the list. A host that starts reads it (one stale call); four hosts take turns a second apart to write what changed, and look first whether another has. Ruled out: an object for each request, which nothing would ever remove, and each host's own address record, which others would have to read again.

--- a/tools/mutations_crashes.py
+++ b/tools/mutations_crashes.py
@@ -80,4 +80,25 @@
         "True",
         "test_quarantine",
     ),
+    Mutation(
+        "crashes: a host that starts reads what the store keeps",
+        "quarantine_store",
+        "                self._take(self._decode(stored))\n",
+        "",
+        "test_quarantine_store",
+    ),
+    Mutation(
+        "crashes: hosts take turns to write what is kept",
+        "quarantine_store",
+        "await trio.sleep(turn * LOOK_S)",
+        "await trio.lowlevel.checkpoint()",
+        "test_quarantine_store",
+    ),
+    Mutation(
+        "crashes: what the store has is not written again",
+        "quarantine_store",
+        "if _says(record) == _says(kept):",
+        "if False:",
+        "test_quarantine_store",
+    ),
 )
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -40,6 +40,7 @@
 from yewloom.planned_stop import PlannedStop
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
+from yewloom.quarantine_store import QuarantineStore
 from yewloom.reachability import Reachability
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.schema.entry_pb2 import EntrySettings
@@ -110,6 +111,13 @@
         self._crashes = CrashParts(
             host_id, self._board.known_hosts, self._directory, self._tell_peers_soon
         )
+        self._quarantine_store = QuarantineStore(
+            host_id,
+            self._board.known_hosts,
+            self._crashes.quarantine,
+            parts.records_store,
+            parts.stale_store,
+        )
         self._forwarder = self._build_forwarder()
         self._callers = CallerServer(
             Handlers(self._handle, self._forwarder.refuse),
@@ -288,6 +296,7 @@
             self._endpoint_intake.drop_lapsed,
             self._probes.run,
             self._crashes.checks.run,
+            self._quarantine_store.run,
             self._peer_configurations.run,
             self._exchange.run,
             self._coordinator.run,
--- a/yewloom/quarantine.py
+++ b/yewloom/quarantine.py
@@ -18,7 +18,7 @@
 import structlog
 
 from yewloom.fingerprints import fingerprint_text
-from yewloom.hashing import hash64
+from yewloom.hashing import turn_among
 from yewloom.ids import EntryHostId, Fingerprint
 from yewloom.values import value_class
 
@@ -82,6 +82,8 @@
         self._known_hosts = known_hosts
         self._on_news = on_news
         self._entries: dict[Fingerprint, _Entry] = {}
+        self.changes = 0
+        """Changes of what is known, so that others can tell whether there was one."""
 
     @property
     def has_any(self) -> bool:
@@ -147,11 +149,10 @@
 
     def _turn(self, fingerprint: Fingerprint) -> int:
         """Return how many hosts may try a request before this one."""
-        mine = hash64(f"{fingerprint}/{self._me}")
-        others = (hash64(f"{fingerprint}/{host}") for host in self._known_hosts())
-        return sum(other < mine for other in others)
+        return turn_among(str(fingerprint), self._me, self._known_hosts())
 
     def _put(self, fingerprint: Fingerprint, entry: _Entry) -> None:
+        self.changes += 1
         self._entries[fingerprint] = entry
         if len(self._entries) > MOST_ENTRIES:
             first = min(self._entries, key=lambda f: self._entries[f].ends_s)
--- a/yewloom/tests/soak/fragile_play.py
+++ b/yewloom/tests/soak/fragile_play.py
@@ -1,5 +1,6 @@
 """Callers before entry hosts as processes, whose plain endpoints are fragile."""
 
+import signal
 import tempfile
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -73,6 +74,23 @@
         except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
             return 0
 
+    async def run(self, for_s: float, other_pause_s: float, is_crashing: bool) -> None:
+        """Send requests for a time."""
+        with trio.move_on_after(for_s):
+            async with trio.open_nursery() as callers:
+                if is_crashing:
+                    callers.start_soon(self.send_crashing)
+                callers.start_soon(self.send_others, other_pause_s)
+
+    async def restart_all(self) -> None:
+        """Kill all entry hosts at once, start them again and wait until they serve."""
+        for entry in self.fleet.entries:
+            entry.signal(signal.SIGKILL)
+        for entry in self.fleet.entries:
+            await entry.wait_ended()
+            entry.start()
+        await self.wait_until_served()
+
     async def send_crashing(self) -> None:
         """Send the request that ends endpoints to the hosts in turn, until cancelled."""
         number = 0
@@ -98,9 +116,13 @@
 
 
 async def play_fragile(
-    for_s: float, other_pause_s: float, limits: Sequence[str] = (), is_crashing: bool = False
+    for_s: float,
+    other_pause_s: float,
+    limits: Sequence[str] = (),
+    is_crashing: bool = False,
+    restarts: int = 0,
 ) -> FragilePlay:
-    """Return what was seen in a time of requests."""
+    """Return what was seen in a time of requests, and in as long a time behind each restart."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(Path(folder), Ledger(), Random(1), nursery)
@@ -109,11 +131,10 @@
                 await fleet.start(ENTRIES, 0, 0)
                 await play.serve_endpoints(nursery)
                 await play.wait_until_served()
-                with trio.move_on_after(for_s):
-                    async with trio.open_nursery() as callers:
-                        if is_crashing:
-                            callers.start_soon(play.send_crashing)
-                        callers.start_soon(play.send_others, other_pause_s)
+                await play.run(for_s, other_pause_s, is_crashing)
+                for _ in range(restarts):
+                    await play.restart_all()
+                    await play.run(for_s, other_pause_s, is_crashing)
             finally:
                 fleet.stop()
             nursery.cancel_scope.cancel()
