--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -154,19 +154,19 @@
         bounds = self._settings.bounds
         return build_forwarder(
             ForwardParts(
-                bounds,
-                self._parts.codec,
-                self._metrics,
-                self._book,
-                self._directory,
-                self._selector,
-                self._stalls,
-                self._reachability,
-                self._stop_plan,
-                self._lateness,
-                self._crashes,
-                self._limits,
-                lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
+                bounds=bounds,
+                codec=self._parts.codec,
+                metrics=self._metrics,
+                book=self._book,
+                directory=self._directory,
+                selector=self._selector,
+                stalls=self._stalls,
+                reachability=self._reachability,
+                stop=self._stop_plan,
+                lateness=self._lateness,
+                crashes=self._crashes,
+                limits=self._limits,
+                retry_extra=lambda: bounds.retry_extra / self._board.hosts_to_share_with(),
             )
         )
 
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -158,19 +158,19 @@
         self.crashes = CrashParts(ME, board.known_hosts, self.directory)
         self.forwarder = build_forwarder(
             ForwardParts(
-                BOUNDS,
-                WireHeaders(),
-                self.metrics,
-                self.book,
-                self.directory,
-                self.selector,
-                self.stalls,
-                reachability,
-                self.stop,
-                self.lateness,
-                self.crashes,
-                self.limits,
-                lambda: self.retries_left,
+                bounds=BOUNDS,
+                codec=WireHeaders(),
+                metrics=self.metrics,
+                book=self.book,
+                directory=self.directory,
+                selector=self.selector,
+                stalls=self.stalls,
+                reachability=reachability,
+                stop=self.stop,
+                lateness=self.lateness,
+                crashes=self.crashes,
+                limits=self.limits,
+                retry_extra=lambda: self.retries_left,
             )
         )
         self.choice = self.forwarder._choice
