--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -1,18 +1,24 @@
 """Tests of a whole entry host before stand-ins of the users' store and engines."""
 
+import json
 import random
+import time
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import hypercorn.trio
 import trio
 from hypercorn.config import Config
 from starlette.applications import Starlette
 
+from yewloom.addresses import split_address
 from yewloom.endpoint_calls import ExchangeError, OutgoingRequest, open_exchange
 from yewloom.entry_host import EntryHost
+from yewloom.fingerprints import fingerprint_text
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.http_calls import HttpCaller
+from yewloom.ids import Fingerprint
 from yewloom.platform.engines import HttpEngineOrders
 from yewloom.platform.headers import WireHeaders
 from yewloom.platform.records import StoreRecords
@@ -21,10 +27,11 @@
 from yewloom.platform.store import ObjectStore
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
+from yewloom.quarantine_store import KEY
 from yewloom.replica_lifecycle import UNLISTED_GRACE_S
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import parse_entry_settings
-from yewloom.tests.free_ports import free_address
+from yewloom.tests.free_ports import free_address, free_port
 
 SERVICE = "s1"
 MODEL = "m"
@@ -117,6 +124,17 @@
             head = await exchange.head()
             return head.status, await exchange.whole_body()
 
+    async def ask_operator(self, method: bytes, path: bytes, host: int = 0) -> tuple[int, Any]:
+        """Ask a host at the port of its metrics; return status and what the body holds."""
+        settings = self.hosts[host].host
+        ip, _ = split_address(settings.caller_address)
+        headers = [(b"host", b"x"), (b"content-length", b"0")]
+        async with open_exchange(f"{ip}:{settings.metrics_port}", 1.0) as exchange:
+            await exchange.send(OutgoingRequest(method, path, headers, b""))
+            head = await exchange.head()
+            body = await exchange.whole_body()
+            return head.status, json.loads(body) if body else None
+
     async def wait_for(self, is_so: Callable[[], Awaitable[bool]]) -> None:
         """Wait until something is so; the test's own limit ends it otherwise."""
         while True:
@@ -136,7 +154,7 @@
 caller_address = {free_address()}
 readiness_address = {free_address()}
 peer_address = {free_address()}
-metrics_port = 0
+metrics_port = {free_port()}
 is_first_start = true
 [store]
 address = {self.store_address}
@@ -173,11 +191,17 @@
                 await trio.sleep(0.01)
 
 
-def run(test: Callable[[World], Awaitable[None]], engines: int = 4, hosts: int = 2) -> None:
-    """Run a test in a world that serves."""
+def run(
+    test: Callable[[World], Awaitable[None]],
+    engines: int = 4,
+    hosts: int = 2,
+    prepare: Callable[[World], None] = lambda world: None,
+) -> None:
+    """Run a test in a world that serves; ``prepare`` is called before any host starts."""
 
     async def main() -> None:
         world = World()
+        prepare(world)
         async with trio.open_nursery() as nursery:
             with trio.fail_after(60):
                 await world.start(nursery, engines, hosts)
@@ -310,6 +334,32 @@
 
         run(test)
 
+    def test_operators_see_what_is_held_since_before_the_start_and_let_it_go(self) -> None:
+        def prepare(world: World) -> None:
+            held = {"fingerprint": "171", "count": 1, "since_unix_ms": str(int(time.time() * 1000))}
+            kind, _, name = KEY.partition("/")
+            world.store.put(kind, name, {"requests": [held]})
+
+        async def test(world: World) -> None:
+            async def is_held() -> bool:
+                return all([await self._held(world, host) for host in (0, 1)])
+
+            async def is_let_go() -> bool:
+                return not any([await self._held(world, host) for host in (0, 1)])
+
+            await world.wait_for(is_held)
+            path = f"/quarantine/{fingerprint_text(Fingerprint(171))}/lift".encode()
+            self.assertEqual(await world.ask_operator(b"POST", path, host=1), (200, None))
+            await world.wait_for(is_let_go)
+
+        run(test, prepare=prepare)
+
+    async def _held(self, world: World, host: int) -> list[str]:
+        """Return the fingerprints that a host says are held."""
+        status, held = await world.ask_operator(b"GET", b"/quarantine", host)
+        self.assertEqual(status, 200)
+        return [request["fingerprint"] for request in held]
+
     @staticmethod
     def _has_two_groups(world: World) -> Callable[[], Awaitable[bool]]:
         async def check() -> bool:
