--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -113,8 +113,8 @@
     Mutation(
         "planned stop: what would be cut off is not begun",
         "endpoint_choice",
-        "if not self.has_time_before_stop(request):",
-        "if False:",
+        "if not self.has_time_before_stop(request) or self._was_quarantined(request):",
+        "if self._was_quarantined(request):",
         "test_forwarding_stop",
     ),
     Mutation(
@@ -163,7 +163,7 @@
     Mutation(
         "planned stop: it counts from the first signal",
         "early_signals",
-        "if self.asked_ns is None:",
+        "if self.asked_s is None:",
         "if True:",
         "test_process_signals",
     ),
