Decode an answer once, and let one piece of code serve where two stood

- The head of each answer was decoded two or three times, once more since limits are read: it is decoded once, and what it says goes along.
- A host's latest message is kept once: what limits are divided among needs no record of its own beside it.
- Reading the quarantine at the start and before a write is one function; the order of its record, which nothing reads, is not made.
- A cut knows its process, where pairs were passed; choosing an endpoint and asking how long limits keep a request find the engine's profile by one function.
- A limit that changes is logged and kept in one place.
A logger that nothing used, a field and a word of the tests' play are gone.

Two removals name the new text of what they take out.

--- a/tools/mutations_crashes.py
+++ b/tools/mutations_crashes.py
@@ -83,7 +83,7 @@
     Mutation(
         "crashes: a host that starts reads what the store keeps",
         "quarantine_store",
-        "                self._take(self._decode(stored))\n",
+        "                self._take(kept.record)\n",
         "",
         "test_quarantine_store",
     ),
@@ -97,7 +97,7 @@
     Mutation(
         "crashes: what the store has is not written again",
         "quarantine_store",
-        "if _says(record) == _says(kept):",
+        "if _says(record) == _says(kept.record):",
         "if False:",
         "test_quarantine_store",
     ),
--- a/yewloom/crash_checks.py
+++ b/yewloom/crash_checks.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass, field
 
-import structlog
 import trio
 
 from yewloom.crash_record import CrashRecord, EndpointProcess
@@ -21,8 +20,6 @@
 )
 from yewloom.ids import Fingerprint, HostId
 
-logger = structlog.get_logger(__name__)
-
 LOOK_PAUSES_S = (0.0, 0.3)
 """Pauses before the looks at an endpoint's port. A process that ends may close its port a moment
 after its connections; one that is started again is not there yet by the second look."""
@@ -35,6 +32,7 @@
 class _Cut:
     """Exchanges that one process cut off, while it is looked at."""
 
+    process: EndpointProcess
     began_s: float
     requests: set[Fingerprint] = field(default_factory=set)
     is_looked_at: trio.Event = field(default_factory=trio.Event)
@@ -47,7 +45,7 @@
         self._record = record
         self._directory = directory
         self._cuts: dict[EndpointProcess, _Cut] = {}
-        self._unproved: dict[HostId, tuple[EndpointProcess, _Cut]] = {}
+        self._unproved: dict[HostId, _Cut] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -74,45 +72,42 @@
             return
         cut = self._cuts.get(process)
         if cut is None:
-            cut = self._cuts[process] = _Cut(trio.current_time())
-            self._nursery.start_soon(self._look, endpoint, process, cut)
+            cut = self._cuts[process] = _Cut(process, trio.current_time())
+            self._nursery.start_soon(self._look, endpoint, cut)
         cut.requests.add(fingerprint)
         if self._record.is_suspect(fingerprint):
             await cut.is_looked_at.wait()
 
     def on_started_again(self, endpoint: HostId) -> None:
         """Take in that the store shows a later start of an endpoint that had cut exchanges off."""
-        unproved = self._unproved.pop(endpoint, None)
-        if unproved is None:
-            return
-        process, cut = unproved
-        if trio.current_time() - cut.began_s < STORE_S:
-            self._record.note_crash(process, cut.requests, trio.current_time())
+        cut, now_s = self._unproved.pop(endpoint, None), trio.current_time()
+        if cut is not None and now_s - cut.began_s < STORE_S:
+            self._record.note_crash(cut.process, cut.requests, now_s)
 
     def _ends_unplanned(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint that ends now does so without having said it."""
         listed = self._directory.by_id.get(endpoint.id)
         return listed is not None and not listed.is_leaving
 
-    async def _look(self, endpoint: Endpoint, process: EndpointProcess, cut: _Cut) -> None:
+    async def _look(self, endpoint: Endpoint, cut: _Cut) -> None:
         """Look whether a process still has its port."""
         try:
             for pause_s in LOOK_PAUSES_S:
                 await trio.sleep(pause_s)
                 if await _refuses(endpoint):
-                    self._record.note_crash(process, cut.requests, trio.current_time())
+                    self._record.note_crash(cut.process, cut.requests, trio.current_time())
                     return
                 cut.is_looked_at.set()
         finally:
             cut.is_looked_at.set()
-            self._cuts.pop(process, None)
-        self._keep_unproved(process, cut)
+            self._cuts.pop(cut.process, None)
+        self._keep_unproved(cut)
 
-    def _keep_unproved(self, process: EndpointProcess, cut: _Cut) -> None:
+    def _keep_unproved(self, cut: _Cut) -> None:
         """Keep a cut that the store may still explain."""
         now_s = trio.current_time()
-        kept = {h: u for h, u in self._unproved.items() if now_s - u[1].began_s < STORE_S}
-        self._unproved = kept | {process.endpoint: (process, cut)}
+        kept = {h: c for h, c in self._unproved.items() if now_s - c.began_s < STORE_S}
+        self._unproved = kept | {cut.process.endpoint: cut}
 
 
 async def _refuses(endpoint: Endpoint) -> bool:
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -8,7 +8,7 @@
 import trio
 
 from yewloom.attempts import AttemptState
-from yewloom.caller_headers import HeaderCodec, Sending
+from yewloom.caller_headers import AnswerMarks, HeaderCodec, Sending
 from yewloom.crash_checks import CrashChecks
 from yewloom.crash_record import CrashRecord
 from yewloom.directory import Endpoint
@@ -32,6 +32,7 @@
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
 from yewloom.stalls import AVOID_STALLED_S, StallDetector
+from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
 
@@ -54,6 +55,14 @@
     """The endpoint's group stands still."""
 
 
+@value_class
+class _Answer:
+    """The head of an answer, and what it says."""
+
+    head: AnswerHead
+    marks: AnswerMarks
+
+
 class EndpointAttempts:
     """Sends requests to endpoints over connections of their own."""
 
@@ -161,28 +170,29 @@
             request.record.note(endpoint.id, AttemptState.SENT)
             await exchange.send(self._outgoing(request, endpoint))
             if not request.route.is_stream:
-                head = await self._head(endpoint, exchange)
-                return await self._pass_whole(request, endpoint, exchange, head)
+                answer = await self._answer(endpoint, exchange)
+                return await self._pass_whole(request, endpoint, exchange, answer)
             self._stalls.on_begin(endpoint.id, trio.current_time())
             try:
-                read = partial(self._head, endpoint, exchange)
-                head = await self._unless_stalled(request, endpoint, read)
-                if head.status != 200:
-                    return await self._pass_whole(request, endpoint, exchange, head)
-                self._check_answer(request, head)
-                return await self._pass_events(request, endpoint, exchange, head)
+                read = partial(self._answer, endpoint, exchange)
+                answer = await self._unless_stalled(request, endpoint, read)
+                if answer.head.status != 200:
+                    return await self._pass_whole(request, endpoint, exchange, answer)
+                self._check_answer(request, answer.marks)
+                return await self._pass_events(request, endpoint, exchange, answer.head)
             finally:
                 self._stalls.on_end(endpoint.id)
 
-    async def _head(self, endpoint: Endpoint, exchange: Exchange) -> AnswerHead:
+    async def _answer(self, endpoint: Endpoint, exchange: Exchange) -> _Answer:
         """Wait for the head of an answer, and take in the limit that it names."""
         head = await exchange.head()
-        limit = self._codec.decode_answer(head).limit
+        marks = self._codec.decode_answer(head)
+        limit = marks.limit
         if limit.is_told:
             self._limits.note(endpoint.id, limit.per_s, trio.current_time())
         elif limit.unreadable:
             self._limits.note_unreadable(endpoint.id, limit.unreadable)
-        return head
+        return _Answer(head, marks)
 
     def _outgoing(self, request: ForwardRequest, endpoint: Endpoint) -> OutgoingRequest:
         resumes = request.cursor.has_events or request.marks.last_event_id > 0
@@ -198,9 +208,9 @@
             headers.append((b"content-length", str(len(source.body)).encode()))
         return OutgoingRequest(source.method, source.target, headers, source.body)
 
-    def _check_answer(self, request: ForwardRequest, head: AnswerHead) -> None:
+    def _check_answer(self, request: ForwardRequest, marks: AnswerMarks) -> None:
         """Raise ExchangeError unless an answer belongs to the request."""
-        if self._codec.decode_answer(head).request_id != request.marks.request_id:
+        if marks.request_id != request.marks.request_id:
             raise ExchangeError(ExchangeFailure.UNREADABLE, True, "answer to another request")
 
     async def _pass_whole(
@@ -208,14 +218,15 @@
         request: ForwardRequest,
         endpoint: Endpoint,
         exchange: Exchange,
-        head: AnswerHead,
+        answer: _Answer,
     ) -> tuple[bool, str]:
         """Keep an answer for the caller once it is whole, unless another endpoint may do better."""
-        if self._codec.decode_answer(head).is_not_run:
+        head = answer.head
+        if answer.marks.is_not_run:
             request.record.note(endpoint.id, AttemptState.NOT_RUN)
             self._selector.avoid(endpoint.id, trio.current_time() + AVOID_FULL_S)
             return False, f"not run: status {head.status}"
-        self._check_answer(request, head)
+        self._check_answer(request, answer.marks)
         body = await exchange.whole_body()
         if head.status >= SERVER_ERROR and self._choice.has_another(request):
             return False, f"failed: status {head.status}"
--- a/yewloom/endpoint_limits.py
+++ b/yewloom/endpoint_limits.py
@@ -157,13 +157,13 @@
     def _put(self, endpoint: HostId, per_s: float | None, said_s: float) -> _Limit:
         """Keep a limit; one that is named anew begins with nothing that may be sent."""
         limit = self._limits.get(endpoint)
-        if limit is None or (limit.per_s is None) != (per_s is None):
+        if limit is not None and limit.per_s == per_s:
+            limit.said_s = said_s
+            return limit
+        logger.info("endpoint limit", endpoint=endpoint, per_s=per_s)
+        if limit is None or limit.per_s is None or per_s is None:
             limit = self._limits[endpoint] = _Limit(per_s, said_s, counted_s=said_s)
-            logger.info("endpoint limit", endpoint=endpoint, per_s=per_s)
-        elif limit.per_s != per_s:
-            limit.shared_s = float("-inf")
-            logger.info("endpoint limit", endpoint=endpoint, per_s=per_s)
-        limit.per_s, limit.said_s = per_s, said_s
+        limit.per_s, limit.said_s, limit.shared_s = per_s, said_s, float("-inf")
         return limit
 
     def _count(self, endpoint: Endpoint, limit: _Limit, now_s: float) -> None:
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -70,12 +70,6 @@
     heard_s: float
 
 
-@value_class
-class _LastHeard:
-    data_centre: DataCentreId
-    heard_s: float
-
-
 class PeerBoard:
     """Keeps the latest message of each peer, and the peers that were ever known."""
 
@@ -89,7 +83,7 @@
         self._near: dict[EntryHostId, EntryState] = {}
         self._running: Counter[HostId] = Counter()
         self._known = {me}
-        self._last_heard: dict[EntryHostId, _LastHeard] = {}
+        self._last_heard: dict[EntryHostId, _Heard] = {}
 
     def know(self, host: EntryHostId) -> None:
         """Take in that an entry host exists, whether it can be reached or not."""
@@ -114,7 +108,8 @@
         recent = {p: h for p, h in self._last_heard.items() if now_s - h.heard_s < SHARE_KEPT_S}
         self._last_heard = recent
         mine = SharingHost(self._me, self._data_centre)
-        return [mine, *(SharingHost(peer, heard.data_centre) for peer, heard in recent.items())]
+        others = [SharingHost(p, DataCentreId(h.state.data_centre)) for p, h in recent.items()]
+        return [mine, *others]
 
     def take(self, state: EntryState, now_s: float) -> PeerWords:
         """Take in a message; return what it proves."""
@@ -125,8 +120,7 @@
         if known is not None:
             self._count(known.state, -1)
         self._count(state, 1)
-        self._heard[peer] = _Heard(state, now_s)
-        self._last_heard[peer] = _LastHeard(DataCentreId(state.data_centre), now_s)
+        self._heard[peer] = self._last_heard[peer] = _Heard(state, now_s)
         if state.data_centre == self._data_centre:
             self._near[peer] = state
         is_echo = state.echoed_ms and state.echoed_started_unix_ms == self._started_unix_ms
--- a/yewloom/quarantine_store.py
+++ b/yewloom/quarantine_store.py
@@ -15,8 +15,9 @@
 from yewloom.hashing import turn_among
 from yewloom.ids import EntryHostId, Fingerprint
 from yewloom.platforms import Platform, StoredObject
-from yewloom.quarantine import LONGEST_HOLD_S, MOST_ENTRIES, Quarantine, QuarantineWord
+from yewloom.quarantine import LONGEST_HOLD_S, Quarantine, QuarantineWord
 from yewloom.schema.entry_pb2 import KeptRequest, QuarantineRecord
+from yewloom.values import value_class
 from yewloom.writes import RecordError, parse_record, to_json
 
 logger = structlog.get_logger(__name__)
@@ -33,6 +34,14 @@
 """Time for which the store keeps a request that was held."""
 
 
+@value_class
+class _StoredRecord:
+    """The store's object, and its version, which is 0 if there is none."""
+
+    record: QuarantineRecord
+    version: int
+
+
 class QuarantineStore:
     """Reads the quarantine at the start, and writes what changes.
 
@@ -57,7 +66,7 @@
 
     async def run(self) -> None:
         """Read what is kept, then write changes, until cancelled."""
-        while not await self._read():  # noqa: ASYNC110 - the store tells nobody that it is back
+        while await self._read(self._stale_platform) is None:  # noqa: ASYNC110 - the store tells nobody that it is back
             await trio.sleep(LOOK_S)
         written = 0
         while True:
@@ -73,31 +82,28 @@
             if await self._write():
                 written = changes
 
-    async def _read(self) -> bool:
-        """Take in what the store keeps; tell whether it answered."""
-        match await self._stale_platform.get(KEY):
+    async def _read(self, platform: Platform) -> _StoredRecord | None:
+        """Return what the store keeps, and take it in; None if it does not answer."""
+        match await platform.get(KEY):
             case Ok(stored):
-                self._take(self._decode(stored))
-                return True
+                kept = _StoredRecord(
+                    self._decode(stored), stored.version if stored is not None else 0
+                )
+                self._take(kept.record)
+                return kept
             case Err(error):
                 logger.info("quarantine not read", reason=str(error))
-                return False
+                return None
 
     async def _write(self) -> bool:
         """Write what the store lacks; tell whether it has all of it now."""
-        match await self._platform.get(KEY):
-            case Ok(stored):
-                pass
-            case Err(error):
-                logger.info("quarantine not read", reason=str(error))
-                return False
-        kept = self._decode(stored)
-        self._take(kept)
+        kept = await self._read(self._platform)
+        if kept is None:
+            return False
         record = self._record()
-        if _says(record) == _says(kept):
+        if _says(record) == _says(kept.record):
             return True
-        version = stored.version if stored is not None else 0
-        match await self._platform.update(KEY, to_json(record), version):
+        match await self._platform.update(KEY, to_json(record), kept.version):
             case Ok(_):
                 logger.info("quarantine written", count=len(record.requests))
                 return True
@@ -123,13 +129,10 @@
                 self._quarantine.take(_word(kept, age_s), now_s)
 
     def _record(self) -> QuarantineRecord:
-        """Return what is to be kept, in an order that is the same on all hosts."""
-        now_s, unix_s = trio.current_time(), self._unix_s()
-        words = [word for word in self._quarantine.words(now_s) if word.age_s < KEPT_S]
-        words.sort(key=lambda word: word.fingerprint)
-        return QuarantineRecord(
-            requests=[_kept(word, unix_s) for word in words[:MOST_ENTRIES]],
-        )
+        """Return what is to be kept."""
+        words, unix_s = self._quarantine.words(trio.current_time()), self._unix_s()
+        requests = [_request(word, unix_s) for word in words if word.age_s < KEPT_S]
+        return QuarantineRecord(requests=requests)
 
 
 def _says(record: QuarantineRecord) -> set[tuple[int, int, bool]]:
@@ -141,7 +144,7 @@
     return QuarantineWord(Fingerprint(kept.fingerprint), kept.count, kept.is_lifted, age_s)
 
 
-def _kept(word: QuarantineWord, unix_s: float) -> KeptRequest:
+def _request(word: QuarantineWord, unix_s: float) -> KeptRequest:
     return KeptRequest(
         fingerprint=word.fingerprint,
         count=word.count,
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -26,7 +26,6 @@
 """When a caller should come back whose time was over when its request was read, if it still waits:
 the host has caught up by then."""
 
-
 QUARANTINED = "quarantined"
 """Why a request is refused that ended endpoints; it is not sent anywhere."""
 
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -82,8 +82,7 @@
         now_s: float,
     ) -> Endpoint | None:
         """Return the least loaded endpoint that takes requests and was not tried; None if none."""
-        service = configuration.services.get(wanted.service)
-        engine = service.engine if service is not None else None
+        engine = _engine_of(wanted, configuration)
         best, best_score = None, float("inf")
         candidates = list(self._candidates(wanted, engine))
         slow = self.paces.slow_among((endpoint.id for endpoint, _ in candidates), now_s)
@@ -109,8 +108,7 @@
         """Return how long limits alone keep this host from sending a request; 0 if they don't."""
         if not self._limits.has_any:
             return 0.0
-        service = configuration.services.get(wanted.service)
-        engine = service.engine if service is not None else None
+        engine = _engine_of(wanted, configuration)
         untried = (e for e, _ in self._candidates(wanted, engine) if e.id not in tried)
         return min((self._limits.wait_s(endpoint, now_s) for endpoint in untried), default=0.0)
 
@@ -178,3 +176,9 @@
         slots = engine.slots if engine is not None else PLAIN_SLOTS
         running = self._running.get(endpoint.id, 0) + self._peers.running(endpoint.id)
         return running / slots
+
+
+def _engine_of(wanted: Wanted, configuration: Configuration) -> EngineProfile | None:
+    """Return the profile of the engines that a request needs; None for a plain service."""
+    service = configuration.services.get(wanted.service)
+    return service.engine if service is not None else None
--- a/yewloom/tests/soak/fragile_play.py
+++ b/yewloom/tests/soak/fragile_play.py
@@ -30,14 +30,13 @@
 
 @dataclass
 class FragilePlay:
-    """Callers of a fleet; ``statuses`` and ``took_s`` are of all but the crashing request.
+    """Callers of a fleet; ``statuses`` are of all but the crashing request.
 
     ``limits`` are the texts by which endpoints name their limits; those behind them name none.
     """
 
     fleet: Fleet
     limits: Sequence[str] = ()
-    endpoints: list[FragileEndpoint] = field(default_factory=list)
     seen: EndpointLedger = field(default_factory=EndpointLedger)
     statuses: list[int] = field(default_factory=list)
     _asked: int = 0
@@ -47,7 +46,6 @@
         texts = [*self.limits, *[""] * (ENDPOINTS - len(self.limits))]
         for number, limit in enumerate(texts):
             endpoint = FragileEndpoint(f"p{number}", PLAIN, self.fleet.store, self.seen, limit)
-            self.endpoints.append(endpoint)
             nursery.start_soon(endpoint.run)
 
     async def wait_until_served(self) -> None:
--- a/yewloom/tests/test_quarantine_store.py
+++ b/yewloom/tests/test_quarantine_store.py
@@ -35,6 +35,16 @@
         self._nursery.start_soon(store.run)
         return quarantine
 
+    def start_all(self) -> list[Quarantine]:
+        """Start all hosts; return what each knows."""
+        return [self.start(host) for host in HOSTS]
+
+    async def start_anew(self) -> Quarantine:
+        """Start a host again; return what it knows once it has read the store."""
+        quarantine = self.start(HOSTS[0])
+        await trio.sleep(0.1)
+        return quarantine
+
     def _unix_s(self) -> float:
         return UNIX_S + trio.current_time() - self._began_s + self.ahead_s
 
@@ -57,11 +67,10 @@
         """Guards against a request that ends as many endpoints again after a restart of all."""
 
         async def test(world: World) -> None:
-            for quarantine in [world.start(host) for host in HOSTS]:
+            for quarantine in world.start_all():
                 quarantine.add(F, trio.current_time())
             await trio.sleep(SETTLED_S)
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertAlmostEqual(
                 quarantine.wait_s(F, trio.current_time()), FIRST_HOLD_S - SETTLED_S, delta=0.2
             )
@@ -72,7 +81,7 @@
         """Guards against as many writes as there are hosts."""
 
         async def test(world: World) -> None:
-            for quarantine in [world.start(host) for host in HOSTS]:
+            for quarantine in world.start_all():
                 quarantine.add(F, trio.current_time())
             await trio.sleep(SETTLED_S)
             self.assertEqual(world.platform.calls["update"], 1)
@@ -93,13 +102,12 @@
 
     def test_what_several_hosts_found_is_kept_together(self) -> None:
         async def test(world: World) -> None:
-            quarantines = [world.start(host) for host in HOSTS]
+            quarantines = world.start_all()
             quarantines[0].add(F, trio.current_time())
             for quarantine in quarantines[1:]:
                 quarantine.add(OTHER, trio.current_time())
             await trio.sleep(3 * SETTLED_S)
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertTrue(quarantine.is_held(OTHER))
 
         play(test)
@@ -107,46 +115,42 @@
     def test_a_store_that_is_away_is_asked_and_written_again(self) -> None:
         async def test(world: World) -> None:
             world.platform.is_refusing = True
-            quarantines = [world.start(host) for host in HOSTS]
+            quarantines = world.start_all()
             await trio.sleep(5.0)
             for quarantine in quarantines:
                 quarantine.add(F, trio.current_time())
             world.platform.is_refusing = False
             world.platform.faults = [Fault.REFUSE, Fault.LOSE_WRITE, Fault.LOSE_ANSWER]
             await trio.sleep(3 * SETTLED_S)
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertTrue(quarantine.is_held(F))
 
         play(test)
 
     def test_what_was_let_go_is_not_held_after_a_start(self) -> None:
         async def test(world: World) -> None:
-            quarantines = [world.start(host) for host in HOSTS]
+            quarantines = world.start_all()
             for quarantine in quarantines:
                 quarantine.add(F, trio.current_time())
             await trio.sleep(SETTLED_S)
             for quarantine in quarantines:
                 quarantine.lift(F)
             await trio.sleep(SETTLED_S)
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertFalse(quarantine.is_held(F))
 
         play(test)
 
     def test_a_clock_that_was_set_back_holds_nothing_for_longer(self) -> None:
         async def test(world: World) -> None:
-            for quarantine in [world.start(host) for host in HOSTS]:
+            for quarantine in world.start_all():
                 quarantine.add(F, trio.current_time())
             await trio.sleep(SETTLED_S)
             world.ahead_s = -1000.0
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertLessEqual(quarantine.wait_s(F, trio.current_time()), FIRST_HOLD_S)
             world.ahead_s = KEPT_S
-            quarantine = world.start(HOSTS[0])
-            await trio.sleep(0.1)
+            quarantine = await world.start_anew()
             self.assertFalse(quarantine.is_held(F))
 
         play(test)
@@ -154,7 +158,7 @@
     def test_an_object_that_can_not_be_read_stops_nothing(self) -> None:
         async def test(world: World) -> None:
             world.platform.objects[KEY] = StoredObject(KEY, 1, "[]")
-            quarantines = [world.start(host) for host in HOSTS]
+            quarantines = world.start_all()
             await trio.sleep(0.1)
             for quarantine in quarantines:
                 quarantine.add(F, trio.current_time())
