Claim another endpoint before a request leaves the one that it is at

Cause: whether a request may go on elsewhere was asked (has_another) before it left its endpoint, and the repeat was counted behind that, with the close of the old connection between. Two streams that leave at once count on the same last repeat; one is cut off for nothing. Likewise a 500 that an endpoint answered became a 502.

Evidence: by the host's lines, four streams left two groups within 0.13 s, six repeats lay in the window before, and the bound was 100 / 12 + 0.2 a stream, between nine and ten: the ninth went on, the tenth was "stalled" and 0.2 ms later "cut off" after one attempt. Ruled out: no other group (streams went both ways between both), the stop's time (it left time for the ninth), the caller's time (4.8 s).

Change: endpoint, repeat, limit and place are claimed in one step before the request leaves; with none it stays where it is. Both new tests failed before, on every run: a stream cut off; [200, 502] for [200, 500].

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -296,8 +296,22 @@
     Mutation(
         "streams: one that can't go on elsewhere is not left",
         "endpoint_choice",
-        "return self._retries.may_repeat(request.wanted.service, trio.current_time())",
-        "return True",
+        "        return request.claimed is not None",
+        "        return True",
+        "test_forwarding",
+    ),
+    Mutation(
+        "streams: one that is left for another endpoint gets that one",
+        "endpoint_choice",
+        "        request.claimed = self._take(request)\n        return request.claimed is not None",
+        "        return self._best(request) is not None",
+        "test_forwarding",
+    ),
+    Mutation(
+        "forwarding: a claim that was not used is given back",
+        "endpoint_choice",
+        "            self._selector.end(request.claimed.id)\n",
+        "",
         "test_forwarding",
     ),
     Mutation(
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -228,7 +228,7 @@
             return False, f"not run: status {head.status}"
         self._check_answer(request, answer.marks)
         body = await exchange.whole_body()
-        if head.status >= SERVER_ERROR and self._choice.has_another(request):
+        if head.status >= SERVER_ERROR and self._choice.claim_another(request):
             return False, f"failed: status {head.status}"
         request.record.note(endpoint.id, AttemptState.ANSWERED)
         if request.reply.is_started:
@@ -290,5 +290,5 @@
             is_stalled = self._stalls.is_stalled(endpoint.id, trio.current_time())
             if is_stalled and not was_late and self._lateness.late_s():
                 was_late = True
-            elif is_stalled and self._choice.has_another(request):
+            elif is_stalled and self._choice.claim_another(request):
                 raise _Stalled
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -38,7 +38,30 @@
         self.durations = RouteDurations()
 
     def next(self, request: ForwardRequest) -> Endpoint | None:
-        """Return the endpoint that gets a request next, and count the sending; None if none may."""
+        """Return the endpoint that gets a request next, and count the sending; None if none may.
+
+        The request counts as running there from now on.
+        """
+        claimed, request.claimed = request.claimed, None
+        return claimed or self._take(request)
+
+    def claim_another(self, request: ForwardRequest) -> bool:
+        """Claim another endpoint for a request that was sent; tell whether it may leave this one.
+
+        ``next`` returns what was claimed: a repeat that is only seen to be left may be gone to
+        another request before this one has left its endpoint.
+        """
+        request.claimed = self._take(request)
+        return request.claimed is not None
+
+    def drop_claim(self, request: ForwardRequest) -> None:
+        """Give back an endpoint that was claimed for a request which has ended."""
+        if request.claimed is not None:
+            self._selector.end(request.claimed.id)
+            request.claimed = None
+
+    def _take(self, request: ForwardRequest) -> Endpoint | None:
+        """Choose an endpoint and count the sending, all without letting another request in."""
         endpoint = self._best(request)
         if endpoint is None:
             return None
@@ -46,14 +69,9 @@
         if request.record.is_repeat() and not self._retries.try_repeat(service, now_s):
             return None
         self._limits.spend(endpoint, now_s)
+        self._selector.begin(endpoint.id)
         return endpoint
 
-    def has_another(self, request: ForwardRequest) -> bool:
-        """Tell whether a request that was sent could be sent once more; nothing is counted."""
-        if self._best(request) is None:
-            return False
-        return self._retries.may_repeat(request.wanted.service, trio.current_time())
-
     def limit_wait_s(self, request: ForwardRequest) -> float:
         """Return how long the limits of endpoints alone keep a request; 0 if they don't."""
         return self._selector.limit_wait_s(
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -8,6 +8,7 @@
 from yewloom.caller_headers import RequestMarks
 from yewloom.caller_messages import CallerRequest, Reply
 from yewloom.configuration import Configuration
+from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
 from yewloom.event_stream import StreamCursor
 from yewloom.fingerprints import fingerprint_of
@@ -32,6 +33,7 @@
 
     ``answer`` is the final answer of an endpoint that is no stream, once it is here.
     ``quarantine_count`` is how often the request had been quarantined when it was admitted.
+    ``claimed`` is the endpoint that it goes to once it has left the one that it is at.
     """
 
     source: CallerRequest
@@ -47,6 +49,7 @@
     first_event_s: float | None = None
     answer: WholeAnswer | None = None
     quarantine_count: int = 0
+    claimed: Endpoint | None = None
     _fingerprint: Fingerprint | None = None
 
     @property
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -133,10 +133,12 @@
 
     async def _try_endpoints(self, request: ForwardRequest) -> None:
         """Send a request to one endpoint after the other until one answers or none may get it."""
-        while True:
-            endpoint = self._choice.next(request)
-            if endpoint is None or await self._attempt(request, endpoint):
-                return
+        try:
+            while endpoint := self._choice.next(request):
+                if await self._attempt(request, endpoint):
+                    return
+        finally:
+            self._choice.drop_claim(request)
 
     @contextmanager
     def _time_limit(self, request: ForwardRequest) -> Iterator[None]:
@@ -150,7 +152,6 @@
 
     async def _attempt(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
         request.record.begin(endpoint.id)
-        self._selector.begin(endpoint.id)
         try:
             return await self._attempts.run(request, endpoint)
         finally:
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -126,6 +126,16 @@
         await self.stream.send_all(data or b"")
 
 
+class SharedEndpoint(Endpoint):
+    """An endpoint that serves several requests at once, each with a player of its own."""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Read one request and play the script."""
+        player = Endpoint(self._play)
+        player.requests = self.requests
+        await player.serve(stream)
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return b"id: %d\ndata: %d\n\n" % (number, number)
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -13,6 +13,7 @@
 from yewloom.ids import HostId
 from yewloom.planned_stop import STOP_MARGIN_S
 from yewloom.route_durations import LEAST
+from yewloom.selection import PLAIN_SLOTS
 from yewloom.stalls import LOOK_S, QUIET_S
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
@@ -20,6 +21,7 @@
     STREAM_ROUTE,
     Endpoint,
     Fixture,
+    SharedEndpoint,
     answer_ok,
     close_without_answer,
     event,
@@ -156,6 +158,36 @@
 
         run(test)
 
+    def test_a_failure_is_kept_while_the_last_repeat_goes_to_another_request(self) -> None:
+        """Guards against a repeat that two requests count on, of which one then ends in 502."""
+        both_asked = trio.Event()
+
+        async def fail_both_at_once(endpoint: Endpoint, request: h11.Request) -> None:
+            if len(failing.requests) == 2:
+                both_asked.set()
+            await both_asked.wait()
+            await fail(endpoint, request)
+
+        failing = SharedEndpoint(fail_both_at_once)
+
+        async def test(fixture: Fixture) -> None:
+            await fixture.add_plain("p0", failing)
+            await fixture.add_plain("p1", Endpoint(answer_ok))
+            for _ in range(PLAIN_SLOTS):
+                fixture.selector.begin(HostId("p1"))
+            fixture.retries_left = 1.0
+            statuses: list[int] = []
+
+            async def ask() -> None:
+                statuses.append((await fixture.ask("/r/1")).status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                nursery.start_soon(ask)
+            self.assertEqual(sorted(statuses), [200, 500])
+
+        run(test)
+
     def test_an_answer_to_another_request_is_not_passed_on(self) -> None:
         async def lie(endpoint: Endpoint, request: h11.Request) -> None:
             await endpoint.raw(
@@ -365,6 +397,44 @@
             with self.subTest(hinder.__name__):
                 run(test)
 
+    def test_a_stream_is_not_left_for_a_repeat_that_another_one_takes(self) -> None:
+        """Guards against streams that leave one engine at once, of which one is then cut off."""
+
+        async def pause(endpoint: Endpoint, request: h11.Request) -> None:
+            await endpoint.start(200)
+            await endpoint.send(event(1))
+            await trio.sleep(QUIET_S * 2)
+            await endpoint.send(event(2))
+            await endpoint.finish()
+
+        async def go_on(endpoint: Endpoint, request: h11.Request) -> None:
+            await endpoint.start(200)
+            await endpoint.send(event(2))
+            await endpoint.finish()
+
+        async def test(fixture: Fixture) -> None:
+            other = Endpoint(go_on)
+            await fixture.add_engine("a", SharedEndpoint(pause))
+            await fixture.add_engine("b", other)
+            for _ in range(3):
+                fixture.selector.begin(HostId("b"))
+            fixture.retries_left = 1.0
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._expect_two_events, fixture)
+                nursery.start_soon(self._expect_two_events, fixture)
+            self.assertEqual(len(other.requests), 1)
+
+        run(test)
+
+    def test_an_endpoint_that_was_claimed_for_a_request_that_ended_has_its_place_back(self) -> None:
+        fixture = Fixture()
+        endpoint = make_plain("p", "127.0.0.1:1")
+        fixture.selector.begin(endpoint.id)
+        ended = mock.Mock(claimed=endpoint)
+        fixture.choice.drop_claim(ended)
+        fixture.choice.drop_claim(ended)
+        self.assertEqual((fixture.selector.running(), ended.claimed), ({}, None))
+
     async def _expect_two_events(self, fixture: Fixture) -> None:
         answer = await fixture.ask("/s/1")
         self.assertEqual((answer.body, answer.is_whole), (event(1) + event(2), True))
