Let no route's limit run while a caller takes the answer before

What callers saw: 503 with Retry-After 0 for a request that was sent behind another one on the same connection, when the caller took its time with the first answer (test_forwarding_stop, known red).

Cause: the limit of a route counted from when a request's bytes came. Behind an answer that its own caller is slow to take, that is no time for which the host holds it.

Evidence: the host's lines of two failing runs: first answer taken after 2.63 s, then "read too late", waited_ms 2132 and 2488 on a route of 2000 ms. Ruled out by the same lines: an old configuration (age up to 1 s), a stop. The new test does the same without load and failed before ([200, 503] for [200, 200]).

Change: the connection counts the time in which it sends; a route's limit leaves out what of that a request waited for. The caller's own deadline runs on, which the test holds as well.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -31,6 +31,13 @@
         "trio.current_time()",
         "test_caller_connection",
     ),
+    Mutation(
+        "late: a route's limit spares what waits for its own caller",
+        "request_admission",
+        "source.kept_waiting_s + route.timeout_ms / 1000",
+        "route.timeout_ms / 1000",
+        "test_forwarding",
+    ),
     Mutation(
         "late: a request whose time is over runs nowhere",
         "socket_ages",
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -5,7 +5,14 @@
 import trio
 
 from yewloom.caller_activity import CallerActivity
-from yewloom.caller_messages import CallerGoneError, CallerRequest, Handler, Handlers, Reply
+from yewloom.caller_messages import (
+    CallerGoneError,
+    CallerRequest,
+    Handler,
+    Handlers,
+    Reply,
+    TakingTime,
+)
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import READ_BYTES
 from yewloom.socket_ages import ReadAges
@@ -43,6 +50,8 @@
         self._limits = limits
         self._ages = ages
         self._arrived_s: float | None = None  # The next request's first bytes.
+        self._taking = TakingTime()
+        self._taken_before_s = 0.0  # Of it, up to those bytes.
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -98,6 +107,7 @@
             read_s,
             self._requests,
             self._activity.stopping_ms(),
+            0.0 if arrived_s is None else self._taking.total_s() - self._taken_before_s,
         )
 
     def _check_size(self, head: h11.Request) -> None:
@@ -123,6 +133,7 @@
         """Take in bytes that were just read; the first ones tell when their request came."""
         if self._arrived_s is None and data:
             self._arrived_s = trio.current_time() - self._ages.of(self._stream)
+            self._taken_before_s = self._taking.total_s()
         self._connection.receive_data(bytes(data))
 
     async def _read_body(self) -> bytes | None:
@@ -154,7 +165,9 @@
 
     async def _answer(self, request: CallerRequest) -> bool:
         """Answer a request; tell whether the connection may carry another one."""
-        reply = Reply(self._stream, self._connection, lambda: self._activity.is_leaving)
+        reply = Reply(
+            self._stream, self._connection, lambda: self._activity.is_leaving, self._taking
+        )
         handler = self._handlers.take if self._activity.takes_requests else self._handlers.refuse
         with self._activity.request():
             async with trio.open_nursery() as nursery:
@@ -193,7 +206,7 @@
         """Answer a request that can't be read, and close."""
         logger.info("request unreadable", status=status)
         if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            reply = Reply(self._stream, self._connection, lambda: True)
+            reply = Reply(self._stream, self._connection, lambda: True, self._taking)
             await reply.send_whole(status, [], b"")
         await self._close_gently()
 
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -1,6 +1,7 @@
 """A caller's request as it was read whole, and the reply to it."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager
 
 import h11
 import trio
@@ -20,7 +21,8 @@
 
     ``arrived_s`` is when its first bytes may have come at the earliest, ``read_s`` when it was read
     whole. ``number_on_connection`` is 1 for the first request of a connection; ``stopping_ms`` is
-    how long the host had been stopping when the request was read, or None.
+    how long the host had been stopping when the request was read, or None. ``kept_waiting_s`` is
+    how long it then waited for its own caller to take the answers before it.
     """
 
     method: bytes
@@ -31,6 +33,7 @@
     read_s: float
     number_on_connection: int
     stopping_ms: int | None
+    kept_waiting_s: float = 0.0
 
     @property
     def path(self) -> str:
@@ -42,6 +45,29 @@
     """The caller closed its connection."""
 
 
+class TakingTime:
+    """For how long the caller of a connection has been taking what was sent to it, in seconds."""
+
+    def __init__(self) -> None:
+        self._ended_s = 0.0
+        self._began_s: float | None = None
+
+    def total_s(self) -> float:
+        """Return the time up to now, with what is being sent."""
+        open_s = 0.0 if self._began_s is None else trio.current_time() - self._began_s
+        return self._ended_s + open_s
+
+    @contextmanager
+    def sending(self) -> Iterator[None]:
+        """Count the time until the block ends."""
+        self._began_s = trio.current_time()
+        try:
+            yield
+        finally:
+            self._ended_s = self.total_s()
+            self._began_s = None
+
+
 class Reply:
     """The answer to one request; nothing is sent before ``start`` or ``send_whole``.
 
@@ -53,7 +79,9 @@
         stream: trio.abc.Stream,
         connection: h11.Connection,
         should_close: Callable[[], bool],
+        taking: TakingTime,
     ) -> None:
+        self._taking = taking
         self._stream = stream
         self._connection = connection
         self._should_close = should_close
@@ -110,7 +138,8 @@
             return
         self._is_intact = False
         try:
-            await self._stream.send_all(data)
+            with self._taking.sending():
+                await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError from error
         self._is_intact = True
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -113,8 +113,7 @@
         route: Route,
         customer: CustomerId | None,
     ) -> ForwardRequest:
-        deadline_ms = marks.deadline_ms if marks.deadline_ms is not None else DEFAULT_DEADLINE_MS
-        ends_s = source.arrived_s + min(deadline_ms, route.timeout_ms) / 1000 - ANSWER_MARGIN_S
+        ends_s = _ends_s(source, marks, route)
         if source.arrived_s < source.read_s and ends_s <= source.read_s:
             raise Refusal(503, "read too late", AT_ONCE_S)
         wanted = Wanted(self._selector.service_of(route), marks.model)
@@ -130,3 +129,10 @@
             record=AttemptRecord(route),
             cursor=StreamCursor(marks.last_event_id),
         )
+
+
+def _ends_s(source: CallerRequest, marks: RequestMarks, route: Route) -> float:
+    """Return when a request is given up: the caller's time goes on while it keeps us waiting."""
+    deadline_ms = marks.deadline_ms if marks.deadline_ms is not None else DEFAULT_DEADLINE_MS
+    route_ends_s = source.kept_waiting_s + route.timeout_ms / 1000
+    return source.arrived_s + min(deadline_ms / 1000, route_ends_s) - ANSWER_MARGIN_S
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -15,13 +15,17 @@
 from yewloom.route_durations import LEAST
 from yewloom.selection import PLAIN_SLOTS
 from yewloom.stalls import LOOK_S, QUIET_S
+from yewloom.tests.caller_support import parse_answers
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
     GRACE_S,
+    LONG_BODY,
     STREAM_ROUTE,
+    UNSAFE_ROUTE,
     Endpoint,
     Fixture,
     SharedEndpoint,
+    answer_at_length,
     answer_ok,
     close_without_answer,
     event,
@@ -505,6 +509,31 @@
 
         run(test)
 
+    def test_the_route_limit_spares_what_waits_for_its_caller_to_take_an_answer(self) -> None:
+        """Guards against refusing, as read too late, what only its own caller kept waiting."""
+
+        def ask_twice(deadline_ms: dict[str, str]) -> list[tuple[int, int]]:
+            answers: list[tuple[int, bytes]] = []
+
+            async def test(fixture: Fixture) -> None:
+                await fixture.add_plain("p", Endpoint(answer_at_length))
+                caller = await fixture.open_slow()
+                await fixture.send(caller, "/u/1")
+                await trio.sleep(0.5)
+                await fixture.send(caller, "/u/2", connection="close", **deadline_ms)
+                await trio.sleep(UNSAFE_ROUTE.timeout_ms / 1000 + 0.5)
+                received = bytearray()
+                while data := await caller.receive_some(65536):
+                    received += data
+                answers.extend(parse_answers(bytes(received)))
+
+            run(test)
+            return [(status, len(body)) for status, body in answers]
+
+        self.assertEqual(ask_twice({}), [(200, len(LONG_BODY))] * 2)
+        own_deadline = {"yewloom_deadline_ms": str(UNSAFE_ROUTE.timeout_ms)}
+        self.assertEqual(ask_twice(own_deadline), [(200, len(LONG_BODY)), (503, 0)])
+
     def test_what_is_too_long_too_slow_or_spoilt_is_refused_and_sent_nowhere(self) -> None:
         head = b"POST /u/1 HTTP/1.1\r\nhost: x.example\r\n"
         cases = {
