Say in the log how far a connection came that a stop ends

Both lines now tell the caller's port, the requests before, the bytes that are held, since when, and the age of the stop; the one of idle connections at debug.

--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -16,6 +16,7 @@
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import READ_BYTES
 from yewloom.socket_ages import ReadAges
+from yewloom.socket_ports import port_of
 
 logger = structlog.get_logger(__name__)
 
@@ -71,10 +72,10 @@
             with self._activity.arriving() as limit:
                 request = await self._read_request()
         except h11.RemoteProtocolError as error:
-            await self._refuse(error.error_status_hint)
+            await self._refuse(error.error_status_hint, "not as it must be")
             return False
         if limit.cancelled_caught:
-            await self._refuse(503)
+            await self._refuse(503, "not whole when the host stopped taking requests")
             return False
         return request is not None and await self._answer(request)
 
@@ -120,11 +121,13 @@
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; tell whether there are any."""
         data: bytes | bytearray = b""
-        with self._activity.arriving(self._limits.idle_timeout_ms / 1000):
+        with self._activity.arriving(self._limits.idle_timeout_ms / 1000) as limit:
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError:
                 return False
+        if limit.cancelled_caught:
+            logger.debug("idle connection closed", **self._described())
         if data:
             self._take(data)
         return bool(data)
@@ -202,9 +205,22 @@
             held += len(data)
             self._take(data)
 
-    async def _refuse(self, status: int) -> None:
+    def _described(self) -> dict[str, int | None]:
+        """Return what the log tells of the connection: whose it is, and how far it came."""
+        connection = getattr(self._stream, "socket", None)
+        arrived_s = self._arrived_s
+        waited_ms = None if arrived_s is None else round((trio.current_time() - arrived_s) * 1000)
+        return {
+            "caller_port": port_of(connection) if connection is not None else None,
+            "requests": self._requests,
+            "held_bytes": len(self._connection.trailing_data[0]),
+            "waited_ms": waited_ms,
+            "stopping_ms": self._activity.stopping_ms(),
+        }
+
+    async def _refuse(self, status: int, reason: str) -> None:
         """Answer a request that can't be read, and close."""
-        logger.info("request unreadable", status=status)
+        logger.info("request unreadable", status=status, reason=reason, **self._described())
         if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             reply = Reply(self._stream, self._connection, lambda: True, self._taking)
             await reply.send_whole(status, [], b"")
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -2,10 +2,12 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 import trio.testing
 
+from yewloom import caller_connection
 from yewloom.caller_activity import LAST_LOOK_S, CallerActivity
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import (
@@ -16,6 +18,7 @@
     Reply,
 )
 from yewloom.configuration import CallerLimits
+from yewloom.planned_stop import BALANCER_NOTICE_S
 from yewloom.socket_ages import ReadAges
 from yewloom.tests.caller_support import PLAIN, STREAM, Caller, Server, request_bytes
 
@@ -239,6 +242,23 @@
             with self.subTest(test.__name__):
                 run(test)
 
+    def test_the_log_tells_how_far_a_connection_came_that_the_stop_ends(self) -> None:
+        async def test(server: Server) -> None:
+            caller, _ = server.open(), server.open()
+            await caller.stream.send_all(request_bytes(PLAIN)[:10])
+            await trio.testing.wait_all_tasks_blocked()
+            await server.begin_stop()
+            server.stop_taking()
+            with mock.patch.object(caller_connection, "logger") as logger:
+                await caller.answers()
+            [unreadable], [closed] = logger.info.mock_calls, logger.debug.mock_calls
+            waited_ms = round((BALANCER_NOTICE_S + LAST_LOOK_S) * 1000)
+            came = {"held_bytes": 10, "requests": 0, "waited_ms": waited_ms}
+            self.assertLessEqual(came.items(), unreadable.kwargs.items())
+            self.assertLessEqual({"held_bytes": 0, "requests": 0}.items(), closed.kwargs.items())
+
+        run(test)
+
     def test_a_connection_that_is_accepted_in_the_last_instant_takes_nothing(self) -> None:
         async def test(server: Server) -> None:
             await server.begin_stop()
