Let a failing soak tell what it saw, and hold requests against whom they reached

A soak that broke a promise said so little that four entries could not be traced: nose2 cut the list, and neither the folder of the logs, the lateness, nor a request's times were in the message; of known reds nothing was printed. Now each broken promise comes with the request's times in the clock of the logs, its port, what ended it, the times at which the soak's own loop was held up, and for how long soak and host ran and were let wait (schedstat); the list of known reds prints what its tests said. Hosts under soak log at debug. None of it excuses anything.

The connection now knows its process, and each request is held against the one that it was written to, so that "late", "lost", "unanswered" and the regressions of keys judge that one. The new test failed before: ['e/1', 'e/3'] for ['e/2', 'e/2'], also for a request on a kept connection.

--- a/yewloom/tests/known_red.py
+++ b/yewloom/tests/known_red.py
@@ -17,6 +17,9 @@
 MOST_KNOWN = 7
 """Most faults that may be listed; more would hide what the tests are for."""
 
+MOST_SHOWN = 6000
+"""Most characters that are printed of what a listed test said when it failed."""
+
 
 class KnownRedError(Exception):
     """The list of known failures can't be used."""
@@ -56,6 +59,7 @@
         text = LIST_PATH.read_text(encoding="utf-8") if LIST_PATH.exists() else ""
         self.known = parse_known_red(text)
         self.outcomes: dict[str, str] = {}
+        self.failures: dict[str, list[str]] = {}
 
     def setTestOutcome(self, event: Any) -> None:  # noqa: N802 - nose2's name
         """Take the failure of a listed test as expected."""
@@ -63,8 +67,9 @@
         if name not in {known.test for known in self.known}:
             return
         is_failure = event.outcome in (result.FAIL, result.ERROR) or event.exc_info is not None
-        self.outcomes[name] = "failed" if is_failure else self.outcomes.get(name, event.outcome)
+        self.outcomes[name] = "failed" if is_failure else self.outcomes.get(name, result.PASS)
         if is_failure:
+            self.failures.setdefault(name, []).append(_failure_text(event.exc_info))
             event.outcome, event.expected = result.FAIL, True
 
     def afterSummaryReport(self, event: Any) -> None:  # noqa: N802 - nose2's name
@@ -74,3 +79,11 @@
             event.stream.writeln(
                 f"KNOWN RED: {known.test}: {outcome}; cause: {known.cause}; issue {known.issue}"
             )
+        for name, texts in self.failures.items():
+            for text in texts:
+                event.stream.writeln(f"SEEN NOW: {name}: {text}")
+
+
+def _failure_text(exc_info: Any) -> str:
+    """Return what a failed test said, cut if it is long."""
+    return str(exc_info[1])[:MOST_SHOWN] if exc_info is not None else "no reason given"
--- a/yewloom/tests/soak/__main__.py
+++ b/yewloom/tests/soak/__main__.py
@@ -20,13 +20,8 @@
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seeds):
         result = soak(SoakPlan(seed, duration_s, entries, engines, mix))
-        outcomes = ", ".join(f"{name} {n}" for name, n in sorted(result.outcomes.items()))
-        found = f"{len(result.broken)} broken; {outcomes}; lag {result.lag_s:.2f} s"
-        print(f"seed {seed}: {found}", flush=True)
-        for broken in result.broken:
-            print(f"  {broken}", flush=True)
+        print(f"seed {seed}: {len(result.broken)} broken; {result.text()}", flush=True)
         if result.broken:
-            print(f"  logs: {result.folder}", flush=True)
             failed.append(seed)
     print(f"{seeds - len(failed)} passed, {len(failed)} failed")
     raise typer.Exit(1 if failed else 0)
--- a/yewloom/tests/soak/balancer.py
+++ b/yewloom/tests/soak/balancer.py
@@ -6,6 +6,7 @@
 import trio
 
 from yewloom.tests.soak.fleet import EntryProcess
+from yewloom.tests.soak.noted_streams import NotedStream
 
 CHECK_PERIOD_S = 1.0
 """Time between two questions whether a host is ready, and the longest wait for an answer; from the
@@ -74,7 +75,9 @@
         """Open a connection."""
         if not self._balancer.uses(self._entry):
             raise httpcore.ConnectError(f"the balancer does not use {self._entry.name}")
-        return await self._network.connect_tcp(host, port, timeout, local_address, socket_options)
+        network = self._network
+        stream = await network.connect_tcp(host, port, timeout, local_address, socket_options)
+        return NotedStream(stream, self._entry.life)
 
     async def sleep(self, seconds: float) -> None:
         """Wait before a connection is tried again."""
--- a/yewloom/tests/soak/callers.py
+++ b/yewloom/tests/soak/callers.py
@@ -11,6 +11,7 @@
 from yewloom.tests.soak.endpoints import EVENTS_HEADER
 from yewloom.tests.soak.fleet import HOST, MODEL, EntryProcess, Fleet, key_of
 from yewloom.tests.soak.ledger import STREAM_EVENTS, Kind, Ledger, Sent
+from yewloom.tests.soak.noted_streams import sending
 
 PAUSE_S = 0.12
 """Mean pause of a caller between two requests."""
@@ -93,14 +94,16 @@
             deadline_s=deadline_s(kind),
         )
         self._ledger.sent[request_id] = sent
+        sending.set(sent)
         patience_s = self._rng.choice(PATIENCES_S)
         try:
             with trio.fail_after(deadline_s(kind) + patience_s):
                 await self._exchange(pool, sent)
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-            pass  # No whole answer; ``is_whole`` says so.
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            sent.failure = repr(error)
         except trio.TooSlowError:
             sent.has_left = patience_s == 0
+            sent.failure = "out of time"
         sent.ended_s = trio.current_time()
         return sent
 
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -55,6 +55,7 @@
 readiness_address = 127.0.0.1:{readiness_port}
 peer_address = 127.0.0.1:{peer_port}
 metrics_port = 0
+log_level = debug
 is_first_start = true
 [store]
 address = {store}
@@ -136,6 +137,11 @@
                 env={**os.environ, "YEWLOOM_BOOT": str(self.settings)},
             )
 
+    @property
+    def pid(self) -> int | None:
+        """Return the number of the process, if it runs."""
+        return self.process.pid if self.process is not None and self.is_running else None
+
     async def wait_ended(self) -> None:
         """Wait until the process has ended."""
         while self.is_running:  # noqa: ASYNC110 - a process
@@ -269,6 +275,11 @@
         self.store.put("config", "main", configuration(self.version))
         self.ledger.removed_s[self.version - 2] = trio.current_time()
 
+    def pids(self) -> dict[str, int]:
+        """Return the numbers of the entry hosts' processes that run, by life."""
+        found = {entry.life: entry.pid for entry in self.entries}
+        return {life: pid for life, pid in found.items() if pid is not None}
+
     def stop(self) -> None:
         """End the processes that this soak started, and no others."""
         for entry in self.entries:
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -78,8 +78,10 @@
 
     ``deadline_s`` is the time that the host was given for an answer.
 
-    ``host_life`` names the process that was asked, ``is_on_kept`` tells whether on a connection
+    ``host_life`` names the process that was asked: the one that ran once the connection was open,
+    or, if none came to be, when the request was made. ``is_on_kept`` tells whether on a connection
     that was open before, and ``has_left`` that the caller left when its deadline passed.
+    ``failure`` is what ended an exchange without a whole answer.
     """
 
     request_id: str
@@ -89,8 +91,11 @@
     key_version: int
     host_life: str
     sent_s: float
+    head_sent_s: float | None = None
     sent_whole_s: float | None = None
     ended_s: float | None = None
+    caller_port: int | None = None
+    failure: str = ""
     events: int = STREAM_EVENTS
     is_on_kept: bool = True
     has_left: bool = False
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -3,6 +3,7 @@
 import random
 import shutil
 import tempfile
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -25,6 +26,8 @@
 from yewloom.tests.soak.fleet import Fleet
 from yewloom.tests.soak.ledger import Broken, Kind, Ledger
 from yewloom.tests.soak.loop_lag import LoopLag
+from yewloom.tests.soak.process_waits import ProcessWaits
+from yewloom.tests.soak.report import SoakTimes, describe
 
 START_S = 60.0
 """Longest time until all entry hosts serve; a busy machine needs many times the usual second."""
@@ -72,32 +75,43 @@
 class SoakResult:
     """What a soak found; ``folder`` holds the logs if a promise was broken.
 
-    ``lag_s`` is how late the soak's own loop ran, which plays the store and the endpoints.
+    ``lag_s`` is how late the soak's own loop ran, which plays the store and the endpoints;
+    ``details`` tell of each broken promise what is known.
     """
 
     broken: list[Broken]
     outcomes: Counter[str]
     folder: Path
     lag_s: float
+    details: list[str]
+
+    def text(self) -> str:
+        """Return all that the soak found, for whom it fails."""
+        outcomes = ", ".join(f"{name} {n}" for name, n in sorted(self.outcomes.items()))
+        ran = f"{outcomes}; lag {self.lag_s:.2f} s"
+        return "\n".join([ran, *self.details, f"logs: {self.folder}"])
 
 
 def soak(plan: SoakPlan) -> SoakResult:
     """Run one soak."""
     folder = Path(tempfile.mkdtemp(prefix=f"yewloom-soak-{plan.seed}-"))
     ledger, lag = Ledger(), LoopLag()
-    trio.run(_soak, plan, folder, ledger, lag)
+    times = trio.run(_soak, plan, folder, ledger, lag)
     broken = ledger.check()
     if not broken:
         shutil.rmtree(folder)
-    return SoakResult(broken, ledger.outcomes(), folder, lag.greatest_s)
+    details = [describe(one, ledger.sent.get(one.request_id), times) for one in broken]
+    return SoakResult(broken, ledger.outcomes(), folder, lag.greatest_s, details)
 
 
-async def _soak(plan: SoakPlan, folder: Path, ledger: Ledger, lag: LoopLag) -> None:
+async def _soak(plan: SoakPlan, folder: Path, ledger: Ledger, lag: LoopLag) -> SoakTimes:
     rng = random.Random(plan.seed)
     faults = plan.draw(rng)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lag.run)
         fleet = Fleet(folder, ledger, rng, nursery)
+        waits = ProcessWaits(fleet.pids)
+        nursery.start_soon(waits.run)
         async with open_fleet(fleet, plan.entries, plan.engines) as balancer:
             async with trio.open_nursery() as callers:
                 _start_callers(callers, fleet, balancer, ledger, plan.seed)
@@ -106,6 +120,7 @@
                 callers.cancel_scope.cancel()
             await trio.sleep(STREAM_DEADLINE_S)  # Late work may begin until then.
         nursery.cancel_scope.cancel()
+    return SoakTimes(lag.held_up, waits.seen, time.time() - trio.current_time())
 
 
 @asynccontextmanager
--- a/yewloom/tests/soak_support.py
+++ b/yewloom/tests/soak_support.py
@@ -12,6 +12,6 @@
 def assert_clean(test: unittest.TestCase, plan: SoakPlan) -> None:
     """Run a soak; it must break no promise, and its callers must have been at work."""
     result = soak(plan)
-    test.assertEqual(result.broken, [])
+    test.assertEqual(result.broken, [], result.text())
     # Those that ask whether all serve send a few at the start and at the end.
-    test.assertGreater(result.outcomes["stream 200"], LEAST_STREAMS)
+    test.assertGreater(result.outcomes["stream 200"], LEAST_STREAMS, result.text())
--- a/yewloom/tests/test_known_red.py
+++ b/yewloom/tests/test_known_red.py
@@ -22,11 +22,11 @@
     def setUp(self) -> None:
         self.plugin = KnownRedPlugin.__new__(KnownRedPlugin)
         self.plugin.known = [LISTED]
-        self.plugin.outcomes = {}
+        self.plugin.outcomes, self.plugin.failures = {}, {}
 
     def _set_outcome(self, name: str, outcome: str) -> SimpleNamespace:
         test = SimpleNamespace(id=lambda: name)
-        error = None if outcome == result.PASS else (AssertionError, AssertionError(), None)
+        error = None if outcome == result.PASS else (AssertionError, AssertionError("seen"), None)
         event = SimpleNamespace(test=test, outcome=outcome, expected=False, exc_info=error)
         self.plugin.setTestOutcome(event)
         return event
@@ -37,7 +37,8 @@
         lines: list[str] = []
         stream = SimpleNamespace(writeln=lines.append)
         self.plugin.afterSummaryReport(SimpleNamespace(stream=stream))
-        self.assertEqual(lines, [f"KNOWN RED: {LISTED.test}: failed; cause: a cause; issue 15"])
+        red = f"KNOWN RED: {LISTED.test}: failed; cause: a cause; issue 15"
+        self.assertEqual(lines, [red, f"SEEN NOW: {LISTED.test}: seen"])
 
     def test_a_failed_part_of_a_listed_test_is_expected(self) -> None:
         event = self._set_outcome(f"{LISTED.test} (seed=1)", result.SUBTEST)
@@ -54,6 +55,7 @@
             [
                 f"KNOWN RED: {LISTED.test}: failed; cause: a cause; issue 15",
                 f"KNOWN RED: {LISTED.test}: failed; cause: another cause; issue 16",
+                f"SEEN NOW: {LISTED.test}: seen",
             ],
         )
 
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -366,6 +366,46 @@
             self.assertEqual(self._carried(fault), b"1")
 
 
+class _StartingBalancer(Balancer):
+    """A balancer whose entry host is started anew while a caller connects."""
+
+    def uses(self, entry: EntryProcess) -> bool:
+        """Count the next process of the host."""
+        entry.lives += 1
+        return True
+
+
+class TestCaller(unittest.TestCase):
+    """A caller's requests are held against the processes that they reach."""
+
+    def test_a_request_names_the_process_that_ran_once_its_connection_was_open(self) -> None:
+        """Guards against "late" by a process that answers what was noted before it started."""
+        requests = trio.run(self._ask_twice)
+        self.assertEqual([sent.status for sent in requests], [200, 200])
+        self.assertEqual([sent.host_life for sent in requests], ["e/2", "e/2"])
+
+    async def _ask_twice(self) -> list[Sent]:
+        async def answer(stream: trio.SocketStream) -> None:
+            for _ in range(2):
+                await stream.receive_some()
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+        ledger = Ledger()
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            nursery.start_soon(trio.serve_listeners, answer, listeners)
+            entry = EntryProcess("e", address, "", Path(), Link(""), PeerLink(""), Path(), lives=1)
+            fleet = Fleet(Path(), ledger, random.Random(1), nursery)
+            caller = Caller(entry, fleet, _StartingBalancer([entry]), ledger, seed=1)
+            async with caller.open_pool() as pool:
+                requests = [await caller.send(pool, Kind.SAFE)]
+                entry.lives += 1
+                requests.append(await caller.send(pool, Kind.SAFE))
+            nursery.cancel_scope.cancel()
+        return requests
+
+
 class TestSignals(unittest.TestCase):
     """Signals come in series that overlap, drawn from the seed."""
 
