Look once more right before a stop closes connections and its socket

What callers saw: a reset for what they asked as the notice of a stop ended.

Cause: a stop looked a last time at idle connections and at the queue of waiting ones, and closed them later, with the rest of a pass of the loop between. What came meanwhile was dropped, which resets. The pass is long where a host has many connections, or is let wait by the machine.

Change: both are looked at once more with nothing between look and close, and the stop waits for what comes of that.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -110,6 +110,20 @@
         "pass",
         "test_caller_connection",
     ),
+    Mutation(
+        "planned stop: idle connections are read once more before they are closed",
+        "caller_connection",
+        "            data = self._last_look()",
+        "            return False",
+        "test_caller_server",
+    ),
+    Mutation(
+        "planned stop: the queue is emptied once more before the socket is closed",
+        "caller_server",
+        "            if not self.activity.takes_requests:\n                self._refuse_waiting()",
+        "            pass",
+        "test_caller_server",
+    ),
     Mutation(
         "planned stop: what would be cut off is not begun",
         "endpoint_choice",
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -16,7 +16,7 @@
 from yewloom.configuration import CallerLimits
 from yewloom.endpoint_calls import READ_BYTES
 from yewloom.socket_ages import ReadAges
-from yewloom.socket_ports import port_of
+from yewloom.socket_facts import port_of, read_waiting
 
 logger = structlog.get_logger(__name__)
 
@@ -127,11 +127,19 @@
             except trio.BrokenResourceError:
                 return False
         if limit.cancelled_caught:
-            logger.debug("idle connection closed", **self._described())
+            data = self._last_look()
         if data:
             self._take(data)
         return bool(data)
 
+    def _last_look(self) -> bytes:
+        """Return what came while other connections were looked at; else this one is closed."""
+        connection = getattr(self._stream, "socket", None)
+        data = b"" if connection is None else read_waiting(connection, READ_BYTES)
+        if not data:
+            logger.debug("idle connection closed", **self._described())
+        return data
+
     def _take(self, data: bytes | bytearray) -> None:
         """Take in bytes that were just read; the first ones tell when their request came."""
         if self._arrived_s is None and data:
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -21,6 +21,24 @@
 logger = structlog.get_logger(__name__)
 
 
+class _Listener(trio.abc.Listener[trio.SocketStream]):
+    """A listener that calls a function right before its socket is closed."""
+
+    def __init__(self, listener: socket.socket, before_close: Callable[[], None]) -> None:
+        self._listener = trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+        self._before_close = before_close
+
+    async def accept(self) -> trio.SocketStream:
+        """Wait for a connection."""
+        return await self._listener.accept()
+
+    async def aclose(self) -> None:
+        """Close the socket, with nothing between the function and the close."""
+        if self._listener.socket.fileno() >= 0:
+            self._before_close()
+        await self._listener.aclose()
+
+
 class CallerServer:
     """Accepts callers' connections and hands their requests to handlers."""
 
@@ -36,6 +54,7 @@
         self.activity = CallerActivity()
         self._accepting = trio.CancelScope()
         self._listener: socket.socket | None = None
+        self._listener_open = ExitStack()  # Keeps a stop waiting until no connection may come.
         self._accepted: list[socket.socket] = []
         self._connections: trio.Nursery | None = None
 
@@ -53,7 +72,7 @@
         """
         self._listener = listener
         self._accepted = list(accepted)
-        listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
+        listeners = [_Listener(listener, self._before_close)]
         async with trio.open_nursery() as self._connections:
             task_status.started()
             with self._accepting:
@@ -74,11 +93,23 @@
         if self.activity.takes_requests:
             self.activity.stop_taking()
             self._accepting.cancel()
-            for stream in self._waiting_connections():
-                is_closing = ExitStack()
-                is_closing.enter_context(self.activity.closing())
-                assert self._connections is not None
-                self._connections.start_soon(self._refuse_connection, stream, is_closing)
+            if self._listener is not None:
+                self._listener_open.enter_context(self.activity.closing())
+            self._refuse_waiting()
+
+    def _before_close(self) -> None:
+        """Look a last time who waits to be accepted; a stop goes on once nobody can any more."""
+        with self._listener_open:
+            if not self.activity.takes_requests:
+                self._refuse_waiting()
+
+    def _refuse_waiting(self) -> None:
+        """Refuse what the connections ask that wait to be accepted now."""
+        for stream in self._waiting_connections():
+            is_closing = ExitStack()
+            is_closing.enter_context(self.activity.closing())
+            assert self._connections is not None
+            self._connections.start_soon(self._refuse_connection, stream, is_closing)
 
     def _accepted_connections(self) -> Iterator[trio.SocketStream]:
         """Yield the connections that were accepted before the server ran, each once."""
