Count the notice of a stop from when its signal may have come

Cause: the stop counted from when the process noticed the signal, which one without processor time does late; the notice to the balancer began anew.

Evidence: the host's "loop held up" of 2681 ms (worked_ms 0) right before "stopping", 1.57 s after the soak's SIGTERM; the soak's own loop was held up by 0.33 s in that time, so it is not the cause.

Change: the notice counts from the beginning of the hold-up at whose end the signal was noticed. The time of open requests stays as it was. The test with a process that stands still failed before (200), as did the unit tests.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -31,6 +31,20 @@
         "trio.current_time()",
         "test_caller_connection",
     ),
+    Mutation(
+        "late: the notice of a stop counts from when its signal may have come",
+        "planned_stop",
+        "self.closes_s = asked_s - unnoticed_s + notice_s",
+        "self.closes_s = asked_s + notice_s",
+        "test_planned_stop",
+    ),
+    Mutation(
+        "late: a signal may have come while the loop was held up",
+        "loop_lateness",
+        "return noticed_s - min(began, default=noticed_s)",
+        "return 0.0",
+        "test_loop_lateness",
+    ),
     Mutation(
         "late: a route's limit spares what waits for its own caller",
         "request_admission",
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -284,7 +284,7 @@
 
         self._coordinator.is_leaving = True
         shutdown = Shutdown(self._stop_plan, self._callers, self._forwarder, ExitTimer(end))
-        await shutdown.run(asked_s)
+        await shutdown.run(asked_s, self._lateness.unnoticed_s(trio.current_time() - asked_s))
         end()
 
     async def _start(self, nursery: trio.Nursery) -> None:
--- a/yewloom/loop_lateness.py
+++ b/yewloom/loop_lateness.py
@@ -74,6 +74,12 @@
             self._hold_ups.popleft()
         return now_s - self._hold_ups[0].began_s if self._hold_ups else 0.0
 
+    def unnoticed_s(self, noticed_ago_s: float) -> float:
+        """Return for how long what was noticed some time ago may have gone unnoticed before."""
+        noticed_s = self._clock_s() - noticed_ago_s
+        began = (h.began_s for h in self._hold_ups if h.began_s <= noticed_s <= h.ended_s)
+        return noticed_s - min(began, default=noticed_s)
+
 
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/yewloom/planned_stop.py
+++ b/yewloom/planned_stop.py
@@ -52,12 +52,17 @@
         """Tell whether the stop has begun."""
         return self.ends_s < math.inf
 
-    def begin(self, asked_s: float) -> None:
-        """Set the times by when the stop was asked for; the first of several times counts."""
+    def begin(self, asked_s: float, unnoticed_s: float = 0.0) -> None:
+        """Set the times by when the stop was asked for; the first of several times counts.
+
+        The signal may have come ``unnoticed_s`` before, to a host that was held up: the balancer's
+        questions were not answered from then on, so its notice began. Requests keep their time.
+        """
         if self.is_begun:
             return
         self._asked_s = asked_s
-        self.closes_s = asked_s + min(BALANCER_NOTICE_S, self._grace_s * NOTICE_SHARE)
+        notice_s = min(BALANCER_NOTICE_S, self._grace_s * NOTICE_SHARE)
+        self.closes_s = asked_s - unnoticed_s + notice_s
         self._keep_for_exit(EXIT_MARGIN_S)
 
     def note_late(self, late_s: float) -> None:
--- a/yewloom/shutdown.py
+++ b/yewloom/shutdown.py
@@ -67,11 +67,15 @@
         self._requests = requests
         self._alarm = alarm
 
-    async def run(self, asked_s: float) -> None:
-        """Stop, as asked for at some time; requests may still be open at the end."""
-        late_ms = round((trio.current_time() - asked_s) * 1000)
-        logger.info("stopping", open_requests=self._activity.open_requests, late_ms=late_ms)
-        self._plan.begin(asked_s)
+    async def run(self, asked_s: float, unnoticed_s: float = 0.0) -> None:
+        """Stop, as asked for at some time or a little before; requests may be open at the end."""
+        logger.info(
+            "stopping",
+            open_requests=self._activity.open_requests,
+            late_ms=round((trio.current_time() - asked_s) * 1000),
+            unnoticed_ms=round(unnoticed_s * 1000),
+        )
+        self._plan.begin(asked_s, unnoticed_s)
         self._alarm.start(lambda: self._plan.exits_s - trio.current_time(), self._plan.note_late)
         self._activity.start_leaving()
         await trio.sleep_until(self._plan.closes_s)
--- a/yewloom/tests/test_entry_process.py
+++ b/yewloom/tests/test_entry_process.py
@@ -19,7 +19,7 @@
 from yewloom.tests.soak.balancer import Balancer
 from yewloom.tests.soak.callers import Caller
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, configuration
-from yewloom.tests.soak.ledger import GRACE_S, Kind, Ledger, Sent
+from yewloom.tests.soak.ledger import GRACE_S, NOTICE_S, NOTICE_SLACK_S, Kind, Ledger, Sent
 
 TEST_LIMIT_S = 120.0
 """Longest time of a test; reaching it fails the test."""
@@ -287,6 +287,22 @@
         ):
             run(test)
 
+    def test_a_host_that_stood_still_takes_nothing_later_after_sigterm_than_any(self) -> None:
+        """Guards against a notice that begins anew where a signal was noticed late."""
+
+        async def test(world: World) -> None:
+            entry = world.fleet.entries[0]
+            entry.signal(signal.SIGSTOP)
+            entry.signal(signal.SIGTERM)
+            await trio.sleep(NOTICE_S + NOTICE_SLACK_S)
+            entry.signal(signal.SIGCONT)
+            await trio.sleep(NOTICE_SLACK_S)
+            sent = await world.ask(entry)
+            self.assertNotEqual(sent.status, 200)
+            self.assertEqual(world.fleet.ledger.runs.get(sent.request_id, []), [])
+
+        run(test)
+
     def test_a_caller_that_connects_while_a_host_starts_slowly_does_not_wait_for_it(self) -> None:
         """Guards against callers held by a host that can't read them yet."""
 
--- a/yewloom/tests/test_loop_lateness.py
+++ b/yewloom/tests/test_loop_lateness.py
@@ -68,6 +68,13 @@
         self._work(2 * LEAST_S)
         self.assertAlmostEqual(self.lateness.late_s(), 2 * LEAST_S)
 
+    def test_what_is_noticed_at_the_end_of_a_hold_up_may_have_come_at_its_beginning(self) -> None:
+        self._wait(0.2, HELD_UP_S)
+        self._work(SHORT_S)
+        self.assertAlmostEqual(self.lateness.unnoticed_s(noticed_ago_s=SHORT_S), HELD_UP_S)
+        self.assertEqual(self.lateness.unnoticed_s(noticed_ago_s=SHORT_S / 2), 0.0)
+        self.assertEqual(self.lateness.unnoticed_s(noticed_ago_s=HELD_UP_S + 1.0), 0.0)
+
     def test_short_work_is_not_late(self) -> None:
         self._work(SHORT_S)
         self.assertEqual(self.lateness.late_s(), 0.0)
--- a/yewloom/tests/test_planned_stop.py
+++ b/yewloom/tests/test_planned_stop.py
@@ -55,6 +55,12 @@
         stop.begin(asked_s=10.0)
         self.assertEqual(stop.ends_s, 18.0 - STOP_MARGIN_S)
 
+    def test_a_signal_that_may_have_come_before_shortens_the_notice_alone(self) -> None:
+        stop = PlannedStop(grace_s=8.0)
+        stop.begin(asked_s=10.0, unnoticed_s=1.5)
+        self.assertEqual(stop.closes_s, 8.5 + BALANCER_NOTICE_S)
+        self.assertEqual(stop.ends_s, 18.0 - STOP_MARGIN_S)
+
     def test_many_open_requests_are_cut_off_earlier_so_that_the_end_is_in_time(self) -> None:
         stop = PlannedStop(grace_s=8.0)
         stop.begin(0.0)
