Cut no work off before the last sixth of a stop's grace

Cause: a host that is let wait, or has many open requests, ended its stop earlier by up to 1.5 s and 1.2 s. The pages let it cut work off from 5/6 of the grace on, 6.67 s.

Evidence: "stopping" at 02.147, held up by 673 ms at 04.158, "cut off" at 08.688: 2 x 0.673 s, capped at 1.25 s, and 0.25 s before that leave 6.5 s.

Change: the end is never before 5/6 of the grace.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -31,6 +31,20 @@
         "trio.current_time()",
         "test_caller_connection",
     ),
+    Mutation(
+        "stop: no work is cut off before the last part of the grace",
+        "planned_stop",
+        "return min(self.ends_s, max(cut_off_s, work_ends_s))",
+        "return cut_off_s",
+        "test_planned_stop",
+    ),
+    Mutation(
+        "stop: a host that is let wait cuts no work off early",
+        "planned_stop",
+        "MOST_EXIT_MARGIN_S, most_s",
+        "MOST_EXIT_MARGIN_S",
+        "test_planned_stop",
+    ),
     Mutation(
         "late: the notice of a stop counts from when its signal may have come",
         "planned_stop",
--- a/yewloom/planned_stop.py
+++ b/yewloom/planned_stop.py
@@ -20,12 +20,19 @@
 """Part of that margin in which the process ends, whatever is still open: a process with a tenth of
 a core gets to run twice in it."""
 
+LAST_ANSWERS_MARGIN_S = STOP_MARGIN_S - EXIT_MARGIN_S
+"""The other part of it, in which open requests are given their last answers."""
+
 EXIT_RUNS = 2.0
 """How often a process that the system lets wait must get to run in the time kept for its end."""
 
-MOST_EXIT_MARGIN_S = 1.25
+MOST_EXIT_MARGIN_S = 1.0
 """Most time that is kept for the end, however long the process is let wait."""
 
+WORK_SHARE = 5 / 6
+"""Part of the grace in which no request is cut off that an endpoint works on; from the platform's
+pages."""
+
 REQUEST_END_S = 0.01
 """Time that the end of a request may take that the stop cuts off, on a host with a tenth of a
 core."""
@@ -68,18 +75,21 @@
     def note_late(self, late_s: float) -> None:
         """Take in by how long the process was let wait; one that waits long ends earlier."""
         if self.is_begun:
-            self._keep_for_exit(min(late_s * EXIT_RUNS, MOST_EXIT_MARGIN_S))
+            most_s = self._grace_s * (1 - WORK_SHARE) - LAST_ANSWERS_MARGIN_S
+            self._keep_for_exit(min(late_s * EXIT_RUNS, MOST_EXIT_MARGIN_S, most_s))
 
     def _keep_for_exit(self, margin_s: float) -> None:
         """Keep some time for the end of the process, or more if that was asked for before."""
-        last_answers_s = margin_s + STOP_MARGIN_S - EXIT_MARGIN_S
+        last_answers_s = margin_s + LAST_ANSWERS_MARGIN_S
         self.exits_s = min(self.exits_s, self._asked_s + max(0.0, self._grace_s - margin_s))
         self.ends_s = min(self.ends_s, self._asked_s + max(0.0, self._grace_s - last_answers_s))
 
     def cut_off_s(self, open_requests: int) -> float:
         """Return when to cut off requests that are still open, so that all have ended in time."""
         most_s = max(0.0, self.ends_s - self.closes_s) * CUT_OFF_SHARE
-        return self.ends_s - min(open_requests * REQUEST_END_S, most_s)
+        cut_off_s = self.ends_s - min(open_requests * REQUEST_END_S, most_s)
+        work_ends_s = self._asked_s + self._grace_s * WORK_SHARE
+        return min(self.ends_s, max(cut_off_s, work_ends_s))
 
     def has_time_for(self, usual_s: float, now_s: float) -> bool:
         """Tell whether work that usually takes some time would end before the stop does."""
