Let no alarm run inside another while a host starts

Cause: the handler of the early socket's timer runs in Python, and the next alarm may run it inside itself. On a process that is let wait a look outlasts the 0.1 s between two alarms: the inner run refuses and forgets a connection that the outer one is at, whose KeyError comes out in the middle of an import. Python closes down with the timer on, and SIGALRM ends it.

Evidence: that traceback in the log of the process, and its exit code; the seven resets within 10 ms of one another. Ruled out: the machine alone (0.43 s of processor time in 2 s) and the soak's loop (0.15 s late).

Change: an alarm that finds another at work does nothing; unforeseen errors stop the timer and stand in the log, in place of ending the start; an alarm that runs behind the take-over accepts nothing more, which nobody would have served. Each of the three has a test that failed before (KeyError, RuntimeError, and a connection that the program did not get).

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -10,6 +10,20 @@
         "return False",
         "test_early_listener",
     ),
+    Mutation(
+        "start: an alarm leaves the one before at its work",
+        "early_listener",
+        "if self._is_looking or self._is_taken_over:",
+        "if self._is_taken_over:",
+        "test_early_listener",
+    ),
+    Mutation(
+        "start: no connection is accepted behind the program's back",
+        "early_listener",
+        "if self._is_looking or self._is_taken_over:",
+        "if self._is_looking:",
+        "test_early_listener",
+    ),
     Mutation(
         "start: what has come in part is left to the program",
         "early_listener",
--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -74,8 +74,10 @@
         self._waited_s = waited_s
         self._seen_s: dict[socket.socket, float] = {}  # Accepted connections, and since when.
         self._has_timer = False
+        self._is_looking = False
+        self._is_taken_over = False
         self.refused = 0
-        self.errors: list[OSError] = []
+        self.errors: list[Exception] = []
 
     def start(self) -> None:
         """Begin to refuse what waits too long."""
@@ -88,8 +90,8 @@
 
     def take_over(self) -> tuple[socket.socket, list[socket.socket]]:
         """Return the socket, and the connections that were accepted but not answered."""
-        if self._has_timer:
-            signal.setitimer(signal.ITIMER_REAL, 0)
+        self._stop_timer()
+        self._is_taken_over = True  # An alarm may have come before that and be run behind it.
         return self._listener, list(self._seen_s)
 
     def refuse_late(self) -> None:
@@ -99,12 +101,27 @@
             if self._has_refused(connection):
                 del self._seen_s[connection]
 
+    def _stop_timer(self) -> None:
+        if self._has_timer:
+            signal.setitimer(signal.ITIMER_REAL, 0)
+
     def _on_alarm(self, number: int, frame: FrameType | None) -> None:
-        """Run in the middle of whatever the program imports: no error may come out of here."""
+        """Run in the middle of whatever the program imports: no error may come out of here.
+
+        On a process that is let wait that may be the alarm before, which is then at work.
+        """
+        if self._is_looking or self._is_taken_over:
+            return
+        self._is_looking = True
         try:
             self.refuse_late()
         except OSError as error:
             self.errors.append(error)
+        except Exception as error:
+            self.errors.append(error)
+            self._stop_timer()  # Callers wait for the program, as they do on a quick start.
+        finally:
+            self._is_looking = False
 
     def _accept_waiting(self) -> None:
         while True:
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -73,7 +73,7 @@
             return listen(self._settings.caller_address), []
         taken = early.take_over()
         if early.refused or early.errors:
-            errors = [str(error) for error in early.errors]
+            errors = [repr(error) for error in early.errors]
             logger.warning("callers refused while starting", count=early.refused, errors=errors)
         return taken
 
--- a/yewloom/tests/test_early_listener.py
+++ b/yewloom/tests/test_early_listener.py
@@ -66,6 +66,52 @@
                     self.assertEqual(kept.recv(READ_BYTES), data)
         self.assertEqual(self.early.refused, 0)
 
+    def test_an_alarm_that_comes_while_the_one_before_is_at_work_changes_nothing(self) -> None:
+        """Guards against a start that its own timer ends, with all callers that wait for it."""
+
+        def alarm_again(connection: socket.socket) -> float:
+            if not alarms:
+                alarms.append(connection)
+                signal.raise_signal(signal.SIGALRM)
+            return self.waited_s
+
+        alarms: list[socket.socket] = []
+        self.early = EarlyListener(self.early.take_over()[0], b"x-time-ms", alarm_again)
+        before = signal.getsignal(signal.SIGALRM)
+        self.addCleanup(signal.signal, signal.SIGALRM, before)
+        with mock.patch("signal.setitimer"):
+            self.early.start()
+        with self._caller(WHOLE) as caller:
+            signal.raise_signal(signal.SIGALRM)
+            self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+        self.assertEqual((len(alarms), self.early.refused, self.early.errors), (1, 1, []))
+
+    def test_an_alarm_behind_the_takeover_leaves_connections_to_the_program(self) -> None:
+        """Guards against a caller whose connection is accepted where nobody serves it."""
+        before = signal.getsignal(signal.SIGALRM)
+        self.addCleanup(signal.signal, signal.SIGALRM, before)
+        with mock.patch("signal.setitimer"):
+            self.early.start()
+            listener, _ = self.early.take_over()
+        with self._caller(WHOLE):
+            signal.raise_signal(signal.SIGALRM)
+            accepted, _ = listener.accept()
+            with accepted:
+                self.assertEqual(accepted.recv(READ_BYTES), WHOLE)
+
+    def test_what_goes_wrong_in_an_alarm_does_not_end_the_start(self) -> None:
+        def fail(connection: socket.socket) -> float:
+            raise RuntimeError("unforeseen")
+
+        self.early = EarlyListener(self.early.take_over()[0], b"x-time-ms", fail)
+        before = signal.getsignal(signal.SIGALRM)
+        self.addCleanup(signal.signal, signal.SIGALRM, before)
+        with mock.patch("signal.setitimer"):
+            self.early.start()
+        with self._caller(WHOLE):
+            signal.raise_signal(signal.SIGALRM)
+        self.assertEqual([str(error) for error in self.early.errors], ["unforeseen"])
+
     def test_a_request_whose_rest_comes_later_is_refused_then(self) -> None:
         with self._caller(HEAD) as caller:
             self.early.refuse_late()
