--- a/yewloom/tests/test_soak_callers.py
+++ b/yewloom/tests/test_soak_callers.py
@@ -66,11 +66,13 @@
                 await stream.receive_some()
                 await stream.send_all(ANSWER)
 
-        async with _calling(_StartingBalancer, answer) as (caller, entry):
-            async with caller.open_pool() as pool:
-                first = await caller.send(pool, Kind.SAFE)
-                entry.lives += 1
-                return [first, await caller.send(pool, Kind.SAFE)]
+        async with (
+            _calling(_StartingBalancer, answer) as (caller, entry),
+            caller.open_pool() as pool,
+        ):
+            first = await caller.send(pool, Kind.SAFE)
+            entry.lives += 1
+            return [first, await caller.send(pool, Kind.SAFE)]
 
     def test_a_caller_that_is_held_up_gives_a_host_all_the_time_that_it_states(self) -> None:
         """Guards against "unanswered" by a host that was asked when the caller's time was over."""
