--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -38,6 +38,15 @@
 """Steps in which the system tells how long bytes have waited, with some to spare."""
 
 
+async def pause_amid_a_stream(endpoint: Endpoint, request: h11.Request) -> None:
+    """Stand still between two events for longer than a group that serves does."""
+    await endpoint.start(200)
+    await endpoint.send(event(1))
+    await trio.sleep(QUIET_S * 2)
+    await endpoint.send(event(2))
+    await endpoint.finish()
+
+
 class TestPlainForwarding(unittest.TestCase):
     """Requests to plain services."""
 
@@ -369,13 +378,6 @@
     def test_a_slow_stream_that_can_not_go_on_elsewhere_is_not_left(self) -> None:
         """A busy engine is silent for a second while retries are used up, or a stop is near."""
 
-        async def pause(endpoint: Endpoint, request: h11.Request) -> None:
-            await endpoint.start(200)
-            await endpoint.send(event(1))
-            await trio.sleep(QUIET_S * 2)
-            await endpoint.send(event(2))
-            await endpoint.finish()
-
         def use_up_retries(fixture: Fixture) -> None:
             fixture.retries_left = 0.0
 
@@ -389,7 +391,7 @@
 
             async def test(fixture: Fixture, hinder: Callable[[Fixture], None] = hinder) -> None:
                 other = Endpoint(answer_ok)
-                await fixture.add_engine("a", Endpoint(pause))
+                await fixture.add_engine("a", Endpoint(pause_amid_a_stream))
                 await fixture.add_engine("b", other)
                 fixture.selector.begin(HostId("b"))
                 async with trio.open_nursery() as nursery:
@@ -404,13 +406,6 @@
     def test_a_stream_is_not_left_for_a_repeat_that_another_one_takes(self) -> None:
         """Guards against streams that leave one engine at once, of which one is then cut off."""
 
-        async def pause(endpoint: Endpoint, request: h11.Request) -> None:
-            await endpoint.start(200)
-            await endpoint.send(event(1))
-            await trio.sleep(QUIET_S * 2)
-            await endpoint.send(event(2))
-            await endpoint.finish()
-
         async def go_on(endpoint: Endpoint, request: h11.Request) -> None:
             await endpoint.start(200)
             await endpoint.send(event(2))
@@ -418,7 +413,7 @@
 
         async def test(fixture: Fixture) -> None:
             other = Endpoint(go_on)
-            await fixture.add_engine("a", SharedEndpoint(pause))
+            await fixture.add_engine("a", SharedEndpoint(pause_amid_a_stream))
             await fixture.add_engine("b", other)
             for _ in range(3):
                 fixture.selector.begin(HostId("b"))
