Count a caller's time under soak from one moment

Found on reading the change again: callers count their time from when their headers go out, but the checks "lost" and "overdue" still counted it from the note before. Both go by the same moment now, which is noted in one place in place of two. "lost" is stricter by it. Bounds and other checks are untouched; the new test failed on the code before (no promise broken for a request that was cut off with 0.8 s left).

Checked with the tests of the ledger, the callers and the removals.

--- a/yewloom/tests/soak/callers.py
+++ b/yewloom/tests/soak/callers.py
@@ -142,7 +142,8 @@
         if event == "connection.connect_tcp.started":
             sent.is_on_kept = False
         elif event == "http11.send_request_headers.started":
-            limit.deadline = trio.current_time() + time_s
+            sent.head_sent_s = trio.current_time()
+            limit.deadline = sent.head_sent_s + time_s
         elif event == "http11.send_request_body.complete":
             sent.sent_whole_s = trio.current_time()
 
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -105,6 +105,11 @@
     answer: bytes = b""
     is_whole: bool = False
 
+    @property
+    def time_ends_s(self) -> float:
+        """When the caller's time is over, which is stated with the headers and counts from them."""
+        return (self.sent_s if self.head_sent_s is None else self.head_sent_s) + self.deadline_s
+
 
 @dataclass(frozen=True)
 class Ran:
@@ -210,7 +215,7 @@
         if sent.status == 200 and sent.is_whole:
             yield from self._check_answer(sent, runs)
         for handed_s in self.handed_s.get(sent.request_id, []):
-            late_s = handed_s - sent.sent_s - sent.deadline_s
+            late_s = handed_s - sent.time_ends_s
             if late_s > OVERDUE_S:
                 detail = f"handed on by {sent.host_life} {late_s:.2f} s after its deadline"
                 yield Broken("overdue", sent.request_id, detail)
@@ -323,7 +328,7 @@
 def _has_reached_deadline(sent: Sent) -> bool:
     """Tell whether a request ended when its time had run out."""
     assert sent.ended_s is not None
-    return sent.ended_s >= sent.sent_s + sent.deadline_s - ANSWER_MARGIN_S
+    return sent.ended_s >= sent.time_ends_s - ANSWER_MARGIN_S
 
 
 def _newest_version_before(sent: Sent, accepted: Iterable[Sent]) -> int:
--- a/yewloom/tests/soak/noted_streams.py
+++ b/yewloom/tests/soak/noted_streams.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import httpcore
-import trio
 
 from yewloom.tests.soak.ledger import Sent
 
@@ -30,8 +29,6 @@
         sent.host_life = self._life
         sent.caller_port = self._stream.get_extra_info("client_addr")[1]
         await self._stream.write(buffer, timeout)
-        if sent.head_sent_s is None:
-            sent.head_sent_s = trio.current_time()
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/yewloom/tests/test_soak.py
+++ b/yewloom/tests/test_soak.py
@@ -241,6 +241,13 @@
             self.ledger.disturbances.append(Disturbance(0.0, 9.0))
             self.assertEqual(self._promises(), promises)
 
+    def test_a_callers_time_counts_from_when_it_is_stated(self) -> None:
+        """Guards against a stop that cuts off a request whose caller was held up before it sent."""
+        self._add_cut_off(after_stop_s=0.32, took_s=6.2)
+        self.assertEqual(self._promises(), [])
+        self.ledger.sent["a"].head_sent_s = self.ledger.sent["a"].sent_s + 1.0
+        self.assertEqual(self._promises(), ["lost"])
+
     def test_a_request_whose_deadline_passed_while_its_process_started(self) -> None:
         """Guards against callers held by a host that can't read them yet."""
         self._add_silent(waited_s=5.0).deadline_s = 4.0
