Let one function allow and count a repeat

Since requests claim their next endpoint nothing asks without counting: may_repeat was called by try_repeat alone. Behaviour as before; its tests, those of forwarding and the removals pass.

--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -42,14 +42,10 @@
 
     def try_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Count one sending beyond the first, if it is allowed; tell whether it is."""
-        if not self.may_repeat(service, now_s):
-            return False
-        self._services[service].repeats_s.append(now_s)
-        return True
-
-    def may_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Tell whether one sending beyond the first is allowed; it is not counted."""
         window = self._services[service]
         window.forget_before(now_s - self._window_s)
         allowed = self._ratio * len(window.requests_s) + self._extra()
-        return len(window.repeats_s) + 1 <= allowed
+        if len(window.repeats_s) + 1 > allowed:
+            return False
+        window.repeats_s.append(now_s)
+        return True
