--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -37,7 +37,8 @@
     FORGET = "forget"
 
 
-_LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
+_LINK_FAULTS = [LinkFault.DELAY, LinkFault.RESET, LinkFault.CUT_BACK, LinkFault.SILENT]
+"""Faults that are drawn for single links."""
 
 
 @dataclass(frozen=True)
