Relay requests to a peer while a host reaches no endpoint for them

Cause: a host answered from its own reach alone. Peers told each other load and failures but not what each of them reaches, and nothing passed a request on. Each request tried one unreachable endpoint after another.

Change: a host that reaches none of the endpoints that could answer a request, or that has found two of them unreachable and connected to nothing since, sends the request to a peer, with the time, the last event and the attempts that are left. The peer admits and forwards it like one of its own callers' and never relays it again; its response is passed on unchanged. Messages between hosts name the services that the sender has lost, and whether it is stopping. Once one data centre is cut off, the others are probed at once, so that requests need not find out one by one. A request that no peer can take stops after three unreachable endpoints.

Readiness alone was ruled out: kept connections stay with their host, and if most hosts of a data centre are not ready the load balancer uses all of them. So a host that can relay stays ready.

Unsafe requests run once: a relay counts as sent from its first byte; only the peer's refusal proves that the request has not run. The budget of retries counts a request at one host only.

The objects that know endpoints move from EntryHost to endpoint_parts.

--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from yewloom.ids import HostId
+from yewloom.ids import EntryHostId, HostId
 from yewloom.routes import Route
 
 
@@ -37,10 +37,15 @@
 
 @dataclass
 class AttemptRecord:
-    """The endpoints that were chosen for one request, in order, with the state of each attempt."""
+    """The endpoints that were chosen for one request, in order, with the state of each attempt.
+
+    ``relays`` holds the same for the peers to which this host relayed the request. A peer reports
+    ``NOT_RUN`` if it refused the request.
+    """
 
     route: Route
     states: dict[HostId, AttemptState] = field(default_factory=dict)
+    relays: dict[EntryHostId, AttemptState] = field(default_factory=dict)
 
     def begin(self, endpoint: HostId) -> None:
         """Record that an endpoint was chosen; nothing has been sent yet."""
@@ -53,12 +58,12 @@
     @property
     def is_known_not_run(self) -> bool:
         """Return whether it is certain that no endpoint ran the request."""
-        return all(state in _KNOWN_NOT_RUN for state in self.states.values())
+        return all(state in _KNOWN_NOT_RUN for state in self._all_states())
 
     @property
     def is_answered(self) -> bool:
         """Return whether an endpoint gave the response that the caller gets."""
-        return AttemptState.ANSWERED in self.states.values()
+        return AttemptState.ANSWERED in self._all_states()
 
     @property
     def may_try_another(self) -> bool:
@@ -67,6 +72,10 @@
             return False
         return self.is_known_not_run or self.route.may_retry
 
+    def unreachable_count(self) -> int:
+        """Return the number of endpoints to which nothing could be sent."""
+        return sum(state is AttemptState.NOTHING_SENT for state in self.states.values())
+
     def is_retry(self) -> bool:
         """Return whether the next attempt would be a retry, i.e. something was sent before."""
         return self._endpoints_reached() > 0
@@ -77,5 +86,10 @@
             return FailureResponse.TIMED_OUT
         return FailureResponse.REFUSED if self.is_known_not_run else FailureResponse.MAY_HAVE_RUN
 
+    def _all_states(self) -> list[AttemptState]:
+        return [*self.states.values(), *self.relays.values()]
+
     def _endpoints_reached(self) -> int:
-        return sum(state is not AttemptState.NOTHING_SENT for state in self.states.values())
+        """Return how many endpoints may have received the request, through peers or directly."""
+        direct = sum(state is not AttemptState.NOTHING_SENT for state in self.states.values())
+        return direct + sum(state not in _KNOWN_NOT_RUN for state in self.relays.values())
--- a/yewloom/directory.py
+++ b/yewloom/directory.py
@@ -159,6 +159,10 @@
             default=0,
         )
 
+    def services(self) -> set[ServiceName]:
+        """Return the services that have listed endpoints."""
+        return {service for service, endpoints in self._by_service.items() if endpoints}
+
     def endpoints_of(self, service: ServiceName) -> Iterable[Endpoint]:
         """Return the endpoints of a service."""
         return self._by_service[service].values()
--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -18,13 +18,13 @@
     Exchange,
     ExchangeError,
     ExchangeFailure,
-    Header,
     OutgoingRequest,
     ResponseHead,
     open_exchange,
 )
 from yewloom.endpoint_choice import EndpointChooser
-from yewloom.event_stream import EventSplitter, EventStreamError
+from yewloom.event_forwarding import StreamHead, forward_events
+from yewloom.event_stream import EventStreamError
 from yewloom.fingerprints import format_fingerprint
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_request import BufferedResponse, ForwardRequest
@@ -170,6 +170,7 @@
             request.record.set_state(endpoint.id, AttemptState.NOTHING_SENT)
         match error.failure:
             case ExchangeFailure.NOT_CONNECTED | ExchangeFailure.REFUSED:
+                request.first_unreachable_s = min(request.first_unreachable_s, now_s)
                 self._reachability.on_failure(endpoint, now_s)
                 self._stalls.report_unreachable(endpoint.id, now_s)
             case ExchangeFailure.CONNECTION_LOST:
@@ -281,38 +282,27 @@
         exchange: Exchange,
         head: ResponseHead,
     ) -> tuple[bool, str]:
-        """Forward events as they arrive; the caller's response starts with the first event."""
-        splitter = EventSplitter()
+        """Forward events as they arrive, and record their intervals."""
         last_event_s: float | None = None
-        while True:
-            chunk = await self._run_unless_stalled(request, endpoint, exchange.read_chunk)
-            if chunk is None:
-                break
+
+        async def read_chunk() -> bytes | None:
+            return await self._run_unless_stalled(request, endpoint, exchange.read_chunk)
+
+        def on_chunk() -> None:
+            nonlocal last_event_s
             now_s, delay_s = trio.current_time(), self._loop_delay.delay_s()
             self._stalls.on_event(endpoint.id, now_s, delay_s)
             # If this host's event loop was delayed, the interval says nothing about the endpoint.
             if last_event_s is not None and not delay_s:
                 self._selector.event_intervals.record(endpoint.id, now_s - last_event_s, now_s)
             last_event_s = now_s
-            data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
-            if data:
-                await self._forward_data(request, head, data)
-        if splitter.has_partial_event or not request.response_writer.is_started:
-            raise ExchangeError(
-                ExchangeFailure.CONNECTION_LOST, True, "the stream ended inside an event"
-            )
+
+        caller_head = StreamHead(head.status, self._codec.build_response_headers(head))
+        await forward_events(request, caller_head, read_chunk, on_chunk)
         request.record.set_state(endpoint.id, AttemptState.ANSWERED)
         await request.response_writer.finish()
         return True, "answered"
 
-    async def _forward_data(self, request: ForwardRequest, head: ResponseHead, data: bytes) -> None:
-        if request.response_writer.is_started:
-            await request.response_writer.send(data)
-            return
-        request.first_event_s = trio.current_time()
-        headers: list[Header] = self._codec.build_response_headers(head)
-        await request.response_writer.start(head.status, headers, data)
-
     async def _run_unless_stalled(
         self, request: ForwardRequest, endpoint: Endpoint, step: Callable[[], Awaitable[T]]
     ) -> T:
--- a/yewloom/endpoint_probes.py
+++ b/yewloom/endpoint_probes.py
@@ -1,5 +1,7 @@
 """Probe unreachable endpoints by opening connections on which nothing is sent."""
 
+from collections.abc import Callable
+
 import structlog
 import trio
 
@@ -16,8 +18,12 @@
 class EndpointProbes:
     """Probes unreachable endpoints until they can be reached again."""
 
-    def __init__(self, reachability: Reachability) -> None:
+    def __init__(
+        self, reachability: Reachability, loop_delay_s: Callable[[], float] = lambda: 0.0
+    ) -> None:
+        """Initialize; ``loop_delay_s`` is not zero if the event loop was blocked just before."""
         self._reachability = reachability
+        self._loop_delay_s = loop_delay_s
         self._has_unreachable = trio.Event()
 
     def notify(self) -> None:
@@ -41,5 +47,7 @@
                 self._reachability.on_connected(endpoint, trio.current_time())
         except ExchangeError as error:
             logger.debug("endpoint probe failed", endpoint=endpoint.id, reason=str(error))
+            if not self._loop_delay_s():  # Otherwise the delay may be the reason.
+                self._reachability.on_probe_failure(endpoint, trio.current_time())
             return
         logger.info("endpoint reachable again", endpoint=endpoint.id)
--- a/yewloom/entry_exchange.py
+++ b/yewloom/entry_exchange.py
@@ -95,6 +95,10 @@
         for peer in self._near_peers():
             self._send_to(peer, data)
 
+    def address_of(self, peer: EntryHostId) -> PeerAddress | None:
+        """Return the address of a peer, if it is known."""
+        return self._addresses.by_peer.get(peer)
+
     def addresses_with_version(self, version: int) -> list[str]:
         """Return the addresses of peers that have at least this configuration version.
 
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -13,19 +13,12 @@
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationState
 from yewloom.configuration_intake import ConfigurationIntake
-from yewloom.crash_parts import CrashDetection
-from yewloom.directory import EndpointDirectory
 from yewloom.early_listener import EarlyListener
-from yewloom.ended_groups import EndedGroups
 from yewloom.ended_messages import EndedMessages
-from yewloom.endpoint_availability import EndpointAvailability
-from yewloom.endpoint_limits import EndpointLimits
-from yewloom.endpoint_pauses import EndpointPauses
-from yewloom.endpoint_probes import EndpointProbes
+from yewloom.endpoint_parts import EndpointParts
 from yewloom.entry_exchange import EntryExchange
 from yewloom.entry_servers import EntryServers, HostReadiness
 from yewloom.entry_states import PeerStates
-from yewloom.event_paces import EventIntervals
 from yewloom.exchange_parts import ExchangeComponents, build_exchange
 from yewloom.exit_timer import ExitTimer
 from yewloom.follow_duty import FollowDuty, FollowStatus
@@ -33,7 +26,7 @@
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, FollowPolicy, Update
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forward_parts import ForwarderComponents, build_forwarder, build_stall_detector
+from yewloom.forward_parts import ForwarderComponents, build_forwarder
 from yewloom.forwarding import Forwarder
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.intake import EndpointIntake
@@ -45,10 +38,11 @@
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
 from yewloom.quarantine_store import QuarantineStore
-from yewloom.reachability import Reachability
+from yewloom.relay_peers import RelayPeers
+from yewloom.relay_server import RelayServer, peer_limits
+from yewloom.relays import Relays
 from yewloom.replica_coordinator import ReplicaCoordinator
 from yewloom.schema.entry_pb2 import EntrySettings
-from yewloom.selection import Selector
 from yewloom.shutdown import Shutdown
 from yewloom.socket_ages import ReadAges
 from yewloom.store_retries import StoreBackoff
@@ -74,13 +68,6 @@
         self._parts = parts
         self._metrics = metrics
         self._configuration_state = ConfigurationState()
-        departures = parts.departures
-        self._directory = EndpointDirectory(departures.mark)
-        departures.on_departure = self._on_departure
-        intervals = EventIntervals()
-        self._stalls = build_stall_detector(
-            self._directory, self._configuration_state, intervals, self._schedule_exchange
-        )
         self._has_received_requests = False
         self._started_s = math.inf
         self._stop_plan = PlannedStop(settings.host.stop_grace_s)
@@ -101,35 +88,28 @@
             lambda: trio.current_time() - self._started_s,
         )
         self._store_retries = StoreBackoff(settings.store.retry_pause_ms / 1000, random_fraction)
-        self._reachability = Reachability(self._directory, lambda: self._probes.notify())
-        self._probes = EndpointProbes(self._reachability)
-        self._ended = EndedGroups(self._schedule_exchange)
-        self._limits = EndpointLimits(
-            host_id, self._directory, self._peer_states.sharing_hosts, self._schedule_exchange
-        )
-        self._pauses = EndpointPauses(rng)
-        self._availability = EndpointAvailability(self._limits, self._pauses, departures)
-        self._selector = Selector(
-            self._directory,
+        parts.departures.on_departure = self._on_departure
+        self._endpoints = EndpointParts(
+            host_id,
             data_centre,
+            parts.departures,
+            self._configuration_state,
             self._peer_states,
             rng,
-            self._reachability,
-            self._availability,
-            intervals,
-            self._ended,
-        )
-        self._crash_detection = CrashDetection(
-            host_id, self._peer_states.known_hosts, self._directory, self._schedule_exchange
+            self._loop_delay.delay_s,
+            self._schedule_exchange,
         )
         self._quarantine_store = QuarantineStore(
             host_id,
             self._peer_states.known_hosts,
-            self._crash_detection.quarantine,
+            self._endpoints.crash_detection.quarantine,
             parts.records_store,
             parts.stale_store,
             store_era=parts.store_era,
         )
+        self._relay_peers = RelayPeers(
+            data_centre, self._peer_states, lambda peer: self._exchange.address_of(peer), rng
+        )
         self._forwarder = self._build_forwarder()
         self._caller_server = CallerServer(
             Handlers(self._handle, self._forwarder.reject),
@@ -140,11 +120,11 @@
         self._followed_endpoints = FollowedPosition()
         self._endpoint_intake = EndpointIntake(
             parts.records,
-            self._directory,
-            self._selector,
+            self._endpoints.directory,
+            self._endpoints.selector,
             self._followed_endpoints,
             lambda changes: self._exchange.send_changes(changes),
-            self._forget_endpoint,
+            self._endpoints.forget,
         )
         self._configuration_intake = ConfigurationIntake(
             parts.records, self._configuration_state, metrics.on_invalid_configuration
@@ -160,10 +140,11 @@
         self._servers = EntryServers(
             settings.host,
             self._caller_server,
-            self._peer_configurations.handle_request,
+            self._build_relay_server().handle,
+            lambda: peer_limits(self._caller_limits()),
             metrics,
             HostReadiness(self._has_full_state, self._is_ready),
-            self._crash_detection.page,
+            self._endpoints.crash_detection.page,
         )
 
     def _build_forwarder(self) -> Forwarder:
@@ -174,30 +155,49 @@
                 header_codec=self._parts.codec,
                 metrics=self._metrics,
                 configuration_state=self._configuration_state,
-                directory=self._directory,
-                selector=self._selector,
-                stalls=self._stalls,
-                reachability=self._reachability,
+                directory=self._endpoints.directory,
+                selector=self._endpoints.selector,
+                stalls=self._endpoints.stalls,
+                reachability=self._endpoints.reachability,
                 planned_stop=self._stop_plan,
                 loop_delay=self._loop_delay,
-                crash_detection=self._crash_detection,
-                availability=self._availability,
+                crash_detection=self._endpoints.crash_detection,
+                availability=self._endpoints.availability,
                 retry_extra=lambda: bounds.retry_extra / self._peer_states.sharing_host_count(),
+                relays=self._build_relays(),
             )
         )
 
+    def _build_relays(self) -> Relays:
+        return Relays(
+            self._identity.host_id,
+            self._parts.codec,
+            self._endpoints.selector,
+            self._endpoints.reachability,
+            self._relay_peers,
+            self._metrics,
+        )
+
+    def _build_relay_server(self) -> RelayServer:
+        return RelayServer(
+            self._forwarder.handle,
+            self._forwarder.reject,
+            self._caller_server.activity,
+            self._peer_configurations.handle_request,
+        )
+
     def _build_coordinator(self) -> ReplicaCoordinator:
         return ReplicaCoordinator(
             self._settings,
             self._parts,
             self._configuration_state,
-            self._directory,
-            self._stalls,
-            self._selector,
+            self._endpoints.directory,
+            self._endpoints.stalls,
+            self._endpoints.selector,
             self._metrics,
             self._is_before_traffic,
             self._duty.has_duty,
-            self._ended,
+            self._endpoints.ended,
             self._loop_delay.delay_s,
         )
 
@@ -260,14 +260,15 @@
                 configuration_follower=self._configuration_follower,
                 endpoint_intake=self._endpoint_intake,
                 followed_endpoints=self._followed_endpoints,
-                selector=self._selector,
-                stalls=self._stalls,
+                selector=self._endpoints.selector,
+                stalls=self._endpoints.stalls,
                 duty=self._duty,
                 loop_delay_s=self._loop_delay.delay_s,
                 extensions=[
-                    self._crash_detection.messages,
-                    LimitMessages(self._limits),
-                    EndedMessages(self._ended),
+                    self._endpoints.crash_detection.messages,
+                    LimitMessages(self._endpoints.limits),
+                    EndedMessages(self._endpoints.ended),
+                    self._endpoints.isolation,
                 ],
             )
         )
@@ -311,8 +312,8 @@
             self._configuration_follower.run,
             self._endpoint_follower.run,
             self._endpoint_intake.drop_lapsed,
-            self._probes.run,
-            self._crash_detection.checks.run,
+            self._endpoints.probes.run,
+            self._endpoints.crash_detection.checks.run,
             self._quarantine_store.run,
             self._peer_configurations.run,
             self._exchange.run,
@@ -321,18 +322,9 @@
         for task in tasks:
             nursery.start_soon(run_with_restarts, task)
 
-    def _forget_endpoint(self, endpoint_id: HostId) -> None:
-        """Discard the state recorded for an earlier process of an endpoint."""
-        self._stalls.forget(endpoint_id)
-        self._reachability.forget(endpoint_id)
-        self._limits.forget(endpoint_id)
-        self._pauses.forget(endpoint_id)
-        self._ended.forget(endpoint_id)
-        self._crash_detection.checks.on_restarted(endpoint_id)
-
     def _on_departure(self, endpoint_id: HostId) -> None:
         """Mark an endpoint that said that it leaves, and plan its replacement."""
-        self._directory.refresh(endpoint_id)
+        self._endpoints.directory.refresh(endpoint_id)
         self._coordinator.plan_soon()
 
     def _schedule_exchange(self) -> None:
@@ -341,7 +333,7 @@
 
     def _has_full_state(self) -> bool:
         """Return whether the configuration and the endpoints are known."""
-        return self._configuration_state.current is not None and self._directory.is_loaded
+        return self._configuration_state.current is not None and self._endpoints.directory.is_loaded
 
     def _is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
@@ -359,8 +351,11 @@
     def _follow_status(self) -> FollowStatus:
         followers = (self._configuration_follower, self._endpoint_follower)
         is_answered = all(follower.has_latest_response for follower in followers)
+        is_stopping = self._stop_plan.has_begun
         return FollowStatus(
-            is_answered and not self._stop_plan.has_begun, self._coordinator.holds_lease
+            is_answered and not is_stopping,
+            self._coordinator.holds_lease,
+            is_stopping,
         )
 
     def _caller_limits(self) -> CallerLimits:
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -43,6 +43,7 @@
         settings: HostSettings,
         callers: CallerServer,
         peer_handler: Handler,
+        peer_limits: Callable[[], CallerLimits],
         metrics: ForwardMetrics,
         host_readiness: HostReadiness,
         quarantine_page: QuarantinePage,
@@ -54,7 +55,7 @@
         self._host_readiness = host_readiness
         self._readiness_server = CallerServer(Handlers(self._respond_readiness), CallerLimits)
         self._metrics_server = CallerServer(Handlers(self._respond_to_operator), CallerLimits)
-        self._peer_server = CallerServer(Handlers(peer_handler), CallerLimits)
+        self._peer_server = CallerServer(Handlers(peer_handler), peer_limits)
 
     async def start(self, nursery: trio.Nursery, early_listener: EarlyListener | None) -> None:
         """Start serving; ``early_listener`` holds the callers' socket if it is already open."""
--- a/yewloom/entry_states.py
+++ b/yewloom/entry_states.py
@@ -179,6 +179,10 @@
         """Return the number of live peers: those with a valid state."""
         return len(self._live)
 
+    def is_live(self, peer: EntryHostId) -> bool:
+        """Return whether a peer has a valid state."""
+        return peer in self._live
+
     def echo_for(self, peer: EntryHostId) -> EntryState:
         """Return the echo fields for a peer: the send time of the last message read from it."""
         received = self._live.get(peer)
--- /dev/null
+++ b/yewloom/event_forwarding.py
@@ -0,0 +1,49 @@
+"""Forwards the events of a stream to the caller as they arrive."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import trio
+
+from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, Header
+from yewloom.event_stream import EventSplitter
+from yewloom.forward_request import ForwardRequest
+from yewloom.values import value_class
+
+
+@value_class
+class StreamHead:
+    """Status and headers with which the caller's response starts, without framing headers."""
+
+    status: int
+    headers: Sequence[Header]
+
+
+async def forward_events(
+    request: ForwardRequest,
+    head: StreamHead,
+    read_chunk: Callable[[], Awaitable[bytes | None]],
+    on_chunk: Callable[[], None] = lambda: None,
+) -> None:
+    """Forward events until the stream ends; the caller's response starts with the first event.
+
+    Events that the caller already has are left out. Raises ExchangeError if the stream ends inside
+    an event or without any; ``on_chunk`` is called after each chunk that was read.
+    """
+    splitter = EventSplitter()
+    while (chunk := await read_chunk()) is not None:
+        on_chunk()
+        data = b"".join(e.data for e in splitter.feed(chunk) if request.cursor.accept(e))
+        if data:
+            await _forward_data(request, head, data)
+    if splitter.has_partial_event or not request.response_writer.is_started:
+        raise ExchangeError(
+            ExchangeFailure.CONNECTION_LOST, True, "the stream ended inside an event"
+        )
+
+
+async def _forward_data(request: ForwardRequest, head: StreamHead, data: bytes) -> None:
+    if request.response_writer.is_started:
+        await request.response_writer.send(data)
+        return
+    request.first_event_s = trio.current_time()
+    await request.response_writer.start(head.status, head.headers, data)
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -39,10 +39,12 @@
     """Whether a host can follow the store, and whether it is its data centre's coordinator.
 
     ``can_follow`` is true if the store answers the host and the host is not about to stop.
+    ``is_stopping`` is whether it has begun a planned stop.
     """
 
     can_follow: bool
     is_coordinator: bool
+    is_stopping: bool = False
 
 
 class FollowDuty:
--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -27,6 +27,9 @@
         self._attempts = self._counter(
             "yewloom_endpoint_attempts", "Sendings to endpoints by how they ended.", "outcome"
         )
+        self._relays = self._counter(
+            "yewloom_relays", "Requests relayed to peers by how that ended.", "outcome"
+        )
         self._orders = self._counter(
             "yewloom_replica_orders",
             "Orders to model engines by kind and answer.",
@@ -60,6 +63,10 @@
         """Count an attempt at an endpoint that has ended."""
         self._attempts.labels(outcome).inc()
 
+    def on_relay(self, outcome: str) -> None:
+        """Count a request that was relayed to a peer."""
+        self._relays.labels(outcome).inc()
+
     def on_order(self, order: str, answer: str) -> None:
         """Count an order to a model engine."""
         self._orders.labels(order, answer).inc()
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -16,6 +16,7 @@
 from yewloom.loop_lateness import LoopDelayMonitor
 from yewloom.planned_stop import PlannedStop
 from yewloom.reachability import Reachability
+from yewloom.relays import Relays
 from yewloom.retry_window import RetryBudget
 from yewloom.schema.entry_pb2 import ServingBounds
 from yewloom.selection import Selector
@@ -44,6 +45,7 @@
     crash_detection: CrashDetection
     availability: EndpointAvailability
     retry_extra: Callable[[], float]
+    relays: Relays | None = None
 
 
 def build_forwarder(components: ForwarderComponents) -> Forwarder:
@@ -68,6 +70,7 @@
         lambda: components.directory.is_loaded,
         chooser,
         quarantine,
+        components.relays,
     )
 
 
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -34,7 +34,9 @@
     ``response_writer`` writes the response to the caller. ``response`` is the final response of an
     endpoint, if it is not a stream, once it has arrived. ``quarantine_count`` is the number of
     times that the request had been quarantined when it was admitted. ``reserved_endpoint`` gets the
-    request after it has abandoned its current endpoint.
+    request after it has abandoned its current endpoint. ``is_relayed`` is whether a peer received
+    it from the caller. ``is_counted`` is whether it was counted for a budget of retries.
+    ``first_unreachable_s`` is when an endpoint was first found unreachable for it.
     """
 
     caller_request: CallerRequest
@@ -51,6 +53,9 @@
     response: BufferedResponse | None = None
     quarantine_count: int = 0
     reserved_endpoint: Endpoint | None = None
+    is_relayed: bool = False
+    is_counted: bool = False
+    first_unreachable_s: float = math.inf
     _fingerprint: Fingerprint | None = None
 
     @property
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -22,6 +22,8 @@
 from yewloom.forward_request import ForwardRequest, Refusal
 from yewloom.key_trust import KeyTrust
 from yewloom.quarantine import Quarantine
+from yewloom.relay_messages import RelayContext
+from yewloom.relays import Relays
 from yewloom.request_admission import QUARANTINED, RequestAdmission
 from yewloom.retry_after import bounded_retry_after_s
 from yewloom.retry_window import RetryBudget
@@ -44,6 +46,13 @@
 """Reason for refusing a request if all its endpoints have reached their announced rate limits, or
 have asked for a pause."""
 
+FAILED_AT_PEER = "not answered by peer"
+"""Outcome of a request whose caller received the response of a peer that no endpoint answered."""
+
+MAX_UNREACHABLE_ATTEMPTS = 3
+"""Number of endpoints that a request tries although this host reaches none of them. Several
+connections that time out would take most of its time."""
+
 STOPPING = "host is stopping"
 """Reason for refusing a request because this host is stopping."""
 
@@ -74,7 +83,9 @@
         is_ready: Callable[[], bool],
         chooser: EndpointChooser,
         quarantine: Quarantine,
+        relays: Relays | None = None,
     ) -> None:
+        self._relays = relays
         self._configuration_state = configuration_state
         self._selector = selector
         self._retries = retries
@@ -86,14 +97,18 @@
             configuration_state, codec, selector, key_trust, is_ready, quarantine
         )
 
-    async def handle(self, caller_request: CallerRequest, response_writer: ResponseWriter) -> None:
-        """Answer one request."""
+    async def handle(
+        self,
+        caller_request: CallerRequest,
+        response_writer: ResponseWriter,
+        relay: RelayContext | None = None,
+    ) -> None:
+        """Answer one request, which a peer may have relayed."""
         request = metadata = None
         try:
-            metadata = self._admission.decode_metadata(caller_request)
-            request = self._admission.admit(caller_request, response_writer, metadata)
+            metadata = self._admission.decode_metadata(caller_request, relay)
+            request = self._admission.admit(caller_request, response_writer, metadata, relay)
             self._admission.check_quarantine(request)
-            self._retries.on_request(request.requirements.service, caller_request.read_s)
             outcome = await self._forward(request)
         except Refusal as refusal:
             outcome = refusal.reason
@@ -104,9 +119,9 @@
                 request is not None and request.record.is_answered and response_writer.is_complete
             )
             outcome = ANSWERED if is_served else "caller gone"
-            self._record_outcome(caller_request, metadata, request, response_writer, outcome)
+            self._record_outcome(caller_request, metadata, request, response_writer, outcome, relay)
             raise
-        self._record_outcome(caller_request, metadata, request, response_writer, outcome)
+        self._record_outcome(caller_request, metadata, request, response_writer, outcome, relay)
 
     async def reject(self, caller_request: CallerRequest, response_writer: ResponseWriter) -> None:
         """Refuse a request that arrived after the host stopped accepting requests."""
@@ -140,13 +155,21 @@
                 response.status, response.headers, response.body
             )
         if request.response_writer.is_complete:
-            return ANSWERED
+            return ANSWERED if request.record.is_answered else FAILED_AT_PEER
         return await self._send_failure(request)
 
     async def _try_endpoints(self, request: ForwardRequest) -> None:
         """Send a request to one endpoint after another until one answers or none is left."""
         try:
             while True:
+                peer = self._relays.next_peer(request) if self._relays is not None else None
+                if peer is not None and self._relays is not None:
+                    if await self._relays.run(request, peer):
+                        return
+                    continue
+                if self._is_unreachable(request):
+                    return
+                self._count(request)
                 endpoint = self._chooser.take_next(request)
                 if endpoint is None:
                     if not await self._wait_for_pause(request):
@@ -156,6 +179,19 @@
         finally:
             self._chooser.release_reserved(request)
 
+    def _is_unreachable(self, request: ForwardRequest) -> bool:
+        """Return whether trying more endpoints would only take the time of a request."""
+        if self._relays is None or not self._relays.has_lost_all(request):
+            return False
+        return request.is_relayed or request.record.unreachable_count() >= MAX_UNREACHABLE_ATTEMPTS
+
+    def _count(self, request: ForwardRequest) -> None:
+        """Count a request for the budget of retries, unless this or another host has done so."""
+        if not request.is_counted:
+            request.is_counted = True
+            read_s = request.caller_request.read_s
+            self._retries.on_request(request.requirements.service, read_s)
+
     async def _wait_for_pause(self, request: ForwardRequest) -> bool:
         """Wait for an endpoint that pauses; return False at once if the request can't wait."""
         wait_s = self._chooser.pause_wait_s(request)
@@ -221,6 +257,7 @@
         request: ForwardRequest | None,
         response_writer: ResponseWriter,
         outcome: str,
+        relay: RelayContext | None = None,
     ) -> None:
         """Log the outcome of a request in one line, and record outcome and duration as metrics."""
         now_s = trio.current_time()
@@ -239,6 +276,7 @@
             waited_ms=round((caller_request.read_s - caller_request.arrived_s) * 1000),
             first_ms=_first_event_ms(caller_request, request),
             attempts=_format_attempts(request),
+            relayed_by=relay.relayed_by if relay is not None else None,
             number_on_connection=caller_request.number_on_connection,
             stopping_ms=caller_request.stopping_ms,
             configuration=request.configuration.version if request is not None else None,
@@ -263,4 +301,7 @@
 def _format_attempts(request: ForwardRequest | None) -> list[str]:
     if request is None:
         return []
-    return [f"{endpoint} {state.value}" for endpoint, state in request.record.states.items()]
+    record = request.record
+    return [f"{host} {state.value}" for host, state in record.states.items()] + [
+        f"{peer} {state.value}" for peer, state in record.relays.items()
+    ]
--- a/yewloom/own_state.py
+++ b/yewloom/own_state.py
@@ -69,6 +69,7 @@
             ],
             can_follow=status.can_follow,
             is_coordinator=status.is_coordinator,
+            is_stopping=status.is_stopping,
             listing=self._followed_endpoints.report(now_s),
         )
         for extension in self._extensions:
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -8,9 +8,13 @@
 none has been reached since, the whole data centre is avoided. Other endpoints of it are probed
 immediately, so that a wrong conclusion is corrected within milliseconds.
 
+If one data centre is cut off, the others are probed immediately too: this host itself may be cut
+off from all endpoints, and each request that tries one of them would wait for a timeout.
+
 All times are seconds of trio's clock.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -28,12 +32,17 @@
 PROBE_INTERVAL_S = 0.5
 """Interval between probes of an endpoint; its recovery is noticed after half of that on average."""
 
+VERIFICATION_AGE_S = 0.1
+"""Time since the last connection to a data centre after which it is probed when another one is cut
+off: a busy host connects several times in it."""
+
 CUT_OFF_PROBE_INTERVAL_S = 0.25
 """Interval between rounds of probes to a data centre that is cut off. A round takes as long, since
 probes fail by the connect timeout."""
 
 CUT_OFF_PROBE_COUNT = 2
-"""Number of endpoints that are probed in each round while their data centre is cut off."""
+"""Number of endpoints that are probed in each round while their data centre is cut off, and in each
+other data centre when that begins."""
 
 
 @dataclass
@@ -64,7 +73,8 @@
         self._on_unreachable = on_unreachable
         self._unreachable: dict[HostId, _UnreachableEndpoint] = {}
         self._cut_off: dict[DataCentreId, _CutOffDataCentre] = {}
-        self._connected_s: defaultdict[DataCentreId, float] = defaultdict(lambda: float("-inf"))
+        self._connected_s: defaultdict[DataCentreId, float] = defaultdict(lambda: -math.inf)
+        self._to_verify: set[DataCentreId] = set()
 
     def is_avoided(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint should get no requests while there are others."""
@@ -74,6 +84,21 @@
         """Return whether a data centre counts as cut off."""
         return data_centre in self._cut_off
 
+    def reaches_any(self, endpoints: Iterable[Endpoint]) -> bool:
+        """Return whether any of some endpoints is not avoided."""
+        return any(not self.is_avoided(endpoint) for endpoint in endpoints)
+
+    @property
+    def has_lost_all(self) -> bool:
+        """Return whether this host reaches none of the listed endpoints."""
+        listed = self._directory.by_id.values()
+        return self.has_unreachable and not self.reaches_any(listed)
+
+    @property
+    def last_connected_s(self) -> float:
+        """Return when this host last connected to any endpoint."""
+        return max(self._connected_s.values(), default=-math.inf)
+
     def on_failure(self, endpoint: Endpoint, now_s: float) -> None:
         """Record that connecting to an endpoint failed."""
         self._unreachable[endpoint.id] = _UnreachableEndpoint(
@@ -82,8 +107,14 @@
         data_centre = endpoint.data_centre
         if data_centre not in self._cut_off and self._looks_cut_off(data_centre, now_s):
             self._cut_off[data_centre] = _CutOffDataCentre(now_s)
+            self._verify_others(now_s)
         self._on_unreachable()
 
+    def on_probe_failure(self, endpoint: Endpoint, now_s: float) -> None:
+        """Record that a probe failed; only that of an endpoint that was not avoided is news."""
+        if not self.is_avoided(endpoint) and endpoint.id in self._directory.by_id:
+            self.on_failure(endpoint, now_s)
+
     def forget(self, endpoint: HostId) -> None:
         """Forget that an endpoint was unreachable, because it has restarted."""
         self._unreachable.pop(endpoint, None)
@@ -98,6 +129,7 @@
         self._unreachable.pop(endpoint.id, None)
         self._cut_off.pop(endpoint.data_centre, None)
         self._connected_s[endpoint.data_centre] = now_s
+        self._to_verify.discard(endpoint.data_centre)
 
     def take_due_probes(self, now_s: float) -> list[Endpoint]:
         """Return the endpoints to probe now, and mark them as probed."""
@@ -112,8 +144,20 @@
             if now_s >= cut_off.probe_due_s:
                 cut_off.probe_due_s = now_s + CUT_OFF_PROBE_INTERVAL_S
                 due |= {e.id: e for e in self._next_probes(data_centre, cut_off)}
+        for data_centre in self._to_verify - self._cut_off.keys():
+            due |= {e.id: e for e in self._next_probes(data_centre, _CutOffDataCentre(now_s))}
+        self._to_verify.clear()
         return list(due.values())
 
+    def _verify_others(self, now_s: float) -> None:
+        """Schedule probes of the data centres that were not reached within VERIFICATION_AGE_S."""
+        listed = {endpoint.data_centre for endpoint in self._directory.by_id.values()}
+        self._to_verify |= {
+            data_centre
+            for data_centre in listed - self._cut_off.keys()
+            if self._connected_s[data_centre] < now_s - VERIFICATION_AGE_S
+        }
+
     def _looks_cut_off(self, data_centre: DataCentreId, now_s: float) -> bool:
         since_s = max(now_s - FAILURE_WINDOW_S, self._connected_s[data_centre])
         failed = [
--- a/yewloom/request_admission.py
+++ b/yewloom/request_admission.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import replace
 
 from yewloom.attempts import AttemptRecord
 from yewloom.caller_headers import HeaderCodec, HeaderError, RequestMetadata
@@ -13,6 +14,7 @@
 from yewloom.ids import CustomerId
 from yewloom.key_trust import KeyTrust
 from yewloom.quarantine import Quarantine
+from yewloom.relay_messages import RelayContext
 from yewloom.routes import Route
 from yewloom.selection import EndpointRequirements, Selector
 
@@ -50,18 +52,27 @@
         self._key_trust = key_trust
         self._is_ready = is_ready
 
-    def decode_metadata(self, caller_request: CallerRequest) -> RequestMetadata:
-        """Return the decoded headers of a request, or raise Refusal."""
+    def decode_metadata(
+        self, caller_request: CallerRequest, relay: RelayContext | None = None
+    ) -> RequestMetadata:
+        """Return the decoded headers of a request, or raise Refusal.
+
+        Of a relayed request, the remaining time and the last event are those at the relaying host.
+        """
         try:
-            return self._codec.decode_request(caller_request.headers)
+            metadata = self._codec.decode_request(caller_request.headers)
         except HeaderError as error:
             raise Refusal(400, str(error)) from error
+        if relay is None:
+            return metadata
+        return replace(metadata, deadline_ms=relay.remaining_ms, last_event_id=relay.last_event_id)
 
     def admit(
         self,
         caller_request: CallerRequest,
         response_writer: ResponseWriter,
         metadata: RequestMetadata,
+        relay: RelayContext | None = None,
     ) -> ForwardRequest:
         """Return a request with its route and customer, or raise Refusal."""
         configuration = self._configuration_state.current
@@ -71,9 +82,12 @@
         customer = None
         if configuration.requires_keys and not route.allows_anonymous:
             customer = self._find_customer(configuration, metadata.api_key or "", caller_request)
-        return self._build(
+        request = self._build(
             caller_request, response_writer, metadata, configuration, route, customer
         )
+        if relay is not None:
+            _apply_relay(request, relay)
+        return request
 
     def check_quarantine(self, request: ForwardRequest) -> None:
         """Raise Refusal if a request is known to crash endpoints, unless a trial is due."""
@@ -141,6 +155,14 @@
         )
 
 
+def _apply_relay(request: ForwardRequest, relay: RelayContext) -> None:
+    """Continue a request where the relaying host stopped."""
+    request.is_relayed, request.is_counted = True, relay.is_counted
+    request.record.states.update(relay.attempts)
+    if any(choice.service == relay.service for choice in request.route.services):
+        request.requirements = EndpointRequirements(relay.service, request.metadata.model)
+
+
 def _deadline_s(caller_request: CallerRequest, metadata: RequestMetadata, route: Route) -> float:
     """Return the time at which a request is ended, a margin before its deadline.
 
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -156,6 +156,16 @@
         pausing = (e for e in untried if self._availability.is_pausing(e, now_s))
         return min((self._availability.wait_s(e, now_s) for e in pausing), default=None)
 
+    def has_lost_all(
+        self, requirements: EndpointRequirements, configuration: Configuration, now_s: float
+    ) -> bool:
+        """Return whether this host reaches none of the endpoints that accept such requests."""
+        if not self._reachability.has_unreachable:
+            return False
+        engine = _engine_of(requirements, configuration)
+        candidates = [e for e, _ in self._candidates(requirements, engine, now_s)]
+        return bool(candidates) and not self._reachability.reaches_any(candidates)
+
     def begin(self, endpoint: HostId) -> None:
         """Count a request as running at an endpoint."""
         self._running[endpoint] += 1
