Record no crash while a host reaches no other endpoint either

What could be seen: when a host loses its links and the open connections are reset, each request in flight counts as one under which an endpoint crashed, because the endpoint's port refuses the probe. Three such requests in three cuts are quarantined although no endpoint ended.

Cause: a refused probe was taken as evidence about the endpoint alone.

Change: it counts only if this host has connected to any endpoint since the exchange was aborted, or reaches one of two others that are not known to have crashed, of the same data centre if there are any.

--- a/yewloom/crash_checks.py
+++ b/yewloom/crash_checks.py
@@ -4,11 +4,16 @@
 responses and keep running. A crash is shown by a port that refuses connections right after, or by
 an entry in the store with a later start time. An endpoint that has announced that it leaves, or
 that is no longer listed, has ended as planned. An endpoint that does not answer is not considered
-crashed.
+crashed, and neither is one that refuses connections while others in its data centre cannot be
+reached either: this host may be cut off from them.
 """
 
+import math
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import structlog
 import trio
 
 from yewloom.crash_record import CrashRecord, EndpointProcess
@@ -21,6 +26,8 @@
 )
 from yewloom.ids import Fingerprint, HostId
 
+logger = structlog.get_logger(__name__)
+
 PROBE_PAUSES_S = (0.0, 0.3)
 """Pauses before the two probes of an endpoint's port.
 
@@ -28,6 +35,13 @@
 enough that a restarted process does not listen on the port yet.
 """
 
+CONTROL_PROBES = 2
+"""Number of other endpoints that are probed when one refuses connections."""
+
+CONTROL_PAUSES_S = (0.0, 0.05)
+"""Pauses before the two rounds of these probes. A request may have crashed them too, and checks of
+them take some milliseconds."""
+
 RESTART_EVIDENCE_S = 15.0
 """Time after an aborted exchange within which a restart is evidence of a crash."""
 
@@ -46,14 +60,24 @@
 
 
 class CrashChecks:
-    """Probes endpoints that have aborted exchanges, and records those that have crashed."""
+    """Probes endpoints that have aborted exchanges, and records those that have crashed.
 
-    def __init__(self, record: CrashRecord, directory: EndpointDirectory) -> None:
+    ``last_connected_s`` returns when this host last connected to any endpoint.
+    """
+
+    def __init__(
+        self,
+        record: CrashRecord,
+        directory: EndpointDirectory,
+        last_connected_s: Callable[[], float] = lambda: -math.inf,
+    ) -> None:
+        self._last_connected_s = last_connected_s
         self._record = record
         self._directory = directory
         self._pending_checks: dict[EndpointProcess, _PendingCheck] = {}
         self._inconclusive_checks: dict[HostId, _PendingCheck] = {}
         self._nursery: trio.Nursery | None = None
+        self._rng = random.Random()
 
     async def run(self) -> None:
         """Run checks until cancelled."""
@@ -104,7 +128,9 @@
         try:
             for pause_s in PROBE_PAUSES_S:
                 await trio.sleep(pause_s)
-                if await _refuses_connections(endpoint):
+                if await _refuses_connections(endpoint) and await self._reaches_others(
+                    endpoint, check.started_s
+                ):
                     self._record.record_crash(check.process, check.requests, trio.current_time())
                     return
                 check.is_probed.set()
@@ -113,6 +139,40 @@
             self._pending_checks.pop(check.process, None)
         self._keep_inconclusive_check(check)
 
+    async def _reaches_others(self, endpoint: Endpoint, since_s: float) -> bool:
+        """Return whether this host has reached another endpoint since a given time.
+
+        It also returns True if there is none to compare with.
+        """
+        for pause_s in CONTROL_PAUSES_S:
+            await trio.sleep(pause_s)
+            controls = self._choose_controls(endpoint)
+            if not controls or self._last_connected_s() > since_s:
+                return True
+            for control in controls:
+                if await _connects(control):
+                    return True
+        logger.info("crash not recorded", endpoint=endpoint.id, reason="no other one is reached")
+        return False
+
+    def _choose_controls(self, endpoint: Endpoint) -> list[Endpoint]:
+        """Return other endpoints that are not known to have crashed.
+
+        They are of the same data centre, or any if there is no other one in it.
+        """
+        others = [
+            other
+            for other in self._directory.by_id.values()
+            if other.id != endpoint.id and not self._has_crashed(other)
+        ]
+        near = [other for other in others if other.data_centre == endpoint.data_centre]
+        pool = near or others
+        return self._rng.sample(pool, min(CONTROL_PROBES, len(pool)))
+
+    def _has_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether the process of an endpoint is known to have crashed."""
+        return self._record.has_crash(EndpointProcess(endpoint.id, endpoint.started_unix_ms))
+
     def _keep_inconclusive_check(self, check: _PendingCheck) -> None:
         """Keep a check that showed no crash, as the store may still show a restart."""
         now_s = trio.current_time()
@@ -124,6 +184,15 @@
         self._inconclusive_checks = kept | {check.process.endpoint: check}
 
 
+async def _connects(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint's address accepts a connection."""
+    try:
+        async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S):
+            return True
+    except ExchangeError:
+        return False  # The caller logs that no endpoint is reached.
+
+
 async def _refuses_connections(endpoint: Endpoint) -> bool:
     """Return whether an endpoint's address refuses connections; a timeout does not count."""
     try:
--- a/yewloom/crash_parts.py
+++ b/yewloom/crash_parts.py
@@ -1,5 +1,6 @@
 """Creates the objects with which an entry host detects and quarantines crashing requests."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from yewloom.crash_checks import CrashChecks
@@ -20,9 +21,10 @@
         known_hosts: Callable[[], Iterable[EntryHostId]],
         directory: EndpointDirectory,
         on_change: Callable[[], None] = lambda: None,
+        last_connected_s: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self.quarantine = Quarantine(own_id, known_hosts, on_change)
         self.record = CrashRecord(self.quarantine, on_change)
-        self.checks = CrashChecks(self.record, directory)
+        self.checks = CrashChecks(self.record, directory, last_connected_s)
         self.messages = CrashMessages(self.record, self.quarantine)
         self.page = QuarantinePage(self.quarantine)
--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -65,6 +65,7 @@
             peer_states.known_hosts,
             self.directory,
             on_change,
+            lambda: self.reachability.last_connected_s,
         )
 
     def forget(self, endpoint_id: HostId) -> None:
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -199,6 +199,7 @@
             OWN_HOST,
             peer_states.known_hosts,
             self.directory,
+            last_connected_s=lambda: reachability.last_connected_s,
         )
         self.forwarder = build_forwarder(
             ForwarderComponents(
