Let another host coordinate while one reaches no endpoint

What could be seen: a coordinator that is cut off from all engines finds their groups stalled and their members unresponsive, gives sound groups up in the placement record, and tells every host that they have ended. Its reports of unreachable and stalled groups make its peers avoid them too.

Cause: its own failures were taken as evidence against the endpoints.

Change: a host is isolated if it has reached no endpoint for 0.3 s while a live peer reports that it reaches some. Such a host releases its lease, is no candidate to follow the store, since followers coordinate, and leaves its reports on endpoints out of its messages. If all endpoints are down, or the peers are silent, nothing changes.

Evidence: test_an_isolated_host_releases_its_lease_and_acquires_none and test_an_isolated_host_reports_no_endpoint fail without the change.

--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -199,6 +199,7 @@
             self._duty.has_duty,
             self._endpoints.ended,
             self._loop_delay.delay_s,
+            lambda: self._endpoints.isolation.is_isolated,
         )
 
     def _build_configuration_follower(self) -> Follower:
@@ -353,7 +354,7 @@
         is_answered = all(follower.has_latest_response for follower in followers)
         is_stopping = self._stop_plan.has_begun
         return FollowStatus(
-            is_answered and not is_stopping,
+            is_answered and not is_stopping and not self._endpoints.isolation.is_isolated,
             self._coordinator.holds_lease,
             is_stopping,
         )
--- a/yewloom/follow_duty.py
+++ b/yewloom/follow_duty.py
@@ -38,8 +38,9 @@
 class FollowStatus:
     """Whether a host can follow the store, and whether it is its data centre's coordinator.
 
-    ``can_follow`` is true if the store answers the host and the host is not about to stop.
-    ``is_stopping`` is whether it has begun a planned stop.
+    ``can_follow`` is true if the store answers the host, and the host is not about to stop and
+    reaches endpoints, as a follower may have to coordinate. ``is_stopping`` is whether it has begun
+    a planned stop.
     """
 
     can_follow: bool
--- a/yewloom/isolation.py
+++ b/yewloom/isolation.py
@@ -50,11 +50,17 @@
         )
 
     def add_fields(self, state: EntryState, now_s: float) -> None:
-        """Add the services of which this host reaches no endpoint to a message."""
+        """Add the services of which this host reaches no endpoint to a message.
+
+        The reports on endpoints are removed from the messages of an isolated host.
+        """
         self._update(now_s)
         if self._lost_since_s is None and not self._reachability.has_unreachable:
             return
         state.lost_services.extend(sorted(self._lost_services()))
+        if self._was_isolated:
+            del state.unreachable[:]
+            del state.stalled[:]
 
     def process(self, state: EntryState, arrived_s: float, now_s: float) -> None:
         """Do nothing: ``PeerStates`` keeps the services that a peer reports as lost."""
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -57,7 +57,9 @@
         may_coordinate: Callable[[], bool],
         ended: EndedGroups,
         loop_delay_s: Callable[[], float] = lambda: 0.0,
+        is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_isolated = is_isolated
         self._ended = ended
         self._data_centre = DataCentreId(settings.host.data_centre)
         self._configuration_state = configuration_state
@@ -101,7 +103,8 @@
 
     async def _coordinate(self, tasks: BackgroundTasks) -> None:
         """Acquire or renew the lease, and plan once if it is held."""
-        if self.is_stopping:
+        if self.is_stopping or self._is_isolated():
+            # Another host takes over; this one can't tell lost engines from unreachable ones.
             self._set_holding(False, tasks)
             await self._lease.release()
         elif self._holds_lease or self._may_coordinate():
--- a/yewloom/tests/test_isolation.py
+++ b/yewloom/tests/test_isolation.py
@@ -122,3 +122,18 @@
             self.assertFalse(fixture.isolation.is_isolated)
 
         run(test)
+
+    def test_an_isolated_host_reports_no_endpoint(self) -> None:
+        """Guards against peers that avoid sound groups because an isolated host cannot reach them.
+
+        Its failures are its own.
+        """
+
+        async def test(fixture: IsolationFixture) -> None:
+            fixture.add_peer()
+            self.assertEqual(list(fixture.send().unreachable), ["a"])
+            fixture.lose(0, 1, 2)
+            state = await fixture.send_until_confirmed()
+            self.assertEqual((list(state.unreachable), list(state.stalled)), ([], []))
+
+        run(test)
--- a/yewloom/tests/test_replica_coordinator.py
+++ b/yewloom/tests/test_replica_coordinator.py
@@ -1,11 +1,12 @@
 """Tests of when a host coordinates its data centre, on a mock clock."""
 
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar, cast
 
 import trio
 import trio.testing
+from google.protobuf import json_format
 from result import Ok, Result
 
 from yewloom.background import BackgroundTasks
@@ -16,6 +17,7 @@
 from yewloom.platform_parts import PlatformParts
 from yewloom.platforms import Platform, PlatformError, StoredObject
 from yewloom.replica_coordinator import MIN_PLAN_PAUSE_S, PLAN_INTERVAL_S, ReplicaCoordinator
+from yewloom.schema.records_pb2 import Lease
 from yewloom.selection import Selector
 from yewloom.settings import parse_entry_settings
 from yewloom.stalls import StallDetector
@@ -30,6 +32,7 @@
     def __init__(self) -> None:
         self.update_called, self.may_answer = trio.Event(), trio.Event()
         self.is_down = False
+        self.written: list[Lease] = []
         self._version = 0
 
     async def get(self, key: str) -> Result[StoredObject | None, PlatformError]:
@@ -43,6 +46,7 @@
         self.update_called.set()
         await self.may_answer.wait()
         self._version += 1
+        self.written.append(json_format.Parse(value, Lease()))
         return Ok(self._version)
 
 
@@ -54,7 +58,9 @@
         self.orders = None
 
 
-def _coordinator(store: SlowStore, kind: type[T]) -> T:
+def _coordinator(
+    store: SlowStore, kind: type[T], is_isolated: Callable[[], bool] = lambda: False
+) -> T:
     return kind(
         parse_entry_settings(SETTINGS, "test").unwrap(),
         cast(PlatformParts, StoreOnlyParts(store)),
@@ -66,6 +72,7 @@
         lambda: False,
         lambda: True,
         EndedGroups(),
+        is_isolated=is_isolated,
     )
 
 
@@ -88,11 +95,40 @@
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class TestIsolation(unittest.TestCase):
+    """A host that reaches no endpoint leaves the coordination to another host."""
+
+    def test_an_isolated_host_releases_its_lease_and_acquires_none(self) -> None:
+        """Guards against a host that gives up sound groups because it cannot reach them itself."""
+
+        async def main() -> None:
+            store, isolated = SlowStore(), False
+            store.may_answer.set()
+            coordinator = _coordinator(store, ReplicaCoordinator, lambda: isolated)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(coordinator.run)
+                await trio.sleep(5.0)
+                self.assertTrue(coordinator.holds_lease)
+                isolated = True
+                await trio.sleep(PLAN_INTERVAL_S)
+                self.assertFalse(coordinator.holds_lease)
+                self.assertEqual(store.written[-1].duration_ms, 0)
+                written_count = len(store.written)
+                await trio.sleep(10.0)
+                self.assertEqual(len(store.written), written_count)
+                isolated = False
+                await trio.sleep(5.0)
+                self.assertTrue(coordinator.holds_lease)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class RecordedCoordinator(ReplicaCoordinator):
     """A coordinator that holds its lease and only records when it would plan."""
 
-    def __init__(self, *components: Any) -> None:
-        super().__init__(*components)
+    def __init__(self, *components: Any, **options: Any) -> None:
+        super().__init__(*components, **options)
         self._holds_lease = True
         self.planned_s: list[float] = []
 
