Let the soak cut hosts off from all endpoints, and pause endpoints

A new mix, ISOLATION: some entry hosts lose all links to endpoints, for about 1 s, for 5 to 10 s, or every other second; up to three sound endpoints fall silent for about a second and go on; beside stops, kills, pauses, lost engines, rejections, departures and returns of the store. Each host is in a data centre of its own, since hosts of one data centre tell each other addresses and so would use each other's links. Neither fault counts as a disturbance, so requests that end without any answer are still reported.

A new check, by the stated rule: from 3 s after a cut began, isolated hosts serve at least two thirds as often as the others, or at most 10 and one in 50 of all requests fail there.

A relayed request reaches an endpoint from the peer, so the checks of pauses and departures now ask which process forwarded it; each host has its own link to each endpoint in this mix, which shows that.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,8 +29,15 @@
         "test_pausing_endpoints",
         "test_leaving_endpoints",
         "test_soak_returns",
+        "test_soak_isolation",
+    ),
+    (
+        "test_entry_process",
+        "test_engine_restart",
+        "test_entry_host",
+        "test_isolated_host",
+        "test_program_start",
     ),
-    ("test_entry_process", "test_engine_restart", "test_entry_host", "test_program_start"),
 )
 """Test modules by lane; those of one lane run in sequence, which takes 2 to 4 minutes."""
 
--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -17,6 +17,8 @@
     ExpireEngineRecords,
     FailStore,
     Fault,
+    HoldEndpoints,
+    IsolateEntries,
     KillEntry,
     LeaveByWord,
     LoseEngine,
@@ -32,7 +34,7 @@
     UnlistEngines,
 )
 from yewloom.tests.soak.fleet import EntryProcess, Fleet, SoakEngine
-from yewloom.tests.soak.ledger import GRACE_S, Disturbance, Ledger
+from yewloom.tests.soak.ledger import GRACE_S, Disturbance, Isolation, Ledger
 from yewloom.tests.soak.proxy import DatagramFault, LinkFault
 
 FAULT_EFFECT_S = 4.0
@@ -56,6 +58,10 @@
 PLANNED_WORK = (StopEntry, StopStartingEntry, ReloadEntry, ChangeConfiguration)
 """Faults that are planned work, and so do not count as disturbances."""
 
+NO_DISTURBANCE = (*PLANNED_WORK, IsolateEntries, HoldEndpoints)
+"""Faults that do not count as disturbances. Hosts without links to endpoints, and hosts that find
+endpoints silent for a second, owe the same as others."""
+
 
 async def run_faults(faults: Sequence[Fault], fleet: Fleet, ledger: Ledger) -> None:
     """Inject all faults at their times, and return when the last one is undone."""
@@ -67,7 +73,7 @@
 
 async def _run_fault(fault: Fault, fleet: Fleet, ledger: Ledger, began_s: float) -> None:
     await trio.sleep_until(began_s + fault.at_s)
-    if not isinstance(fault, PLANNED_WORK):
+    if not isinstance(fault, NO_DISTURBANCE):
         now_s = trio.current_time()
         ends_s = now_s + fault.for_s + FAULT_EFFECT_S
         ledger.disturbances.append(Disturbance(now_s, ends_s))
@@ -269,6 +275,30 @@
         link.fault = LinkFault.NONE
 
 
+@apply_fault.register
+async def _(fault: IsolateEntries, fleet: Fleet, ledger: Ledger) -> None:
+    links = [link for number in fault.entries for link in fleet.links_of(number)]
+    for link in links:
+        link.fault = fault.kind
+    began_s = trio.current_time()
+    await trio.sleep(fault.for_s)
+    for link in links:
+        link.fault = LinkFault.NONE
+    names = frozenset(fleet.entries[number].name for number in fault.entries)
+    ledger.isolations.append(Isolation(names, Disturbance(began_s, trio.current_time())))
+
+
+@apply_fault.register
+async def _(fault: HoldEndpoints, fleet: Fleet, ledger: Ledger) -> None:
+    all_links = [*(engine.link for engine in fleet.engines), *fleet.plain_links]
+    links = [all_links[number % len(all_links)] for number in fault.numbers]
+    for link in links:
+        link.fault = LinkFault.HOLD
+    await trio.sleep(fault.for_s)
+    for link in links:
+        link.fault = LinkFault.NONE
+
+
 @apply_fault.register
 async def _(fault: UnlistEngines, fleet: Fleet, ledger: Ledger) -> None:
     engines = _engines(fleet, fault.engines)
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from yewloom.tests.soak.proxy import DatagramFault, LinkFault
+from yewloom.tests.soak.proxy import PARTITION_FAULTS, DatagramFault, LinkFault
 
 
 class FaultMix(Enum):
@@ -14,7 +14,8 @@
     disturbances, so that the strictest guarantees apply. ``WAYS`` cuts engines off from some entry
     hosts, from the store, or from both. ``PAUSES`` pauses hosts for longer than the deadlines of
     requests, also while they start. ``RETURNS`` lets the store go back to older copies, among stops
-    and losses.
+    and losses. ``ISOLATION`` cuts entry hosts off from all endpoints and pauses sound endpoints,
+    among stops, losses, rejections and returns of the store.
     """
 
     FAULTS = "faults"
@@ -23,6 +24,7 @@
     WAYS = "ways"
     PAUSES = "pauses"
     RETURNS = "returns"
+    ISOLATION = "isolation"
 
 
 class StoreFault(Enum):
@@ -41,6 +43,11 @@
 """Faults that are drawn for single links."""
 
 
+FLAPPING_SHARE, HOLD_SHARE, COMPANION_SHARE = 0.2, 0.5, 0.4
+"""Shares of cuts from endpoints that come again every other second, with a pause of endpoints, and
+with a fault of another kind."""
+
+
 @dataclass(frozen=True)
 class Fault:
     """A fault that is injected ``at_s`` after the start of the soak and undone ``for_s`` later."""
@@ -139,6 +146,21 @@
     kind: LinkFault
 
 
+@dataclass(frozen=True)
+class IsolateEntries(Fault):
+    """Cut some entry hosts off from all endpoints; callers, store and peers still reach them."""
+
+    entries: tuple[int, ...]
+    kind: LinkFault
+
+
+@dataclass(frozen=True)
+class HoldEndpoints(Fault):
+    """Let some sound endpoints fall silent, and go on where they stopped."""
+
+    numbers: tuple[int, ...]
+
+
 @dataclass(frozen=True)
 class UnlistEngines(Fault):
     """Remove the store records of some engines, as if they had expired; the engines still serve."""
@@ -392,3 +414,54 @@
             faults.append(replace(other, at_s=at_s + rng.uniform(-1.0, 2.0)))
         at_s += rng.uniform(3.0, 9.0)
     return faults
+
+
+def draw_isolation(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return cuts between entry hosts and all endpoints, and pauses of endpoints.
+
+    Most cuts are long enough for the share of served requests to be checked. Cuts come alone, in
+    quick succession, and together with other faults.
+    """
+    faults: list[Fault] = []
+    at_s = 2.0
+    while at_s < duration_s:
+        cut = _draw_cut(rng, at_s, entries)
+        faults.append(cut)
+        ends_s = at_s + cut.for_s
+        if rng.random() < FLAPPING_SHARE:
+            faults += [replace(cut, at_s=ends_s + 2.0 * n - 1.0, for_s=1.0) for n in range(1, 4)]
+            ends_s += 6.0
+        if rng.random() < HOLD_SHARE:
+            faults.append(_draw_hold(rng, at_s + rng.uniform(0.0, cut.for_s)))
+        if rng.random() < COMPANION_SHARE:
+            faults.append(_draw_companion(rng, at_s + rng.uniform(-1.0, 3.0), entries))
+        at_s = ends_s + rng.uniform(2.0, 5.0)
+    return faults
+
+
+def _draw_cut(rng: random.Random, at_s: float, entries: int) -> IsolateEntries:
+    chosen = tuple(rng.sample(range(entries), rng.randint(1, entries - 1)))
+    for_s = rng.choice([1.0, 6.0, 8.0]) * rng.uniform(0.8, 1.2)
+    return IsolateEntries(at_s, for_s, chosen, rng.choice(PARTITION_FAULTS))
+
+
+def _draw_hold(rng: random.Random, at_s: float) -> HoldEndpoints:
+    numbers = tuple(rng.randrange(1000) for _ in range(rng.randint(1, 3)))
+    return HoldEndpoints(at_s, rng.uniform(0.7, 1.3), numbers)
+
+
+def _draw_companion(rng: random.Random, at_s: float, entries: int) -> Fault:
+    """Return a fault of another kind."""
+    entry, number, for_s = rng.randrange(entries), rng.randrange(1000), rng.uniform(0.3, 3.0)
+    return rng.choice(
+        [
+            KillEntry(at_s, for_s, entry),
+            StopEntry(at_s, for_s, entry),
+            PauseEntry(at_s, for_s, entry),
+            LoseEngine(at_s, for_s, number),
+            ChangeConfiguration(at_s, 0.0),
+            LeaveByWord(at_s, 2 * for_s),
+            RejectRequests(at_s, for_s, (number, number + 1), rng.uniform(0.6, 3.0)),
+            ReturnStore(at_s, for_s, rng.randrange(60), rng.uniform(0.1, 2.0)),
+        ]
+    )
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -205,6 +205,9 @@
     plain_links: list[Link] = field(default_factory=list)
     version: int = 1
     data_centres: tuple[str, ...] = ("hall-a",)
+    has_own_links: bool = False
+    """Whether each entry host reaches plain endpoints through its own links, too. Hosts of one data
+    centre tell each other addresses, so each must be in its own."""
     _known_engines: list[UserEngineStandIn] = field(default_factory=list)
     _entry_links: dict[str, list[Link]] = field(default_factory=dict)
     _entry_count: int = 0
@@ -232,6 +235,14 @@
         for entry in self.entries:
             entry.start()
 
+    def links_of(self, entry: int) -> list[Link]:
+        """Return an entry host's own links to endpoints."""
+        return [links[entry] for links in self._entry_links.values()]
+
+    def _record_forwarded(self, entry: int, data: bytes, at_s: float) -> None:
+        """Record which process forwarded a request; the request may have been relayed to it."""
+        self.ledger.record_forwarded(data, at_s, self.entries[entry].process_name)
+
     def _spec_for_host(self, entry: int, kind: str, spec: Any) -> Any:
         """Return a store record as one entry host reads it, with its own link to an engine.
 
@@ -273,11 +284,7 @@
         self._known_engines.append(engine)
         link = await self._open_link(await self._serve(engine.application()))
         engine.address = link.address
-        on_first_bytes = self.ledger.record_forwarded
-        links = [
-            await self._open_link(link.address, on_first_bytes) for _ in range(self._entry_count)
-        ]
-        self._entry_links[link.address] = links
+        links = await self._open_entry_links(link)
         self.engines.append(SoakEngine(engine, link, links))
         engine.publish()
 
@@ -336,11 +343,26 @@
     async def _add_plain(self, name: str, service: str) -> None:
         endpoint = PlainEndpoint(name, service, self.store, self.ledger, self.rng)
         target = await self._serve(endpoint.application())
-        link = await self._open_link(target, self.ledger.record_forwarded)
+        if self.has_own_links:
+            link = await self._open_link(target)
+            await self._open_entry_links(link)
+        else:
+            link = await self._open_link(target, self.ledger.record_forwarded)
         self.plain_links.append(link)
         endpoint.publish(link.address)
         self._plain.append((endpoint, link.address))
 
+    async def _open_entry_links(self, link: Link) -> list[Link]:
+        """Open a link of each entry host to an endpoint's own link."""
+        links = []
+        for number in range(self._entry_count):
+            record = self.ledger.record_forwarded
+            if self.has_own_links:
+                record = partial(self._record_forwarded, number)
+            links.append(await self._open_link(link.address, record))
+        self._entry_links[link.address] = links
+        return links
+
     async def _open_link(
         self, target: str, on_first_bytes: FirstBytesCallback | None = None
     ) -> Link:
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -62,6 +62,16 @@
 """Time after a request's deadline from which a host must not forward it to an endpoint; specified
 by the platform's documentation."""
 
+ISOLATION_DETECTION_S = 3.0
+"""Time after the beginning of a cut from which callers of isolated hosts must be served."""
+
+ISOLATION_SERVED_RATIO = 2 / 3
+"""Lowest share of requests served by isolated hosts, relative to the share of the others; this and
+the next two are specified by the platform's documentation."""
+
+ISOLATION_FAILURES, ISOLATION_FAILED_SHARE = 10, 1 / 50
+"""Number of requests, and share of all requests, that may fail at isolated hosts in any case."""
+
 _REQUEST_ID = re.compile(rb"\r\nyewloom-request-id: *(\S+)", re.IGNORECASE)
 
 STREAM_EVENTS = 5
@@ -151,6 +161,14 @@
     end_s: float
 
 
+@dataclass(frozen=True)
+class Isolation:
+    """An interval in which some entry hosts, given by name, reached no endpoint."""
+
+    hosts: frozenset[str]
+    interval: Disturbance
+
+
 EndpointAndProcess = tuple[str, str]
 """The names of an endpoint and of an entry host process."""
 
@@ -186,6 +204,9 @@
         default_factory=lambda: defaultdict(list)
     )
     """The pauses that an endpoint asked an entry host process for."""
+    isolations: list[Isolation] = field(default_factory=list)
+    senders: dict[str, str] = field(default_factory=dict)
+    """The process that last forwarded a request, by request id, where links of its own show it."""
     told_leaving_s: dict[EndpointAndProcess, float] = field(default_factory=dict)
     """When an endpoint first told an entry host process that it leaves."""
 
@@ -233,11 +254,22 @@
             age_s = sent.sent_s - revoked_s
             self.record_violation("revoked", run.request_id, f"key revoked {age_s:.2f} s earlier")
 
-    def record_forwarded(self, data: bytes, at_s: float) -> None:
-        """Record when the request in the first bytes of an endpoint connection was forwarded."""
+    def record_forwarded(self, data: bytes, at_s: float, process_name: str = "") -> None:
+        """Record when the request in the first bytes of an endpoint connection was forwarded.
+
+        ``process_name`` is the entry host process that forwarded it, if that is known.
+        """
         found = _REQUEST_ID.search(data)
-        if found is not None:
-            self.forwarded_s[found[1].decode()].append(at_s)
+        if found is None:
+            return
+        request_id = found[1].decode()
+        self.forwarded_s[request_id].append(at_s)
+        if process_name:
+            self.senders[request_id] = process_name
+
+    def _sender(self, sent: SentRequest) -> str:
+        """Return the process that forwarded a request to the endpoint that has it now."""
+        return self.senders.get(sent.request_id, sent.process_name)
 
     def record_complete_answer(self, request_id: str, now_s: float) -> None:
         """Record when an endpoint had made the complete answer to a request."""
@@ -247,7 +279,7 @@
         """Record that a request arrived at an endpoint now."""
         sent = self.sent.get(request_id)
         if sent is not None:
-            self.arrivals[endpoint, sent.process_name].append(trio.current_time())
+            self.arrivals[endpoint, self._sender(sent)].append(trio.current_time())
 
     def record_pause(self, endpoint: str, request_id: str, pause_s: float) -> None:
         """Record that an endpoint asked for a pause when it rejected a request now."""
@@ -255,14 +287,14 @@
         if sent is not None:
             now_s = trio.current_time()
             asked = Disturbance(now_s, now_s + pause_s)
-            self.asked_pauses[endpoint, sent.process_name].append(asked)
+            self.asked_pauses[endpoint, self._sender(sent)].append(asked)
 
     def record_departure(self, endpoint: str, request_id: str) -> None:
         """Record that an endpoint says in the answer to a request that it leaves."""
         sent = self.sent.get(request_id)
         if sent is not None:
             told = self.told_leaving_s
-            told.setdefault((endpoint, sent.process_name), trio.current_time())
+            told.setdefault((endpoint, self._sender(sent)), trio.current_time())
 
     def check(self) -> list[Violation]:
         """Return all violations so far."""
@@ -273,6 +305,7 @@
                 found.append(Violation("unanswered", sent.request_id, f"by {sent.process_name}"))
         found += self._check_pauses()
         found += self._check_departures()
+        found += check_isolations(self)
         return found + list(self._check_regressions()) + list(self._check_planned_stops())
 
     def _check_departures(self) -> Iterable[Violation]:
@@ -417,6 +450,8 @@
             return False
         if self._is_disturbed(sent.sent_s, sent.ended_s) or not self.runs.get(sent.request_id):
             return False
+        if any(_overlaps(cut.interval, sent.sent_s, sent.ended_s) for cut in self.isolations):
+            return False  # Its connection to the endpoint may have been reset.
         if _has_reached_deadline(sent) or self._is_unfinished_work(sent, stopped_s):
             return False
         return sent.status is None or (sent.status == 200 and not sent.is_complete)
@@ -445,6 +480,37 @@
         )
 
 
+def check_isolations(ledger: Ledger) -> Iterable[Violation]:
+    """Check that callers of isolated hosts are served about as often as those of the others.
+
+    Isolations during other disturbances are not checked.
+    """
+    for cut in ledger.isolations:
+        from_s, to_s = cut.interval.begin_s + ISOLATION_DETECTION_S, cut.interval.end_s
+        if from_s >= to_s or any(_overlaps(d, from_s, to_s) for d in ledger.disturbances):
+            continue
+        sent = [s for s in ledger.sent.values() if from_s <= s.sent_s and _ended_before(s, to_s)]
+        there = [s for s in sent if s.process_name.partition("/")[0] in cut.hosts]
+        elsewhere = [s for s in sent if s.process_name.partition("/")[0] not in cut.hosts]
+        if not there or not elsewhere:
+            continue
+        served, served_elsewhere = sum(map(_is_served, there)), sum(map(_is_served, elsewhere))
+        share, share_elsewhere = served / len(there), served_elsewhere / len(elsewhere)
+        allowed_failures = ISOLATION_FAILURES + ISOLATION_FAILED_SHARE * len(sent)
+        is_too_low = share < ISOLATION_SERVED_RATIO * share_elsewhere
+        if is_too_low and len(there) - served > allowed_failures:
+            counts = f"{served} of {len(there)}, the others {served_elsewhere} of {len(elsewhere)}"
+            yield Violation("isolated", "", f"{sorted(cut.hosts)} served {counts}")
+
+
+def _ended_before(sent: SentRequest, time_s: float) -> bool:
+    return sent.ended_s is not None and sent.ended_s <= time_s
+
+
+def _is_served(sent: SentRequest) -> bool:
+    return sent.status == 200 and sent.is_complete
+
+
 def _overlaps(span: Disturbance, from_s: float, to_s: float) -> bool:
     return span.begin_s < to_s and span.end_s > from_s
 
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -9,6 +9,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
+from string import ascii_lowercase
 
 import trio
 
@@ -20,6 +21,7 @@
     FaultMix,
     draw_engine_link_faults,
     draw_faults,
+    draw_isolation,
     draw_pauses,
     draw_returns,
     draw_signals,
@@ -69,6 +71,8 @@
             return draw_engine_link_faults(rng, self.duration_s, self.entries, self.engines)
         if self.mix is FaultMix.PAUSES:
             return draw_pauses(rng, self.duration_s, self.entries)
+        if self.mix is FaultMix.ISOLATION:
+            return draw_isolation(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.RETURNS:
             return draw_returns(rng, self.duration_s, self.entries)
         faults = draw_faults(rng, self.duration_s, self.entries)
@@ -120,6 +124,9 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lag.run)
         fleet = Fleet(folder, ledger, rng, nursery)
+        if plan.mix is FaultMix.ISOLATION:
+            fleet.data_centres = tuple(f"hall-{letter}" for letter in ascii_lowercase)
+            fleet.has_own_links = True
         sampler = CpuSampler(fleet.pids)
         nursery.start_soon(sampler.run)
         async with open_fleet(fleet, plan.entries, plan.engines) as balancer:
