Let a node of yewloomd that alone reaches no endpoint say so

What could be seen: a node of yewloomd that is cut off from all endpoints learns from its peers that groups are open, so it tells the load balancer that it is ready, tries one group after another for each request, and keeps its coordinator's lease although no order of it arrives.

Change: a node is isolated if all its own probes have failed for freshness_ms while fresh reports of peers show an open group or service. It is not ready then, and lets its lease expire. It still accepts the requests that arrive. If no node reaches an endpoint, none is isolated.

Not done: passing such a request on to a peer by gRPC, as the entry host does; the limits of customers, claims and streams that resume by cursor would have to be counted over both nodes.

Evidence: test_own_reach fails without the change (there is no own_reach). Not tried with processes.

--- a/yewloom/coordinators.py
+++ b/yewloom/coordinators.py
@@ -72,13 +72,15 @@
             nursery.start_soon(self._coordinate)
 
     def release(self) -> None:
-        """Stop coordinating before a planned stop; the lease record is left to expire."""
+        """Stop coordinating; the lease record is left to expire."""
         self._lease.release(self._new_attempt(), trio.current_time())
 
     async def _keep_lease(self) -> None:
         step_s = self._node.settings.lease.renew_interval_ms / 4000
         while True:
-            if self._has_duty():
+            if self._node.is_isolated(trio.current_time()):
+                self.release()  # Another host's orders reach the engines.
+            elif self._has_duty():
                 await self._run_step(self._run_lease_action)
             self._check_holding_change()
             await trio.sleep(step_s)
--- a/yewloom/fleet.py
+++ b/yewloom/fleet.py
@@ -106,6 +106,16 @@
             if self.is_open(group, now_s)
         ]
 
+    def has_open_endpoints(self, now_s: float) -> bool:
+        """Return whether a group or a plain service's endpoint accepts new work.
+
+        Peers may have observed it.
+        """
+        if any(self.is_open(group, now_s) for _, group in self.groups()):
+            return True
+        endpoints = (e for placement in self._placements.values() for e in placement.services)
+        return any(self._is_service_open(endpoint, now_s) for endpoint in endpoints)
+
     def open_services(
         self, service: str, now_s: float
     ) -> list[tuple[DataCentreId, ServiceEndpoint]]:
--- a/yewloom/node.py
+++ b/yewloom/node.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+import trio
+
 from yewloom.admission import AdmissionController
 from yewloom.endpoint_pauses import EndpointPauses
 from yewloom.experiments import ExperimentRecord
@@ -14,6 +16,7 @@
 from yewloom.loop_lateness import LoopDelayMonitor
 from yewloom.membership import Membership
 from yewloom.metrics import Metrics
+from yewloom.own_reach import OwnReach
 from yewloom.prefixes import PrefixIndex
 from yewloom.schema.peer_pb2 import Member, ShareState
 from yewloom.schema.settings_pb2 import Settings
@@ -50,6 +53,7 @@
     metrics: Metrics
     rng: random.Random
     pauses: EndpointPauses
+    own_reach: OwnReach
     work: WorkTracker = field(default_factory=WorkTracker)
     loop_delay: LoopDelayMonitor = field(default_factory=LoopDelayMonitor)
     is_table_loaded: bool = False
@@ -95,7 +99,15 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests to this host."""
-        return self.is_table_loaded and not self.work.is_stopping
+        is_serving = self.is_table_loaded and not self.work.is_stopping
+        return is_serving and not self.is_isolated(trio.current_time())
+
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether this host reaches no endpoint while its peers report open ones.
+
+        If no host reaches an endpoint, none is isolated.
+        """
+        return self.own_reach.has_lost_all(now_s) and self.fleet.has_open_endpoints(now_s)
 
     def begin_stop(self) -> None:
         """Begin a planned stop: announce it to the load balancer and peers.
@@ -126,4 +138,5 @@
         metrics=Metrics(),
         rng=rng,
         pauses=EndpointPauses(rng),
+        own_reach=OwnReach(settings.groups.freshness_ms / 1000),
     )
--- a/yewloom/observers.py
+++ b/yewloom/observers.py
@@ -67,8 +67,10 @@
         host_id = HostId(member.host_id)
         match await self._endpoints.probe(member.address):
             case Ok(report):
+                self._node.own_reach.on_answered()
                 self._node.fleet.on_host_answered(host_id, report, requested_s)
             case Err():
+                self._node.own_reach.on_failed(requested_s)
                 self._node.fleet.on_host_failed(host_id, requested_s)
 
     async def _probe_service(self, endpoint: ServiceEndpoint) -> None:
@@ -76,8 +78,10 @@
         host_id = HostId(endpoint.host_id)
         match await self._endpoints.probe(endpoint.address):
             case Ok(report):
+                self._node.own_reach.on_answered()
                 self._node.fleet.on_service_answered(host_id, report, requested_s)
             case Err():
+                self._node.own_reach.on_failed(requested_s)
                 self._node.fleet.on_service_failed(host_id, requested_s)
 
     def _apply_cache_events(self, group: Group) -> None:
