--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -99,6 +99,7 @@
             self._loop_delay.delay_s,
             self._schedule_exchange,
         )
+        metrics.read_isolation(lambda: self._endpoints.isolation.is_isolated)
         self._quarantine_store = QuarantineStore(
             host_id,
             self._peer_states.known_hosts,
--- a/yewloom/explanation.py
+++ b/yewloom/explanation.py
@@ -17,6 +17,7 @@
         "endpoint leaving",
         "endpoint limit",
         "group stalled",
+        "isolation from endpoints changed",
         "member unresponsive",
         "platform unreachable",
         "platform reachable again",
--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of an entry host that forwards requests."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
@@ -48,6 +50,11 @@
             "Revision of the newest configuration in the store if it cannot be decoded, else 0.",
             registry=self.registry,
         )
+        self._is_isolated = Gauge(
+            "yewloom_is_isolated",
+            "1 while this host reaches no endpoint although a peer does, else 0.",
+            registry=self.registry,
+        )
         self._log_lines_lost = self._counter(
             "yewloom_log_lines_lost", "Log lines left out because nobody read the log."
         )
@@ -79,6 +86,10 @@
         """Set the revision of the invalid configuration in the store, 0 if there is none."""
         self._invalid_configuration.set(revision)
 
+    def read_isolation(self, is_isolated: Callable[[], bool]) -> None:
+        """Read whether this host is isolated from the endpoints at each scrape."""
+        self._is_isolated.set_function(lambda: float(is_isolated()))
+
     def on_log_line_dropped(self) -> None:
         """Count a log line that was dropped."""
         self._log_lines_lost.inc()
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -162,9 +162,12 @@
         """Return whether this host reaches none of the endpoints that accept such requests."""
         if not self._reachability.has_unreachable:
             return False
-        engine = _engine_of(requirements, configuration)
-        candidates = [e for e, _ in self._candidates(requirements, engine, now_s)]
-        return bool(candidates) and not self._reachability.reaches_any(candidates)
+        engine, has_candidates = _engine_of(requirements, configuration), False
+        for endpoint, _ in self._candidates(requirements, engine, now_s):
+            if not self._reachability.is_avoided(endpoint):
+                return False
+            has_candidates = True
+        return has_candidates
 
     def begin(self, endpoint: HostId) -> None:
         """Count a request as running at an endpoint."""
