Test the limits of a request over both hosts, and remove each mechanism

A relayed request is counted for one host's budget and reaches no more endpoints than its route allows; the peer gets the time that remains and the last event.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -17,6 +17,7 @@
 import mutations_lateness
 import mutations_limits
 import mutations_pauses
+import mutations_relays
 import mutations_returns
 import mutations_size
 import mutations_yewloomd
@@ -35,6 +36,7 @@
     *mutations_crashes.MUTATIONS,
     *mutations_limits.MUTATIONS,
     *mutations_pauses.MUTATIONS,
+    *mutations_relays.MUTATIONS,
     *mutations_returns.MUTATIONS,
 )
 
--- a/yewloom/tests/test_relays.py
+++ b/yewloom/tests/test_relays.py
@@ -11,8 +11,10 @@
 from yewloom.ids import EntryHostId, HostId
 from yewloom.planned_stop import DEREGISTRATION_DELAY_S
 from yewloom.relay_messages import _encode_attempts
+from yewloom.request_admission import RESPONSE_MARGIN_S
 from yewloom.tests.entry_support import ENGINES, PLAIN, SMALL, make_route, put_group
 from yewloom.tests.forwarding_support import (
+    STREAM_ROUTE,
     ForwarderFixture,
     ScriptedEndpoint,
     SharedEndpoint,
@@ -81,7 +83,8 @@
             headers = dict(endpoint.requests[0].headers)
             self.assertEqual(endpoint.requests[0].target, b"/u/1?a=b")
             self.assertEqual(headers[b"yewloom-tenant"], b"hotel")
-            self.assertLess(int(headers[b"yewloom-deadline-ms"]), 900)
+            margin_ms = 1000 * RESPONSE_MARGIN_S  # Each host reserves it for its own response.
+            self.assertLessEqual(int(headers[b"yewloom-deadline-ms"]), 900 - 2 * margin_ms)
             self.assertNotIn(b"authorization", headers)
 
         run(test)
@@ -231,6 +234,54 @@
         run(test, peers=1)
 
 
+class TestLimitsOverBothHosts(unittest.TestCase):
+    """The limits of retries hold for a request, whichever hosts forward it."""
+
+    def test_a_relayed_request_is_counted_for_the_budget_of_one_host(self) -> None:
+        """Guards against a budget that grows because two hosts count the same request."""
+
+        async def test(hosts: Hosts) -> None:
+            for _ in range(4):
+                self.assertEqual((await hosts.isolated.request("/u/1")).status, 200)
+            counts = [_counted(host) for host in (hosts.isolated, *hosts.peers)]
+            self.assertEqual(sum(counts), 4)
+
+        run(test)
+
+    def test_a_request_reaches_no_more_endpoints_than_its_route_allows(self) -> None:
+        async def cut_off(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.start(200, content_type="text/event-stream")
+            await endpoint.send(event(1))
+
+        async def test(hosts: Hosts) -> None:
+            isolated, peer = hosts.isolated, hosts.peers[0]
+            first = ScriptedEndpoint(cut_off)
+            await isolated.add_engine("e1", first, True)
+            _add_unreachable_engines(isolated, "e2", "e3")
+            others = [SharedEndpoint(cut_off) for _ in range(3)]
+            for number, other in enumerate(others):
+                await peer.add_engine(f"e{number + 2}", other)
+            response = await isolated.request("/s/1")
+            self.assertFalse(response.is_complete)
+            run_count = len(first.requests) + sum(len(other.requests) for other in others)
+            self.assertEqual(run_count, STREAM_ROUTE.max_endpoints)
+
+        run(test, peers=1)
+
+
+def _counted(host: ForwarderFixture) -> int:
+    """Return how many requests to the plain service a host has counted for its budget."""
+    return len(host.forwarder._retries._services[PLAIN].request_times_s)
+
+
+def _add_unreachable_engines(host: ForwarderFixture, *names: str) -> None:
+    """Add leaders of groups to which connections are refused."""
+    for name in names:
+        put_group(host.directory, f"group-{name}", SMALL, [name, f"{name}-2"])
+        listed = host.directory.by_id[HostId(name)]
+        host.directory.put(replace(listed, address=allocate_address()))
+
+
 class TestRelayedStreams(unittest.TestCase):
     """Streams continue at a peer after the last event that the caller received."""
 
@@ -252,12 +303,11 @@
         async def test(hosts: Hosts) -> None:
             isolated, peer = hosts.isolated, hosts.peers[0]
             await isolated.add_engine("e1", ScriptedEndpoint(send_two_events), True)
-            for name in ("e2", "e3"):
-                put_group(isolated.directory, f"group-{name}", SMALL, [name, f"{name}-2"])
-                listed = isolated.directory.by_id[HostId(name)]
-                isolated.directory.put(replace(listed, address=allocate_address()))
-            await peer.add_engine("e2", SharedEndpoint(send_the_rest))
+            _add_unreachable_engines(isolated, "e2", "e3")
+            second = SharedEndpoint(send_the_rest)
+            await peer.add_engine("e2", second)
             response = await isolated.request("/s/1")
+            self.assertEqual(dict(second.requests[0].headers)[b"last-event-id"], b"2")
             self.assertTrue(response.is_complete)
             self.assertEqual(response.body, b"".join(event(number) for number in range(1, 5)))
 
