Compare endpoints that refuse connections with those of their data centre only

Connections to other data centres do not show that this host reaches the one whose endpoint broke an exchange off: that data centre may be cut off alone. The test fails without the change. Also: relays are a required part of the forwarder, which always has one.

--- a/yewloom/crash_checks.py
+++ b/yewloom/crash_checks.py
@@ -24,7 +24,7 @@
     ExchangeFailure,
     open_exchange,
 )
-from yewloom.ids import Fingerprint, HostId
+from yewloom.ids import DataCentreId, Fingerprint, HostId
 
 logger = structlog.get_logger(__name__)
 
@@ -62,16 +62,16 @@
 class CrashChecks:
     """Probes endpoints that have aborted exchanges, and records those that have crashed.
 
-    ``last_connected_s`` returns when this host last connected to any endpoint.
+    ``last_connected_in_s`` returns when this host last connected to an endpoint of a data centre.
     """
 
     def __init__(
         self,
         record: CrashRecord,
         directory: EndpointDirectory,
-        last_connected_s: Callable[[], float] = lambda: -math.inf,
+        last_connected_in_s: Callable[[DataCentreId], float] = lambda _: -math.inf,
     ) -> None:
-        self._last_connected_s = last_connected_s
+        self._last_connected_in_s = last_connected_in_s
         self._record = record
         self._directory = directory
         self._pending_checks: dict[EndpointProcess, _PendingCheck] = {}
@@ -147,7 +147,7 @@
         for pause_s in CONTROL_PAUSES_S:
             await trio.sleep(pause_s)
             controls = self._choose_controls(endpoint)
-            if not controls or self._last_connected_s() > since_s:
+            if not controls or self._last_connected_in_s(endpoint.data_centre) > since_s:
                 return True
             for control in controls:
                 if await _connects(control):
--- a/yewloom/crash_parts.py
+++ b/yewloom/crash_parts.py
@@ -7,7 +7,7 @@
 from yewloom.crash_messages import CrashMessages
 from yewloom.crash_record import CrashRecord
 from yewloom.directory import EndpointDirectory
-from yewloom.ids import EntryHostId
+from yewloom.ids import DataCentreId, EntryHostId
 from yewloom.quarantine import Quarantine
 from yewloom.quarantine_page import QuarantinePage
 
@@ -21,10 +21,10 @@
         known_hosts: Callable[[], Iterable[EntryHostId]],
         directory: EndpointDirectory,
         on_change: Callable[[], None] = lambda: None,
-        last_connected_s: Callable[[], float] = lambda: -math.inf,
+        last_connected_in_s: Callable[[DataCentreId], float] = lambda _: -math.inf,
     ) -> None:
         self.quarantine = Quarantine(own_id, known_hosts, on_change)
         self.record = CrashRecord(self.quarantine, on_change)
-        self.checks = CrashChecks(self.record, directory, last_connected_s)
+        self.checks = CrashChecks(self.record, directory, last_connected_in_s)
         self.messages = CrashMessages(self.record, self.quarantine)
         self.page = QuarantinePage(self.quarantine)
--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -65,7 +65,7 @@
             peer_states.known_hosts,
             self.directory,
             on_change,
-            lambda: self.reachability.last_connected_s,
+            self.reachability.last_connected_in_s,
         )
 
     def forget(self, endpoint_id: HostId) -> None:
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -45,7 +45,7 @@
     crash_detection: CrashDetection
     availability: EndpointAvailability
     retry_extra: Callable[[], float]
-    relays: Relays | None = None
+    relays: Relays
 
 
 def build_forwarder(components: ForwarderComponents) -> Forwarder:
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -83,7 +83,7 @@
         is_ready: Callable[[], bool],
         chooser: EndpointChooser,
         quarantine: Quarantine,
-        relays: Relays | None = None,
+        relays: Relays,
     ) -> None:
         self._relays = relays
         self._configuration_state = configuration_state
@@ -162,8 +162,8 @@
         """Send a request to one endpoint after another until one answers or none is left."""
         try:
             while True:
-                peer = self._relays.next_peer(request) if self._relays is not None else None
-                if peer is not None and self._relays is not None:
+                peer = self._relays.next_peer(request)
+                if peer is not None:
                     if await self._relays.run(request, peer):
                         return
                     continue
@@ -181,7 +181,7 @@
 
     def _is_unreachable(self, request: ForwardRequest) -> bool:
         """Return whether trying more endpoints would only take the time of a request."""
-        if self._relays is None or not self._relays.has_lost_all(request):
+        if not self._relays.has_lost_all(request):
             return False
         return request.is_relayed or request.record.unreachable_count() >= MAX_UNREACHABLE_ATTEMPTS
 
--- a/yewloom/reachability.py
+++ b/yewloom/reachability.py
@@ -94,6 +94,10 @@
         listed = self._directory.by_id.values()
         return self.has_unreachable and not self.reaches_any(listed)
 
+    def last_connected_in_s(self, data_centre: DataCentreId) -> float:
+        """Return when this host last connected to an endpoint of a data centre."""
+        return self._connected_s[data_centre]
+
     @property
     def last_connected_s(self) -> float:
         """Return when this host last connected to any endpoint."""
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -199,7 +199,7 @@
             OWN_HOST,
             peer_states.known_hosts,
             self.directory,
-            last_connected_s=lambda: reachability.last_connected_s,
+            last_connected_in_s=reachability.last_connected_in_s,
         )
         self.forwarder = build_forwarder(
             ForwarderComponents(
--- a/yewloom/tests/test_crash_checks.py
+++ b/yewloom/tests/test_crash_checks.py
@@ -1,5 +1,6 @@
 """Tests of the checks whether an endpoint has crashed."""
 
+import math
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -12,7 +13,7 @@
 from yewloom.crash_checks import PROBE_PAUSES_S, RESTART_EVIDENCE_S, CrashChecks
 from yewloom.crash_record import CRASH_THRESHOLD, CrashRecord, EndpointProcess
 from yewloom.directory import Endpoint, EndpointDirectory
-from yewloom.ids import EntryHostId, Fingerprint
+from yewloom.ids import DataCentreId, EntryHostId, Fingerprint
 from yewloom.quarantine import Quarantine
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
@@ -86,6 +87,25 @@
 
         run_with_checks(test)
 
+    def test_endpoints_of_another_data_centre_do_not_show_that_one_is_reached(self) -> None:
+        """Guards against suspecting requests when a single data centre is cut off."""
+
+        async def test(fixture: ChecksFixture) -> None:
+            connected_s = {DataCentreId("hall-b"): math.inf}
+            fixture.checks = CrashChecks(
+                fixture.record, fixture.directory, lambda name: connected_s.get(name, -math.inf)
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fixture.checks.run)
+                await trio.testing.wait_all_tasks_blocked()
+                endpoints = [fixture.list_endpoint(allocate_address(), name=n) for n in "ab"]
+                await fixture.checks.on_exchange_aborted(endpoints[0], F)
+                await trio.sleep(PROBED_S)
+                nursery.cancel_scope.cancel()
+            self.assertFalse(fixture.record.is_suspect(F))
+
+        run_with_checks(test)
+
     def test_an_endpoint_is_compared_with_others_that_have_not_crashed(self) -> None:
         async def test(fixture: ChecksFixture) -> None:
             async with trio.open_nursery() as nursery:
