Pass on a peer's refusal only if the request was not sent from here either

An endpoint broke the exchange off as the links were reset, the request was relayed, and both peers refused it because their keys were 4.9 s old; such a refusal comes before a look at the attempts that the message names, and this host passed it on as its own promise.

Evidence: the logs of entry-0 ("plain-0 sent", then two relays refused with 503), and test_a_refusal_by_peers_promises_nothing_if_an_endpoint_ may_have_run_it, which got 503 instead of 502 without the change.

Change: the peer's own response goes to the caller only if the record of all attempts proves that the request has not run; otherwise the response follows from that record. So it holds whatever reason a peer has.

--- a/yewloom/relays.py
+++ b/yewloom/relays.py
@@ -152,14 +152,18 @@
     def _process_own_response(
         self, request: ForwardRequest, peer: RelayPeer, head: ResponseHead
     ) -> tuple[bool, str]:
-        """Process a response in which the peer says that no endpoint answered the request."""
+        """Process a response in which the peer says that no endpoint answered the request.
+
+        The caller gets it only if nothing was sent from here either; otherwise what it promises may
+        be wrong, and the response follows from the record of all attempts.
+        """
         is_not_run = head.status <= MAX_NOT_RUN_STATUS or head.status == UNAVAILABLE
         if is_not_run:
             request.record.relays[peer.host] = AttemptState.NOT_RUN
         outcome = f"refused: {head.status}" if is_not_run else f"failed: {head.status}"
         if head.status == UNAVAILABLE and self.next_peer(request) is not None:
             return False, outcome
-        if not request.response_writer.is_started:
+        if request.record.is_known_not_run:
             retry_after = head.get(b"retry-after")
             headers = [(b"retry-after", retry_after)] if retry_after is not None else []
             request.response = BufferedResponse(head.status, headers, b"")
--- a/yewloom/tests/test_relays.py
+++ b/yewloom/tests/test_relays.py
@@ -18,6 +18,7 @@
     ForwarderFixture,
     ScriptedEndpoint,
     SharedEndpoint,
+    close_without_response,
     event,
     refuse_not_run,
     respond_ok,
@@ -233,6 +234,30 @@
 
         run(test, peers=1)
 
+    def test_a_refusal_by_peers_promises_nothing_if_an_endpoint_may_have_run_it(self) -> None:
+        """Guards against a promise that holds for the peer only.
+
+        A peer that does not know its endpoints refuses a request without a look at its attempts.
+        """
+
+        async def refuse(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            raise AssertionError("the peers refuse the request")
+
+        async def test(hosts: Hosts) -> None:
+            await hosts.isolated.add_plain("p0", ScriptedEndpoint(close_without_response), True)
+            for peer in hosts.peers:
+                peer.directory.is_loaded = False
+            response = await hosts.isolated.request("/r/1")
+            self.assertEqual(response.status, 502)
+            self.assertEqual(await self._refused_status(hosts), 503)
+
+        run(test, script=refuse)
+
+    async def _refused_status(self, hosts: Hosts) -> int:
+        """Return the status of a request that no endpoint has received."""
+        hosts.isolated.directory.remove(HostId("p0"))
+        return (await hosts.isolated.request("/u/1")).status
+
 
 class TestLimitsOverBothHosts(unittest.TestCase):
     """The limits of retries hold for a request, whichever hosts forward it."""
