Excuse hosts in planned stops from the soak's check of isolated hosts

The check leaves out hosts within 14 s of their SIGTERM: the grace period, up to 3 s until the next start, and contactMs. All others stay checked.

--- a/yewloom/tests/test_soak_isolation.py
+++ b/yewloom/tests/test_soak_isolation.py
@@ -64,6 +64,16 @@
         self._add("e0", 60, 200, checked_s)
         self.assertEqual(self._violated(), [])
 
+    def test_a_host_that_was_stopped_owes_nothing(self) -> None:
+        """Covers refused connections to a host between its planned stop and its next start."""
+        checked_s = ISOLATION_DETECTION_S + 0.1
+        self._add("e1", 50, 200, checked_s)
+        self._add("e0", 50, 503, checked_s)
+        self.ledger.planned_stops["e0/1"] = 0.0
+        self.assertEqual(self._violated(), [])
+        self.ledger.planned_stops = {"e1/1": -60.0}
+        self.assertEqual(len(self._violated()), 1)
+
     def test_requests_before_the_detection_time_do_not_count(self) -> None:
         self._add("e1", 50, 200, 1.0)
         self._add("e0", 50, 503, 1.0)
