Suspect no member while the coordinator itself reaches no endpoint

Cause: when the links of the coordinator are cut and refuse, its probes of stalled groups fail at once. It suspected all members 0.2 s after the cut, before isolation is confirmed (0.3 s), and gave both sound groups up in the placement record, which ends them for all hosts.

Change: a missing answer suspects nobody while this host reaches no endpoint, by the immediate check and not the confirmed one; the probe is repeated at the next plan instead of after 2 s. If all endpoints are gone, groups are given up once one of them is reached.

--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -201,6 +201,7 @@
             self._endpoints.ended,
             self._loop_delay.delay_s,
             lambda: self._endpoints.isolation.is_isolated,
+            lambda: self._endpoints.reachability.has_lost_all,
         )
 
     def _build_configuration_follower(self) -> Follower:
--- a/yewloom/replica_coordinator.py
+++ b/yewloom/replica_coordinator.py
@@ -58,6 +58,7 @@
         ended: EndedGroups,
         loop_delay_s: Callable[[], float] = lambda: 0.0,
         is_isolated: Callable[[], bool] = lambda: False,
+        has_lost_all: Callable[[], bool] = lambda: False,
     ) -> None:
         self._is_isolated = is_isolated
         self._ended = ended
@@ -74,7 +75,13 @@
         self._change = trio.Event()
         self._delivery = OrderDelivery(parts.orders, self._state, metrics, self.plan_soon)
         self._stalled_groups = StalledGroups(
-            directory, stalls, parts.orders, self._state, loop_delay_s, self.plan_soon
+            directory,
+            stalls,
+            parts.orders,
+            self._state,
+            loop_delay_s,
+            self.plan_soon,
+            has_lost_all,
         )
         self._holds_lease = False
         self._data_centres = 1
--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -79,12 +79,15 @@
         state: PlanState,
         loop_delay_s: Callable[[], float] = lambda: 0.0,
         on_suspect: Callable[[], None] = lambda: None,
+        has_lost_all: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initialize.
 
         ``loop_delay_s`` is not zero if the event loop was blocked just before; ``on_suspect`` is
-        called when a member is suspected.
+        called when a member is suspected; ``has_lost_all`` returns whether this host reaches no
+        endpoint at present.
         """
+        self._has_lost_all = has_lost_all
         self._on_suspect = on_suspect
         self._loop_delay_s = loop_delay_s
         self._directory = directory
@@ -167,7 +170,8 @@
         A group makes progress only if all members work, so an event that any entry host received
         after the query was sent shows that this host alone cannot reach the member. Without this
         check, a leader that is unreachable only from its coordinator would lose its group while it
-        serves streams of other entry hosts.
+        serves streams of other entry hosts. While this host reaches no endpoint at all, a missing
+        answer says nothing; the probe is repeated soon.
         """
         sent_s, group_probe = trio.current_time(), probe.group_probe
         report = await self._query_report(probe)
@@ -182,6 +186,10 @@
         if report is None and has_progress:
             logger.info("member unreachable from this host only", engine=probe.member)
             return
+        if report is None and self._has_lost_all():
+            logger.info("member not suspected", engine=probe.member, reason="no endpoint reached")
+            self._last_probe_s.pop(probe.member, None)
+            return
         reason = "no answer" if report is None else "process was restarted"
         logger.info("member unresponsive", engine=probe.member, reason=reason)
         self._state.suspects.add(probe.member)
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -234,6 +234,32 @@
 
         _run(test)
 
+    def test_no_member_is_suspected_while_this_host_reaches_no_endpoint(self) -> None:
+        """Guards against a coordinator that gives up all groups when its own links are cut.
+
+        Once it reaches an endpoint again, the member is queried without the usual pause.
+        """
+
+        async def test(tasks: BackgroundTasks) -> None:
+            engines, state, stalls = FakeEngines(), PlanState(), StallDetector()
+            group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+            group.members.add(host_id="dead", address="dead")
+            has_lost_all = True
+            groups = StalledGroups(
+                EndpointDirectory(), stalls, engines, state, has_lost_all=lambda: has_lost_all
+            )
+            stalls.report_stalled(HostId("dead"), trio.current_time())
+            groups.start_probes([group], tasks)
+            await trio.sleep(REPORT_TIMEOUT_S + 0.1)
+            self.assertEqual(state.suspects, set())
+            has_lost_all = False
+            stalls.report_stalled(HostId("dead"), trio.current_time())
+            groups.start_probes([group], tasks)
+            await trio.sleep(REPORT_TIMEOUT_S + 0.1)
+            self.assertEqual(state.suspects, {"dead"})
+
+        _run(test)
+
     def test_members_that_are_all_slow_are_not_suspected(self) -> None:
         """Guards against dissolving groups and losing their streams while all engines are slow."""
 
