Log and measure how old a host's knowledge of the endpoints is

The logs of an incident did not tell a host that lacked a change from one that had no processor time: a request's line had the age of the configuration only. It has that of the endpoints now (endpoints_age_ms), and so has a gauge, which tells afterwards when a host lacked a change.

--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -84,6 +84,10 @@
         self._endpoints = self._build_endpoints(rng)
         metrics.read_isolation(lambda: self._endpoints.isolation.is_isolated)
         self._quarantine_store = self._endpoints.crash_detection.build_store(parts)
+        self._followed_endpoints = FollowedPosition()
+        metrics.read_endpoints_age(
+            lambda: self._followed_endpoints.reported_age_ms(trio.current_time())
+        )
         self._relay_peers = RelayPeers(
             data_centre, self._peer_states, lambda peer: self._exchange.address_of(peer), rng
         )
@@ -94,7 +98,6 @@
             ReadAges(self._loop_delay.delay_s),
         )
         self._coordinator = self._build_coordinator()
-        self._followed_endpoints = FollowedPosition()
         self._endpoint_intake = self._build_endpoint_intake()
         self._configuration_intake = ConfigurationIntake(
             parts.records, self._configuration_state, metrics.on_invalid_configuration
@@ -170,6 +173,7 @@
                 availability=self._endpoints.availability,
                 retry_extra=lambda: bounds.retry_extra / self._peer_states.sharing_host_count(),
                 relays=self._build_relays(),
+                endpoints_age_ms=self._followed_endpoints.reported_age_ms,
             )
         )
 
--- a/yewloom/followed_position.py
+++ b/yewloom/followed_position.py
@@ -16,6 +16,10 @@
 a peer's watch reveals it in the meantime."""
 
 
+MAX_REPORTED_AGE_S = 1e6
+"""Upper bound on the age that is logged; replaces an infinite age."""
+
+
 class FollowedPosition:
     """The position up to which all changes are known; None until a listing has been recorded.
 
@@ -101,6 +105,10 @@
             return float("inf")
         return now_s - self.confirmed_s
 
+    def reported_age_ms(self, now_s: float) -> int:
+        """Return the age in whole milliseconds, bounded, for logs and metrics."""
+        return math.ceil(min(self.age_s(now_s), MAX_REPORTED_AGE_S) * 1000)
+
     def _advance(self, position: int, confirmed_s: float) -> None:
         if self.position is None or position > self.position:
             self.position = position
--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -55,6 +55,11 @@
             "1 while this host reaches no endpoint although a peer does, else 0.",
             registry=self.registry,
         )
+        self._endpoints_age_ms = Gauge(
+            "yewloom_endpoints_age_ms",
+            "Age of what this host knows of the endpoints; 1e9 if it lacks a change.",
+            registry=self.registry,
+        )
         self._log_lines_lost = self._counter(
             "yewloom_log_lines_lost", "Log lines left out because nobody read the log."
         )
@@ -90,6 +95,10 @@
         """Read whether this host is isolated from the endpoints at each scrape."""
         self._is_isolated.set_function(lambda: float(is_isolated()))
 
+    def read_endpoints_age(self, age_ms: Callable[[], int]) -> None:
+        """Read the age of what this host knows of the endpoints at each scrape."""
+        self._endpoints_age_ms.set_function(age_ms)
+
     def on_log_line_dropped(self) -> None:
         """Count a log line that was dropped."""
         self._log_lines_lost.inc()
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -30,6 +30,7 @@
     """The components that forwarding needs.
 
     ``retry_extra`` returns this host's share of the retries that are allowed on top of the ratio.
+    ``endpoints_age_ms`` returns the age of the listed endpoints at a time.
     """
 
     bounds: ServingBounds
@@ -46,6 +47,7 @@
     availability: EndpointAvailability
     retry_extra: Callable[[], float]
     relays: Relays
+    endpoints_age_ms: Callable[[float], int]
 
 
 def build_forwarder(components: ForwarderComponents) -> Forwarder:
@@ -71,6 +73,7 @@
         chooser,
         quarantines,
         components.relays,
+        components.endpoints_age_ms,
     )
 
 
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -85,7 +85,9 @@
         chooser: EndpointChooser,
         quarantines: Quarantines,
         relays: Relays,
+        endpoints_age_ms: Callable[[float], int],
     ) -> None:
+        self._endpoints_age_ms = endpoints_age_ms
         self._relays = relays
         self._configuration_state = configuration_state
         self._selector = selector
@@ -286,6 +288,7 @@
             stopping_ms=caller_request.stopping_ms,
             configuration=request.configuration.version if request is not None else None,
             configuration_age_ms=self._configuration_state.reported_age_ms(now_s),
+            endpoints_age_ms=self._endpoints_age_ms(now_s),
             **self._quarantine_fields(request, outcome),
         )
 
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -224,6 +224,7 @@
                     RelayPeers(DATA_CENTRE, peer_states, self.peer_addresses.get, random.Random(1)),
                     self.metrics,
                 ),
+                endpoints_age_ms=lambda now_s: 0,
             )
         )
         self.chooser = self.forwarder._chooser
--- a/yewloom/tests/test_followed_position.py
+++ b/yewloom/tests/test_followed_position.py
@@ -29,6 +29,11 @@
         self.followed.on_peer_report(ListingWord(changed_at=12, position=30), 5.0, 6.0)
         self.assertEqual((self.followed.position, self.followed.age_s(6.0)), (10, 5.0))
 
+    def test_reported_age_is_bounded_while_a_change_is_missing(self) -> None:
+        self.assertEqual(self.followed.reported_age_ms(1.5), 500)
+        self.followed.on_peer_report(ListingWord(changed_at=12, position=30), 5.0, 6.0)
+        self.assertEqual(self.followed.reported_age_ms(6.1 + RELAY_GRACE_S), 1_000_000_000)
+
     def test_change_that_does_not_arrive_in_time_makes_the_age_infinite(self) -> None:
         report = ListingWord(changed_at=12, position=30)
         self.followed.on_peer_report(report, 5.0, 6.0)
