--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -22,9 +22,10 @@
 from yewloom.exchange_parts import ExchangeComponents, build_exchange
 from yewloom.exit_timer import ExitTimer
 from yewloom.follow_duty import FollowDuty, FollowStatus
+from yewloom.follow_policies import build_follow_policy
 from yewloom.follow_times import endpoint_pause_s, follow_times
 from yewloom.followed_position import FollowedPosition
-from yewloom.followers import Follower, FollowPolicy, Update
+from yewloom.followers import Follower, Update
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forward_parts import ForwarderComponents, build_forwarder
 from yewloom.forwarding import Forwarder
@@ -79,7 +80,7 @@
         self._peer_states = PeerStates(host_id, data_centre, self._identity.started_unix_ms)
         random_fraction = rng.random()
         self._duty = self._build_duty(random_fraction)
-        self._store_retries = StoreBackoff(settings.store.retry_pause_ms / 1000, random_fraction)
+        self._backoff = StoreBackoff(settings.store.retry_pause_ms / 1000, random_fraction)
         parts.departures.on_departure = self._on_departure
         self._endpoints = self._build_endpoints(rng)
         metrics.read_isolation(lambda: self._endpoints.isolation.is_isolated)
@@ -219,7 +220,7 @@
             parts.records.configuration_kind,
             self._configuration_intake.apply_update,
             FollowedPosition(),
-            self._build_follow_policy(lambda: 0.0, self._configuration_age_s),
+            build_follow_policy(self._duty, self._backoff, lambda: 0.0, self._configuration_age_s),
         )
 
     def _configuration_age_s(self, now_s: float) -> float:
@@ -237,7 +238,9 @@
             parts.records.endpoint_kind,
             self._apply_endpoints,
             self._followed_endpoints,
-            self._build_follow_policy(self._endpoint_pause_s, self._followed_endpoints.age_s),
+            build_follow_policy(
+                self._duty, self._backoff, self._endpoint_pause_s, self._followed_endpoints.age_s
+            ),
         )
 
     def _apply_endpoints(self, update: Update) -> None:
@@ -246,20 +249,6 @@
         if update.has_changes:
             self._coordinator.plan_soon()
 
-    def _build_follow_policy(
-        self, pause_s: Callable[[], float], age_s: Callable[[float], float]
-    ) -> FollowPolicy:
-        return FollowPolicy(
-            must_call=lambda: self._duty.must_call_store(age_s(trio.current_time())),
-            batch_pause_s=pause_s,
-            retry_pause_s=self._retry_pause_s,
-            max_watch_s=lambda: self._duty.max_watch_s(age_s(trio.current_time())),
-        )
-
-    def _retry_pause_s(self, failures: int) -> float:
-        duty = self._duty
-        return self._store_retries.pause_s(failures, duty.has_duty(), duty.near_host_count())
-
     def _build_exchange(self) -> EntryExchange:
         return build_exchange(
             ExchangeComponents(
