Let a host that lacks a change call the store again soon after a failed call

Callers saw nothing; endpoints that leave got requests later than allowed (DRAIN). A host without the duty to follow the store waits up to half a second for each host of its data centre after a failed call, 24 s on a large one, so that an outage costs few calls. It also waited if a peer's report told it that it lacked a change. Then nothing repairs it in time: changes with a gap are not applied, and after an outage followers have no difference to send.

A report of a later change shows that the store answered a peer, so there is no outage for all: such a host now backs off from retry_pause_ms, up to a fifth of configuration_apply_ms. That holds for the configuration as well, and for a host that knows no endpoints yet. Sum of the longest times on the way: batch 0.25 s, message 0.2 s, grace 0.3 s, check 0.2 s, pause 1.0 s with jitter, call 0.45 s: 2.4 s of the 4 s of a large deployment; 1.9 s of the 2 s of a small one.

--- a/yewloom/follow_policies.py
+++ b/yewloom/follow_policies.py
@@ -14,14 +14,17 @@
     backoff: StoreBackoff,
     batch_pause_s: Callable[[], float],
     age_s: Callable[[float], float],
+    is_behind: Callable[[float], bool],
 ) -> FollowPolicy:
     """Return the policy for following the objects of one kind.
 
-    ``age_s`` returns the age of the information at a time of trio's clock.
+    ``age_s`` returns the age of the information at a time of trio's clock, and ``is_behind``
+    whether a peer knows of a later change than this host.
     """
 
     def retry_pause_s(failures: int) -> float:
-        return backoff.pause_s(failures, duty.has_duty(), duty.near_host_count())
+        is_behind_now = is_behind(trio.current_time())
+        return backoff.pause_s(failures, duty.has_duty(), duty.near_host_count(), is_behind_now)
 
     return FollowPolicy(
         must_call=lambda: duty.must_call_store(age_s(trio.current_time())),
--- a/yewloom/follow_times.py
+++ b/yewloom/follow_times.py
@@ -24,6 +24,11 @@
 MAX_FALLBACK_JITTER_S = 0.3
 """Maximum random delay added for the other hosts, so that they do not all call at once."""
 
+MAX_BEHIND_PAUSE_FRACTION = 0.2
+"""Longest pause between the calls of a host that lacks a change, as a fraction of the time within
+which a change must take effect. Most of that time passes before the host knows that it lacks one,
+and in the call itself."""
+
 BEFORE_TRAFFIC_PAUSE_S = 2.0
 """Batching time of endpoint changes before the first request, on a host without follow duty: all
 endpoints appear one by one then, and such a host has no use for them yet."""
@@ -50,6 +55,11 @@
     return FollowTimes(watch_ms / 1000, standby_s, standby_s + STANDBY_LEAD_S)
 
 
+def longest_behind_pause_s(settings: EntrySettings) -> float:
+    """Return the longest pause after failed calls of a host that lacks a change."""
+    return settings.bounds.configuration_apply_ms / 1000 * MAX_BEHIND_PAUSE_FRACTION
+
+
 def endpoint_pause_s(
     store: StoreAccess, is_before_traffic: bool, has_duty: bool, holds_lease: bool
 ) -> float:
--- a/yewloom/followed_position.py
+++ b/yewloom/followed_position.py
@@ -77,9 +77,9 @@
 
         A peer that has not noticed yet that the store went back to an older copy confirms nothing.
         """
-        if self.position is None or era_of(report.position) < era_of(self.position):
+        if self.position is not None and era_of(report.position) < era_of(self.position):
             return
-        if report.changed_at > self.position:
+        if self.position is None or report.changed_at > self.position:
             self._missing_position = max(self._missing_position, report.changed_at)
             self._behind_since_s = min(self._behind_since_s, now_s)
             return
@@ -96,12 +96,13 @@
         age_ms = math.ceil((now_s - self.confirmed_s) * 1000)
         return ListingWord(changed_at=self.changed_at, position=self.position, age_ms=age_ms)
 
-    def age_s(self, now_s: float) -> float:
-        """Return for how long a change may have gone unnoticed.
+    def is_behind(self, now_s: float) -> bool:
+        """Return whether a change known to a peer did not arrive within RELAY_GRACE_S."""
+        return now_s - self._behind_since_s > RELAY_GRACE_S
 
-        The age is infinite if a change known to a peer did not arrive within RELAY_GRACE_S.
-        """
-        if self.position is None or now_s - self._behind_since_s > RELAY_GRACE_S:
+    def age_s(self, now_s: float) -> float:
+        """Return for how long a change may have gone unnoticed; infinite if this host is behind."""
+        if self.position is None or self.is_behind(now_s):
             return float("inf")
         return now_s - self.confirmed_s
 
--- a/yewloom/tests/test_store_retries.py
+++ b/yewloom/tests/test_store_retries.py
@@ -45,6 +45,11 @@
         self.assertEqual(pauses_s, sorted(pauses_s))
         self.assertEqual(pauses_s[-1], FIRST_PAUSE_S * MAX_DUTY_FACTOR)
 
+    def test_host_that_lacks_a_change_retries_soon_whatever_the_number_of_hosts(self) -> None:
+        retries = StoreBackoff(FIRST_PAUSE_S, 0.5, longest_behind_s=0.8)
+        pauses_s = [retries.pause_s(failures, False, 43, is_behind=True) for failures in (1, 2, 9)]
+        self.assertEqual(pauses_s, [FIRST_PAUSE_S, 2 * FIRST_PAUSE_S, 0.8])
+
     def test_hosts_that_fail_at_the_same_time_do_not_retry_at_the_same_time(self) -> None:
         pauses_s = {StoreBackoff(FIRST_PAUSE_S, n / 10).pause_s(3, True, 9) for n in range(10)}
         self.assertEqual(len(pauses_s), 10)
--- a/yewloom/tests/test_turned_away_hosts.py
+++ b/yewloom/tests/test_turned_away_hosts.py
@@ -9,7 +9,7 @@
 from yewloom.entry_states import PeerStates
 from yewloom.follow_duty import FollowDuty, FollowStatus
 from yewloom.follow_policies import build_follow_policy
-from yewloom.follow_times import follow_times
+from yewloom.follow_times import follow_times, longest_behind_pause_s
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower
 from yewloom.ids import EntryHostId, HostId
@@ -68,7 +68,11 @@
             self.intake.apply_update,
             self.followed,
             build_follow_policy(
-                self.duty, StoreBackoff(0.2, rng.random()), lambda: 0.1, self.followed.age_s
+                self.duty,
+                StoreBackoff(0.2, rng.random(), longest_behind_pause_s(_settings())),
+                lambda: 0.1,
+                self.followed.age_s,
+                self.followed.is_behind,
             ),
         )
 
