Give a new process no extra retries until those of its predecessor count no longer

A process now has no share in its first window; half of the ratio for each request remains. At the first start of the whole system there is no earlier process.

Ruled out: telling peers or the store what was used, since a process that is killed tells nothing.

--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -175,11 +175,16 @@
                 crash_detection=self._endpoints.crash_detection,
                 availability=self._endpoints.availability,
                 retry_extra=lambda: bounds.retry_extra / self._peer_states.sharing_host_count(),
+                uptime_s=self._uptime_s,
                 relays=self._build_relays(),
                 endpoints_age_ms=self._followed_endpoints.reported_age_ms,
             )
         )
 
+    def _uptime_s(self, now_s: float) -> float:
+        """Return the time at least since an earlier process of this host ended."""
+        return math.inf if self._settings.host.is_first_start else now_s - self._started_s
+
     def _build_relays(self) -> Relays:
         return Relays(
             self._identity.host_id,
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -30,6 +30,7 @@
     """The components that forwarding needs.
 
     ``retry_extra`` returns this host's share of the retries that are allowed on top of the ratio.
+    ``uptime_s`` returns the time at least since an earlier process of this host ended.
     ``endpoints_age_ms`` returns the age of the listed endpoints at a time.
     """
 
@@ -46,6 +47,7 @@
     crash_detection: CrashDetection
     availability: EndpointAvailability
     retry_extra: Callable[[], float]
+    uptime_s: Callable[[float], float]
     relays: Relays
     endpoints_age_ms: Callable[[float], int]
 
@@ -53,7 +55,9 @@
 def build_forwarder(components: ForwarderComponents) -> Forwarder:
     """Return a forwarder built from these components."""
     bounds, quarantines = components.bounds, components.crash_detection.quarantines
-    retries = RetryBudget(bounds.retry_ratio, bounds.retry_window_s, components.retry_extra)
+    retries = RetryBudget(
+        bounds.retry_ratio, bounds.retry_window_s, components.retry_extra, components.uptime_s
+    )
     chooser = EndpointChooser(
         components.selector,
         retries,
--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -6,8 +6,12 @@
 any window, its retries are at most half of ``ratio`` times its requests of both windows, plus its
 share of the extra. Half of a sum is never more than the greater part, so the limit on all hosts
 holds wherever the callers go, and while hosts are cut off from each other.
+
+A process does not know the retries of the host's previous process, which may have used the whole
+share. So it has no share until those count no longer.
 """
 
+import math
 from bisect import bisect_left, insort
 from collections import defaultdict
 from collections.abc import Callable
@@ -37,13 +41,21 @@
 class RetryBudget:
     """Allows one entry host its part of the retries.
 
-    ``extra`` returns this host's share of the extra retries that all hosts together may make.
+    ``extra`` returns this host's share of the extra retries that all hosts together may make, and
+    ``uptime_s`` the time since the host's previous process ended, at the least.
     """
 
-    def __init__(self, ratio: float, window_s: float, extra: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_s: float,
+        extra: Callable[[], float],
+        uptime_s: Callable[[float], float] = lambda now_s: math.inf,
+    ) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._extra = extra
+        self._uptime_s = uptime_s
         self._services: defaultdict[ServiceName, _ServiceWindow] = defaultdict(_ServiceWindow)
 
     def on_request(self, service: ServiceName, arrived_s: float) -> None:
@@ -64,7 +76,8 @@
 
         Only windows that begin with a retry need to be looked at.
         """
-        extra = self._extra() + _ROUNDING
+        is_new = self._uptime_s(now_s) < self._window_s
+        extra = _ROUNDING + (0.0 if is_new else self._extra())
         for count, start_s in enumerate([now_s, *reversed(window.retry_times_s)], 1):
             requests = window.requests_since(start_s - self._window_s)
             if count > extra + self._ratio / 2 * requests:
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -1,5 +1,6 @@
 """A forwarder with scripted endpoints, and callers that send it requests, on localhost."""
 
+import math
 import random
 import socket
 import time
@@ -224,6 +225,7 @@
                     RelayPeers(DATA_CENTRE, peer_states, self.peer_addresses.get, random.Random(1)),
                     self.metrics,
                 ),
+                uptime_s=lambda now_s: math.inf,
                 endpoints_age_ms=lambda now_s: 0,
             )
         )
--- a/yewloom/tests/retry_deployment.py
+++ b/yewloom/tests/retry_deployment.py
@@ -52,7 +52,7 @@
         return retries - RATIO * requests - self._extra
 
     def _new_budget(self, started_s: float) -> RetryBudget:
-        return RetryBudget(RATIO, WINDOW_S, lambda: self._share)
+        return RetryBudget(RATIO, WINDOW_S, lambda: self._share, lambda now_s: now_s - started_s)
 
 
 def _count(times_s: list[float], from_s: float, to_s: float) -> int:
