--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -19,6 +19,10 @@
 
 from yewloom.ids import ServiceName
 
+COUNTED_SHARE = 0.8
+"""Share of a host's requests on which it relies. Others may not count all of them: among them are
+those by which the platform tests each host, a few a second whatever the traffic."""
+
 _ROUNDING = 1e-9
 """Tolerated error of sums of fractions."""
 
@@ -80,6 +84,6 @@
         extra = _ROUNDING + (0.0 if is_new else self._extra())
         for count, start_s in enumerate([now_s, *reversed(window.retry_times_s)], 1):
             requests = window.requests_since(start_s - self._window_s)
-            if count > extra + self._ratio / 2 * requests:
+            if count > extra + self._ratio * COUNTED_SHARE / 2 * requests:
                 return False
         return True
