Count a retry until it has reached its endpoint, and not at all if nothing was sent

A retry counted at the moment the budget allowed it. A retry now counts until the endpoint answers or the attempt ends. One of which nothing was sent is given back: a request whose only retry was for an endpoint that can't be reached failed.

test_retry_sums with arrivals held up for up to 3.3 s: 90 too many if a retry counts when it is allowed, none now. test_forwarding: 502 before, 200 now. (Both seen with the change undone.)

--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -210,11 +210,11 @@
             request.record.set_state(endpoint.id, AttemptState.SENT)
             await exchange.send(self._build_outgoing(request, endpoint))
             if not request.route.is_stream:
-                response = await self._read_response_head(endpoint, exchange)
+                response = await self._read_response_head(request, endpoint, exchange)
                 return await self._forward_buffered(request, endpoint, exchange, response)
             self._stalls.on_stream_start(endpoint.id, trio.current_time())
             try:
-                read = partial(self._read_response_head, endpoint, exchange)
+                read = partial(self._read_response_head, request, endpoint, exchange)
                 response = await self._run_unless_stalled(request, endpoint, read)
                 if response.head.status != 200:
                     return await self._forward_buffered(request, endpoint, exchange, response)
@@ -223,9 +223,12 @@
             finally:
                 self._stalls.on_stream_end(endpoint.id)
 
-    async def _read_response_head(self, endpoint: Endpoint, exchange: Exchange) -> _Response:
+    async def _read_response_head(
+        self, request: ForwardRequest, endpoint: Endpoint, exchange: Exchange
+    ) -> _Response:
         """Wait for the head of a response, and record what the endpoint says of itself."""
         head = await exchange.read_head()
+        request.settle_retry(trio.current_time())
         metadata = self._codec.decode_response(head)
         self._availability.record(endpoint.id, metadata.announcements, trio.current_time())
         return _Response(head, metadata)
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from yewloom.attempts import AttemptState
 from yewloom.directory import Endpoint
 from yewloom.endpoint_availability import EndpointAvailability
 from yewloom.forward_request import ForwardRequest
@@ -67,19 +68,44 @@
         if request.reserved_endpoint is not None:
             self._selector.end(request.reserved_endpoint.id)
             request.reserved_endpoint = None
+            self._cancel_retry(request)
 
     def _reserve(self, request: ForwardRequest) -> Endpoint | None:
         """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
         endpoint = self._select(request)
         if endpoint is None:
             return None
-        service, now_s = request.requirements.service, trio.current_time()
-        if request.record.is_retry() and not self._retries.try_acquire(service, now_s):
+        now_s = trio.current_time()
+        if request.record.is_retry() and not self._acquire_retry(request, now_s):
             return None
         self._availability.limits.take_token(endpoint, now_s)
         self._selector.begin(endpoint.id)
         return endpoint
 
+    def end_attempt(self, request: ForwardRequest, endpoint: Endpoint) -> None:
+        """Record that an attempt has ended; a retry counts only if something was sent."""
+        self._selector.end(endpoint.id)
+        if request.reserved_endpoint is not None:
+            return  # The retry is that of the next attempt.
+        if request.record.states.get(endpoint.id) is AttemptState.NOTHING_SENT:
+            self._cancel_retry(request)
+        else:
+            request.settle_retry(trio.current_time())
+
+    def _acquire_retry(self, request: ForwardRequest, now_s: float) -> bool:
+        """Take a retry from the budget; return whether it allows one."""
+        retry = self._retries.try_acquire(request.requirements.service, now_s)
+        if retry is None:
+            return False
+        request.settle_retry(now_s)
+        request.retry = retry
+        return True
+
+    def _cancel_retry(self, request: ForwardRequest) -> None:
+        if request.retry is not None:
+            self._retries.cancel(request.requirements.service, request.retry)
+            request.retry = None
+
     def retry_after_s(self, request: ForwardRequest) -> float:
         """Return when rate limits and pauses allow sending a request anew; 0 if they do now."""
         return self._selector.retry_after_s(
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -13,6 +13,7 @@
 from yewloom.event_stream import StreamCursor
 from yewloom.fingerprints import compute_fingerprint
 from yewloom.ids import CustomerId, Fingerprint
+from yewloom.retry_window import Retry
 from yewloom.routes import Route
 from yewloom.selection import EndpointRequirements
 from yewloom.values import value_class
@@ -35,7 +36,8 @@
     endpoint, if it is not a stream, once it has arrived. ``quarantine_count`` is the number of
     times that the request had been quarantined when it was admitted. ``reserved_endpoint`` gets the
     request after it has abandoned its current endpoint. ``is_relayed`` is whether a peer received
-    it from the caller. ``is_counted`` is whether it was counted for a budget of retries.
+    it from the caller. ``is_counted`` is whether it was counted for a budget of retries, and
+    ``retry`` what its current or reserved attempt takes from that budget, if it is not the first.
     ``first_unreachable_s`` is when an endpoint was first found unreachable for it.
     ``responding_since_s`` is when the response of the current attempt began, if it has, and
     ``has_begun_well`` whether it went on long enough to show that it crashes no endpoint.
@@ -57,6 +59,7 @@
     reserved_endpoint: Endpoint | None = None
     is_relayed: bool = False
     is_counted: bool = False
+    retry: Retry | None = None
     first_unreachable_s: float = math.inf
     responding_since_s: float | None = None
     has_begun_well: bool = False
@@ -75,6 +78,11 @@
             )
         return self._fingerprint
 
+    def settle_retry(self, now_s: float) -> None:
+        """Record that the current attempt has reached its endpoint by now, or never will."""
+        if self.retry is not None:
+            self.retry.settle(now_s)
+
     def remaining_ms(self, now_s: float) -> int:
         """Return the time until the deadline in whole milliseconds."""
         return max(0, math.floor((self.deadline_s - now_s) * 1000))
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -90,7 +90,6 @@
         self._endpoints_age_ms = endpoints_age_ms
         self._relays = relays
         self._configuration_state = configuration_state
-        self._selector = selector
         self._retries = retries
         self._attempt_runner = attempt_runner
         self._metrics = metrics
@@ -222,7 +221,7 @@
         try:
             return await self._attempt_runner.run(request, endpoint)
         finally:
-            self._selector.end(endpoint.id)
+            self._chooser.end_attempt(request, endpoint)
 
     async def _send_failure(self, request: ForwardRequest) -> str:
         """Send the final response to a request that no endpoint answered; return the outcome."""
--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -27,16 +27,31 @@
 """Tolerated error of sums of fractions."""
 
 
+@dataclass(eq=False)
+class Retry:
+    """A retry that the budget allowed, and until when it may have reached its endpoint."""
+
+    settled_s: float = math.inf
+
+    def settle(self, now_s: float) -> None:
+        """Record that it has reached its endpoint by now, or never will."""
+        self.settled_s = min(self.settled_s, now_s)
+
+
 @dataclass
 class _ServiceWindow:
-    """When the requests and retries of a service came; both lists are sorted."""
+    """The requests and retries of a service; the times are sorted."""
 
     request_times_s: list[float] = field(default_factory=list)
-    retry_times_s: list[float] = field(default_factory=list)
+    retries: list[Retry] = field(default_factory=list)
 
     def drop_before(self, requests_from_s: float, retries_from_s: float) -> None:
         del self.request_times_s[: bisect_left(self.request_times_s, requests_from_s)]
-        del self.retry_times_s[: bisect_left(self.retry_times_s, retries_from_s)]
+        self.retries = [retry for retry in self.retries if retry.settled_s >= retries_from_s]
+
+    def latest_first(self, now_s: float) -> list[float]:
+        """Return until when each retry may have reached its endpoint so far."""
+        return sorted((min(retry.settled_s, now_s) for retry in self.retries), reverse=True)
 
     def requests_since(self, time_s: float) -> int:
         return len(self.request_times_s) - bisect_left(self.request_times_s, time_s)
@@ -66,23 +81,31 @@
         """Count a caller's request."""
         insort(self._services[service].request_times_s, arrived_s)
 
-    def try_acquire(self, service: ServiceName, now_s: float) -> bool:
-        """Count one retry if the budget allows it; return whether it does."""
+    def try_acquire(self, service: ServiceName, now_s: float) -> Retry | None:
+        """Return a retry, which counts from now on, or None if the budget allows none."""
         window = self._services[service]
         window.drop_before(now_s - 2 * self._window_s, now_s - self._window_s)
         if not self._allows_another(window, now_s):
-            return False
-        window.retry_times_s.append(now_s)
-        return True
+            return None
+        retry = Retry()
+        window.retries.append(retry)
+        return retry
+
+    def cancel(self, service: ServiceName, retry: Retry) -> None:
+        """Stop counting a retry of which nothing was sent."""
+        retries = self._services[service].retries
+        if retry in retries:
+            retries.remove(retry)
 
     def _allows_another(self, window: _ServiceWindow, now_s: float) -> bool:
         """Return whether one more retry now keeps each window that contains it within the limit.
 
-        Only windows that begin with a retry need to be looked at.
+        Only windows that begin with a retry need to be looked at. One that has not settled may
+        reach its endpoint as late as the new one.
         """
         is_new = self._uptime_s(now_s) < self._window_s
         extra = _ROUNDING + (0.0 if is_new else self._extra())
-        for count, start_s in enumerate([now_s, *reversed(window.retry_times_s)], 1):
+        for count, start_s in enumerate([now_s, *window.latest_first(now_s)], 1):
             requests = window.requests_since(start_s - self._window_s)
             if count > extra + self._ratio * COUNTED_SHARE / 2 * requests:
                 return False
--- a/yewloom/tests/retry_deployment.py
+++ b/yewloom/tests/retry_deployment.py
@@ -30,10 +30,12 @@
         if is_counted:
             self._requests_s.append(now_s)
 
-    def retry(self, host: int, now_s: float) -> None:
-        """Let a host retry a request if its budget allows it."""
-        if self._budgets[host].try_acquire(PLAIN, now_s):
-            self._retries_s.append(now_s)
+    def retry(self, host: int, now_s: float, arrives_s: float | None = None) -> None:
+        """Let a host retry a request if its budget allows it; it arrives now if not said else."""
+        retry = self._budgets[host].try_acquire(PLAIN, now_s)
+        if retry is not None:
+            retry.settle(now_s if arrives_s is None else arrives_s)
+            self._retries_s.append(retry.settled_s)
 
     def restart(self, host: int, now_s: float) -> None:
         """Replace a host's process by one that starts now."""
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -206,6 +206,20 @@
 
         run(test)
 
+    # Guards against a request that fails since its only retry was for an unreachable endpoint.
+    def test_a_retry_of_which_nothing_was_sent_is_not_used_up(self) -> None:
+        async def test(fixture: ForwarderFixture) -> None:
+            await fixture.add_plain("p0", ScriptedEndpoint(respond_with_error))
+            fixture.add_unreachable("p1")
+            await fixture.add_plain("p2", ScriptedEndpoint(respond_ok))
+            fixture.selector.begin(HostId("p1"))
+            for _ in range(2):
+                fixture.selector.begin(HostId("p2"))
+            fixture.retries_left = 1.0
+            self.assertEqual((await fixture.request("/r/1")).status, 200)
+
+        run(test)
+
     def test_a_response_to_another_request_is_not_forwarded(self) -> None:
         async def answer_other_request(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
             await endpoint.send_raw(
--- a/yewloom/tests/test_retry_sums.py
+++ b/yewloom/tests/test_retry_sums.py
@@ -1,5 +1,6 @@
 """Tests that the retries of all entry hosts together stay within their bound."""
 
+import math
 import random
 import unittest
 from collections.abc import Callable
@@ -17,6 +18,9 @@
 
 END_S = 46.0
 
+HELD_UP_S = 3.3
+"""Longest time for which links hold up what is sent."""
+
 
 def _play(
     choose_host: Callable[[float], int],
@@ -87,6 +91,18 @@
                 deployment.retry(host, now_s)
         self.assertLessEqual(deployment.excess(), 0.0)
 
+    # Guards against BUDGET violations: retries counted when they were allowed, and reached their
+    # endpoints together once their links worked again.
+    def test_retries_are_held_up_on_their_way(self) -> None:
+        deployment = RetryDeployment(HOSTS, LARGE_EXTRA)
+        for step in range(round(END_S / INTERVAL_S)):
+            now_s, host = step * INTERVAL_S, self._any_host(0.0)
+            deployment.request(host, now_s)
+            if now_s >= OUTAGE_S:
+                arrives_s = math.ceil((now_s + 1e-6) / HELD_UP_S) * HELD_UP_S
+                deployment.retry(host, now_s, arrives_s)
+        self.assertLessEqual(deployment.excess(), 0.0)
+
     def test_random_crowds_and_restarts(self) -> None:
         for seed in range(20):
             self.rng.seed(seed)
