Count an attempt after a peer has refused the request as a retry

A peer to which a host relays a request may send it to an endpoint that rejects it, and then refuse it. The host's next attempt counted as the first one, so the budget of retries had no say (BUDGET). Found by reading. At a second peer it still counts as the first one (docs/limits.md): the message between hosts can't say so without taking one of the attempts that the route allows.

test_attempts failed before.

--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -77,8 +77,12 @@
         return sum(state is AttemptState.NOTHING_SENT for state in self.states.values())
 
     def is_retry(self) -> bool:
-        """Return whether the next attempt would be a retry, i.e. something was sent before."""
-        return self._endpoints_reached() > 0
+        """Return whether the next attempt may be a retry, i.e. something was sent before.
+
+        A peer that refused the request may have sent it to an endpoint that rejected it.
+        """
+        is_refused_by_peer = AttemptState.NOT_RUN in self.relays.values()
+        return is_refused_by_peer or self._endpoints_reached() > 0
 
     def failure_response(self, is_out_of_time: bool) -> FailureResponse:
         """Return what the caller is told when no endpoint answered the request."""
