Let soaks check the sum of retries over all hosts, and departures among many changes

The mix repeats lets all plain endpoints but one reject requests while hosts are killed and stopped, most callers come to one host after the other, and endpoints leave by the store while another record changes 50 times a second. A restarted host is told that the system does not start for the first time, as the platform does.

--- a/yewloom/tests/soak/endpoints.py
+++ b/yewloom/tests/soak/endpoints.py
@@ -131,6 +131,8 @@
         self._ledger = ledger
         self._rng = rng
         self.is_leaving = False
+        self.state = "ready"
+        self.rejects_all = False
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -144,7 +146,7 @@
             "zone": "hall-a",
             "version": "v1",
             "slots": 6,
-            "state": "ready",
+            "state": self.state,
         }
         self._store.put("servers", self.name, spec)
 
@@ -157,6 +159,8 @@
         if self.is_leaving:
             self._ledger.record_departure(self.name, headers["yewloom-request-id"])
             headers["server-leaving"] = "1"
+        if self.rejects_all:
+            return Response(status_code=503, headers={**headers, "yewloom-not-executed": "1"})
         if self._rng.random() < REJECTED_SHARE:
             return self._reject(headers)
         run = endpoint_run(request, self.name, body)
--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -26,10 +26,12 @@
     HoldEndpoints,
     IsolateEntries,
     KillEntry,
+    LeaveAmidChanges,
     LeaveByWord,
     LoseEngine,
     PauseEntry,
     PauseStartingEntry,
+    RejectPlainRequests,
     RejectRequests,
     ReloadEntry,
     ReturnStore,
@@ -71,6 +73,9 @@
 endpoints silent for a second, and those with most callers owe the same as others; so do all while
 requests crash endpoints."""
 
+REJECTION_CHECK_S = 0.1
+"""Interval at which endpoints that were added meanwhile begin or end to reject requests."""
+
 CRASH_PAUSE_S = 0.3
 """Pause between two requests with a crashing part."""
 
@@ -278,6 +283,20 @@
     await fleet.replace_plain(fault.for_s)
 
 
+@apply_fault.register
+async def _(fault: RejectPlainRequests, fleet: Fleet, ledger: Ledger) -> None:
+    with trio.move_on_after(fault.for_s):
+        while True:
+            fleet.set_plain_rejecting(True)  # Endpoints are replaced meanwhile.
+            await trio.sleep(REJECTION_CHECK_S)
+    fleet.set_plain_rejecting(False)
+
+
+@apply_fault.register
+async def _(fault: LeaveAmidChanges, fleet: Fleet, ledger: Ledger) -> None:
+    await fleet.leave_amid_changes(fault.for_s)
+
+
 @apply_fault.register
 async def _(fault: DisturbEngineLinks, fleet: Fleet, ledger: Ledger) -> None:
     links = [
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -17,7 +17,9 @@
     and losses. ``ISOLATION`` cuts entry hosts off from all endpoints and pauses sound endpoints,
     among stops, losses, rejections and returns of the store. ``CRASHES`` sends requests with parts
     on which plain endpoints crash, and lets most callers come to one host, among planned work,
-    losses of hosts and returns of the store.
+    losses of hosts and returns of the store. ``REPEATS`` lets most plain endpoints reject requests
+    while hosts are killed, most callers come to one host after the other, and endpoints leave among
+    many changes.
     """
 
     FAULTS = "faults"
@@ -28,6 +30,7 @@
     RETURNS = "returns"
     ISOLATION = "isolation"
     CRASHES = "crashes"
+    REPEATS = "repeats"
 
 
 class StoreFault(Enum):
@@ -230,6 +233,16 @@
     """
 
 
+@dataclass(frozen=True)
+class RejectPlainRequests(Fault):
+    """Let all plain endpoints but the last reject all requests, without asking for pauses."""
+
+
+@dataclass(frozen=True)
+class LeaveAmidChanges(Fault):
+    """Let a plain endpoint write that it leaves while other records change all the time."""
+
+
 @dataclass(frozen=True)
 class LoseEngine(Fault):
     """Lose an engine for good, and add a new one."""
@@ -474,6 +487,23 @@
     return faults
 
 
+def draw_repeats(rng: random.Random, duration_s: float, entries: int) -> list[Fault]:
+    """Return rejections, in which hosts are killed, callers move and endpoints leave."""
+    faults: list[Fault] = [RejectPlainRequests(2.0, duration_s - 2.0)]
+    at_s = 2.0
+    while at_s < duration_s:
+        entry, for_s = rng.randrange(entries), rng.uniform(2.0, 6.0)
+        choices: list[Fault] = [
+            KillEntry(at_s, rng.uniform(0.3, 1.5), entry),
+            CrowdEntry(at_s, for_s, entry),
+            LeaveAmidChanges(at_s, for_s),
+            StopEntry(at_s, for_s, entry),
+        ]
+        faults += rng.sample(choices, 2)
+        at_s += rng.uniform(1.0, 4.0)
+    return faults
+
+
 def _draw_part(rng: random.Random) -> str:
     return f"bad{rng.randrange(3)}"
 
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -1,5 +1,6 @@
 """Fleet of a soak: entry hosts as processes; store, endpoints and links in this process."""
 
+import itertools
 import os
 import random
 import signal
@@ -43,6 +44,12 @@
 SIGNAL_MASK_LINES = ("SigIgn:", "SigCgt:")
 """Prefixes of the lines of ``/proc/PID/status`` with the masks of ignored and caught signals."""
 
+CHANGING_SERVICE, CHANGING_ADDRESSES = "changing", 1000
+"""Service of an endpoint whose record changes, and number of addresses that it writes in turn."""
+
+CHANGE_S = 0.02
+"""Pause between two changes of that record."""
+
 ADDRESS_CHECK_S = 0.05
 """Interval between two checks whether entry hosts have written their own addresses."""
 
@@ -62,10 +69,14 @@
 [store]
 address = {store}
 [bounds]
-retry_extra = 100
+retry_extra = {retry_extra}
 """
 
 
+FIRST_START, LATER_START = "is_first_start = true", "is_first_start = false"
+"""What the settings of a host say at the first start of the system, and at a later one."""
+
+
 def api_key(version: int) -> str:
     """Return the API key that a configuration version introduces."""
     return f"key-{version}"
@@ -135,6 +146,9 @@
     def start(self) -> None:
         """Start a new process."""
         self.start_count += 1
+        if self.start_count == 2:
+            text = self.settings.read_text(encoding="utf-8").replace(FIRST_START, LATER_START)
+            self.settings.write_text(text, encoding="utf-8")
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "yewloom.platform"],
@@ -209,6 +223,7 @@
     has_own_links: bool = False
     """Whether each entry host reaches plain endpoints through its own links, too. Hosts of one data
     centre tell each other addresses, so each must be in its own."""
+    retry_extra: int = 100
     fragile: list[FragileEndpoint] = field(default_factory=list)
     crash_times: EndpointTimes = field(default_factory=EndpointTimes)
     _known_engines: list[UserEngineStandIn] = field(default_factory=list)
@@ -337,6 +352,28 @@
         self._plain = [entry for entry in self._plain if entry[0] is not leaving]
         self.store.remove("servers", leaving.name)
 
+    def set_plain_rejecting(self, is_rejecting: bool) -> None:
+        """Let all plain endpoints but the latest reject all requests, or none."""
+        for endpoint, _ in self._plain:
+            endpoint.rejects_all = is_rejecting
+        self._plain[-1][0].rejects_all = False
+
+    async def leave_amid_changes(self, leaves_for_s: float) -> None:
+        """Start a plain endpoint, and let the oldest one leave while other records change."""
+        self._plain_count += 1
+        await self._add_plain(f"{PLAIN_SERVICE}-r{self._plain_count}", PLAIN_SERVICE)
+        leaving, address = self._plain.pop(0)
+        leaving.state = "draining"
+        leaving.publish(address)
+        self.ledger.left_s[leaving.name] = trio.current_time()
+        changing = PlainEndpoint("changing", CHANGING_SERVICE, self.store, self.ledger, self.rng)
+        with trio.move_on_after(leaves_for_s):
+            for number in itertools.count():
+                changing.publish(f"127.0.0.1:{1 + number % CHANGING_ADDRESSES}")
+                await trio.sleep(CHANGE_S)
+        self.store.remove("servers", leaving.name)
+        self.store.remove("servers", changing.name)
+
     def _on_left(self, left: UserEngineStandIn) -> None:
         """Stall the group of an engine that left, and break it after the stall time."""
         leader = next((e for e in self._known_engines if left.members[:1] == [e.name]), None)
@@ -417,6 +454,7 @@
             readiness_port=readiness_port,
             peer_port=peer_port,
             store=store_link.address,
+            retry_extra=self.retry_extra,
         )
         settings = self.folder / f"{name}.ini"
         settings.write_text(text, encoding="utf-8")
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -231,6 +231,8 @@
     part_sendings: list[PartSending] = field(default_factory=list)
     senders: dict[str, str] = field(default_factory=dict)
     """The process that last forwarded a request, by request id, where links of its own show it."""
+    left_s: dict[str, float] = field(default_factory=dict)
+    """When an endpoint wrote to the store that it leaves, by endpoint."""
     told_leaving_s: dict[EndpointAndProcess, float] = field(default_factory=dict)
     """When an endpoint first told an entry host process that it leaves."""
 
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -24,6 +24,7 @@
     draw_faults,
     draw_isolation,
     draw_pauses,
+    draw_repeats,
     draw_returns,
     draw_signals,
 )
@@ -32,6 +33,7 @@
 from yewloom.tests.soak.loop_lag import LoopLag
 from yewloom.tests.soak.part_checks import check_parts
 from yewloom.tests.soak.process_waits import CpuSampler
+from yewloom.tests.soak.repeat_checks import check_repeats
 from yewloom.tests.soak.report import SoakTimes, describe
 
 START_TIMEOUT_S = 60.0
@@ -53,6 +55,12 @@
 FRAGILE_ENDPOINTS = 10
 """Number of endpoints of the plain service in a soak in which they crash on parts of prompts."""
 
+REPEATS_EXTRA, RETRY_EXTRA = 24, 100
+"""Number of extra retries in a soak in which most endpoints reject requests, and in others."""
+
+REPEATS_ENDPOINTS = 6
+"""Number of endpoints of the plain service in the former."""
+
 PLAIN_ENDPOINTS = 2
 """Number of endpoints of the plain service; the second one serves what the first one rejects."""
 
@@ -67,6 +75,11 @@
     engines: int
     mix: FaultMix = FaultMix.BOTH
 
+    @property
+    def retry_extra(self) -> int:
+        """Return the number of extra retries that all hosts together may make."""
+        return REPEATS_EXTRA if self.mix is FaultMix.REPEATS else RETRY_EXTRA
+
     def draw(self, rng: random.Random) -> list[Fault]:
         """Return the faults to inject.
 
@@ -80,6 +93,8 @@
             return draw_isolation(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.CRASHES:
             return draw_crashes(rng, self.duration_s, self.entries)
+        if self.mix is FaultMix.REPEATS:
+            return draw_repeats(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.RETURNS:
             return draw_returns(rng, self.duration_s, self.entries)
         faults = draw_faults(rng, self.duration_s, self.entries)
@@ -116,6 +131,7 @@
     ledger, lag = Ledger(), LoopLag()
     times = trio.run(_soak, plan, folder, ledger, lag)
     violations = ledger.check() + check_parts(ledger)
+    violations += check_repeats(ledger, plan.retry_extra)
     if not violations:
         shutil.rmtree(folder)
     details = [
@@ -131,12 +147,14 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lag.run)
         fleet = Fleet(folder, ledger, rng, nursery)
+        fleet.retry_extra = plan.retry_extra
         if plan.mix is FaultMix.ISOLATION:
             fleet.data_centres = tuple(f"hall-{letter}" for letter in ascii_lowercase)
             fleet.has_own_links = True
         if plan.mix is FaultMix.CRASHES:
             fleet.add_fragile(FRAGILE_ENDPOINTS)
-        plain = PLAIN_ENDPOINTS if plan.mix is not FaultMix.CRASHES else 0
+        numbers = {FaultMix.CRASHES: 0, FaultMix.REPEATS: REPEATS_ENDPOINTS}
+        plain = numbers.get(plan.mix, PLAIN_ENDPOINTS)
         sampler = CpuSampler(fleet.pids)
         nursery.start_soon(sampler.run)
         async with open_fleet(fleet, plan.entries, plan.engines, plain) as balancer:
