--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -206,6 +206,22 @@
 
         run(test)
 
+    # Guards against repeats that the budget does not count: garbled answers come in bursts.
+    def test_a_request_with_an_unreadable_answer_is_sent_again_only_within_the_budget(self) -> None:
+        async def garble(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.send_raw(b"garbled answer\r\n\r\n")
+
+        async def test(fixture: ForwarderFixture) -> None:
+            other = ScriptedEndpoint(respond_ok)
+            await fixture.add_plain("p0", ScriptedEndpoint(garble))
+            await fixture.add_plain("p1", other)
+            fixture.selector.begin(HostId("p1"))
+            fixture.retries_left = 0.0
+            self.assertEqual((await fixture.request("/r/1")).status, 502)
+            self.assertEqual(other.requests, [])
+
+        run(test)
+
     # Guards against a request that fails since its only retry was for an unreachable endpoint.
     def test_a_retry_of_which_nothing_was_sent_is_not_used_up(self) -> None:
         async def test(fixture: ForwarderFixture) -> None:
