--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -22,7 +22,7 @@
 from yewloom.exchange_parts import ExchangeComponents, build_exchange
 from yewloom.exit_timer import ExitTimer
 from yewloom.follow_duty import FollowDuty, FollowStatus
-from yewloom.follow_policies import build_follow_policy
+from yewloom.follow_policies import FollowPolicies
 from yewloom.follow_times import endpoint_pause_s, follow_times, longest_behind_pause_s
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower, Update
@@ -80,9 +80,10 @@
         self._peer_states = PeerStates(host_id, data_centre, self._identity.started_unix_ms)
         random_fraction = rng.random()
         self._duty = self._build_duty(random_fraction)
-        self._backoff = StoreBackoff(
+        backoff = StoreBackoff(
             settings.store.retry_pause_ms / 1000, random_fraction, longest_behind_pause_s(settings)
         )
+        self._policies = FollowPolicies(self._duty, backoff)
         parts.departures.on_departure = self._on_departure
         self._endpoints = self._build_endpoints(rng)
         metrics.read_isolation(lambda: self._endpoints.isolation.is_isolated)
@@ -227,21 +228,7 @@
             parts.records.configuration_kind,
             self._configuration_intake.apply_update,
             FollowedPosition(),
-            build_follow_policy(
-                self._duty,
-                self._backoff,
-                lambda: 0.0,
-                self._configuration_age_s,
-                lambda now_s: self._configuration_state.is_outdated,
-            ),
-        )
-
-    def _configuration_age_s(self, now_s: float) -> float:
-        """Return the age that decides when to query; infinite while a newer version is known."""
-        return (
-            math.inf
-            if self._configuration_state.is_outdated
-            else self._configuration_state.age_s(now_s)
+            self._policies.for_configuration(self._configuration_state),
         )
 
     def _build_endpoint_follower(self) -> Follower:
@@ -251,13 +238,7 @@
             parts.records.endpoint_kind,
             self._apply_endpoints,
             self._followed_endpoints,
-            build_follow_policy(
-                self._duty,
-                self._backoff,
-                self._endpoint_pause_s,
-                self._followed_endpoints.age_s,
-                self._followed_endpoints.is_behind,
-            ),
+            self._policies.for_endpoints(self._followed_endpoints, self._endpoint_pause_s),
         )
 
     def _apply_endpoints(self, update: Update) -> None:
--- a/yewloom/followed_position.py
+++ b/yewloom/followed_position.py
@@ -2,6 +2,7 @@
 
 import math
 
+from yewloom.configuration import MAX_REPORTED_AGE_S
 from yewloom.schema.entry_pb2 import ListingWord
 from yewloom.store_revisions import era_of
 
@@ -16,10 +17,6 @@
 a peer's watch reveals it in the meantime."""
 
 
-MAX_REPORTED_AGE_S = 1e6
-"""Upper bound on the age that is logged; replaces an infinite age."""
-
-
 class FollowedPosition:
     """The position up to which all changes are known; None until a listing has been recorded.
 
--- a/yewloom/tests/test_turned_away_hosts.py
+++ b/yewloom/tests/test_turned_away_hosts.py
@@ -8,7 +8,7 @@
 from yewloom.directory import EndpointDirectory
 from yewloom.entry_states import PeerStates
 from yewloom.follow_duty import FollowDuty, FollowStatus
-from yewloom.follow_policies import build_follow_policy
+from yewloom.follow_policies import FollowPolicies
 from yewloom.follow_times import follow_times, longest_behind_pause_s
 from yewloom.followed_position import FollowedPosition
 from yewloom.followers import Follower
@@ -62,18 +62,13 @@
         self.intake = EndpointIntake(
             StoreRecordDecoder(), self.directory, selector, self.followed, self._send_changes
         )
+        backoff = StoreBackoff(0.2, rng.random(), longest_behind_pause_s(_settings()))
         self.follower = Follower(
             StoreClient(self.client, "s:1", 1.0, rng),
             KIND,
             self.intake.apply_update,
             self.followed,
-            build_follow_policy(
-                self.duty,
-                StoreBackoff(0.2, rng.random(), longest_behind_pause_s(_settings())),
-                lambda: 0.1,
-                self.followed.age_s,
-                self.followed.is_behind,
-            ),
+            FollowPolicies(self.duty, backoff).for_endpoints(self.followed, lambda: 0.1),
         )
 
     def is_leaving(self, name: str) -> bool:
