Forget the requests of earlier windows also if none is retried

Found in reading the diff; the test of the bound on what is remembered fails without the change for want of it: 10,000 were kept.

--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -45,9 +45,11 @@
     request_times_s: list[float] = field(default_factory=list)
     retries: list[Retry] = field(default_factory=list)
 
-    def drop_before(self, requests_from_s: float, retries_from_s: float) -> None:
-        del self.request_times_s[: bisect_left(self.request_times_s, requests_from_s)]
-        self.retries = [retry for retry in self.retries if retry.settled_s >= retries_from_s]
+    def drop_requests_before(self, time_s: float) -> None:
+        del self.request_times_s[: bisect_left(self.request_times_s, time_s)]
+
+    def drop_retries_before(self, time_s: float) -> None:
+        self.retries = [retry for retry in self.retries if retry.settled_s >= time_s]
 
     def latest_first(self, now_s: float) -> list[float]:
         """Return until when each retry may have reached its endpoint so far."""
@@ -79,12 +81,19 @@
 
     def on_request(self, service: ServiceName, arrived_s: float) -> None:
         """Count a caller's request."""
-        insort(self._services[service].request_times_s, arrived_s)
+        window = self._services[service]
+        insort(window.request_times_s, arrived_s)
+        if window.request_times_s[0] < arrived_s - 3 * self._window_s:  # Not at each request.
+            window.drop_requests_before(arrived_s - 2 * self._window_s)
+
+    def remembered_requests(self, service: ServiceName) -> int:
+        """Return the number of requests that are remembered."""
+        return len(self._services[service].request_times_s)
 
     def try_acquire(self, service: ServiceName, now_s: float) -> Retry | None:
         """Return a retry, which counts from now on, or None if the budget allows none."""
         window = self._services[service]
-        window.drop_before(now_s - 2 * self._window_s, now_s - self._window_s)
+        window.drop_retries_before(now_s - self._window_s)
         if not self._allows_another(window, now_s):
             return None
         retry = Retry()
--- a/yewloom/tests/test_retry_window.py
+++ b/yewloom/tests/test_retry_window.py
@@ -44,6 +44,13 @@
         share = extra / peer_states.sharing_host_count()
         self.assertLessEqual(share * hosts, extra * 1.000001)
 
+    # Guards against memory that grows while no request is retried.
+    def test_requests_are_forgotten_without_any_retry(self) -> None:
+        budget = RetryBudget(0.2, 10.0, lambda: 1.0)
+        for step in range(10_000):
+            budget.on_request(PLAIN, step * 0.1)
+        self.assertLessEqual(budget.remembered_requests(PLAIN), 400)
+
     def test_each_service_has_its_own_budget(self) -> None:
         budget = RetryBudget(0.0, 10.0, lambda: 1.0)
         self.assertTrue(budget.try_acquire(PLAIN, 0.0))
