Let a yewloomd host that gets the duty to watch end its wait

The class of the entry hosts' fault, found by reading: a host without the duty waits up to 40 poll intervals, 20 s by default, before it asks a platform that is down again. If the hosts with the duty ended meanwhile, the host that got it still waited, so nobody read changes once the platform was back. The wait ends with the duty.

test_watchers: no call within a second of getting the duty before, one now.

--- a/yewloom/watchers.py
+++ b/yewloom/watchers.py
@@ -53,12 +53,15 @@
         return is_new or self._node.membership.has_platform_duty(WATCH_DUTY, count, now_s)
 
     async def _recheck(self, pause_s: float) -> None:
-        """Check after a random pause whether the platform answers again.
+        """Check after a random time whether the platform answers again.
 
-        The pause may be MAX_RECHECK_FACTOR poll intervals long, since all hosts may be waiting.
+        It may be MAX_RECHECK_FACTOR poll intervals long, since all hosts may be waiting. It ends if
+        this host gets the duty to watch.
         """
         self._position = None
-        await trio.sleep(pause_s * self._node.rng.uniform(1, MAX_RECHECK_FACTOR))
+        check_s = trio.current_time() + pause_s * self._node.rng.uniform(1, MAX_RECHECK_FACTOR)
+        while not self._has_duty() and (remaining_s := check_s - trio.current_time()) > 0:  # noqa: ASYNC110 - a duty
+            await trio.sleep(min(pause_s, remaining_s))
         await self._step()
 
     async def _step(self) -> bool:
