Leave departures out of the soak's check while its own store is slow

In the logs of all four hosts, calls to the soak's store time out again and again from 02:36:16 to 02:36:38, around the departure: watches of 50 ms after 0.85 s and more. The limit holds for a store that is stable, so stalls of the loop that runs the store, as the soak records them already, excuse a departure.

--- a/yewloom/tests/test_soak_repeats.py
+++ b/yewloom/tests/test_soak_repeats.py
@@ -3,7 +3,7 @@
 import unittest
 
 from yewloom.tests.soak.faults import FaultMix
-from yewloom.tests.soak.ledger import Kind, Ledger, SentRequest
+from yewloom.tests.soak.ledger import Disturbance, Kind, Ledger, SentRequest
 from yewloom.tests.soak.repeat_checks import RETRY_WINDOW_S, check_repeats
 from yewloom.tests.soak.run import SoakPlan
 from yewloom.tests.soak_support import assert_clean
@@ -47,6 +47,8 @@
             self.ledger.left_s["s1"] = 1.0
             self.ledger.arrivals["s1", "e/1"] = [arrived_s]
             self.assertEqual(self._found(), expected)
+        stalls = [Disturbance(2.0, 2.5)]
+        self.assertEqual(check_repeats(self.ledger, 2, stalls), [])
 
 
 class TestSoakRepeats(unittest.TestCase):
