--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -43,10 +43,31 @@
     Mutation(
         "following: a peer's message proves nothing if this host lacks a change",
         "followed_position",
-        "if report.changed_at > self.position:",
-        "if False:",
+        "if self.position is None or report.changed_at > self.position:",
+        "if self.position is None:",
         "test_followed_position",
     ),
+    Mutation(
+        "following: a host that lacks a change calls soon after a failed call",
+        "store_retries",
+        "        if is_behind:\n",
+        "        if False:\n",
+        "test_turned_away_hosts",
+    ),
+    Mutation(
+        "retries: a request covers half of the ratio in each of two windows",
+        "retry_window",
+        "self._ratio * COUNTED_SHARE / 2 * requests",
+        "self._ratio * COUNTED_SHARE * requests",
+        "test_retry_sums",
+    ),
+    Mutation(
+        "retries: a new process has no share of the extra in its first window",
+        "retry_window",
+        "is_new = self._uptime_s(now_s) < self._window_s",
+        "is_new = False",
+        "test_retry_sums",
+    ),
     Mutation(
         "following: an echo of an earlier process of this host proves nothing",
         "entry_states",
--- a/tools/mutations_returns.py
+++ b/tools/mutations_returns.py
@@ -13,8 +13,8 @@
     Mutation(
         "store return: a peer of an earlier era confirms nothing",
         "followed_position",
-        " or era_of(report.position) < era_of(self.position):",
-        ":",
+        "if self.position is not None and era_of(report.position) < era_of(self.position):",
+        "if False:",
         "test_followed_position",
     ),
     Mutation(
