--- a/yewloom/retry_window.py
+++ b/yewloom/retry_window.py
@@ -21,7 +21,7 @@
 
 COUNTED_SHARE = 0.8
 """Share of a host's requests on which it relies. Others may not count all of them: among them are
-those by which the platform tests each host, a few a second whatever the traffic."""
+those by which the platform tests each host, whatever the traffic."""
 
 _ROUNDING = 1e-9
 """Tolerated error of sums of fractions."""
