--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -302,6 +302,7 @@
     status: int
     body: bytes = b""
     stamp: str | None = None
+    ended_s: float = float("inf")
 
 
 @dataclass
@@ -312,23 +313,25 @@
     address: str
     record: Record
     host: str = "ficu95.example"
+    deadline_ms: int = 4000
     sent: int = 0
     _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = field(default=None)
 
     async def send(
         self, path: str, key: str | None, method: str = "POST", body: bytes = b"{}"
     ) -> Answer:
-        """Send one request and wait for its answer until its deadline of 4 s."""
+        """Send one request and wait for its answer until its deadline."""
         self.sent += 1
         request_id = f"{self.name}-{self.sent}"
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self.host}"]
-        lines += [f"Yewloom-Request-Id: {request_id}", "Yewloom-Deadline-Ms: 4000"]
+        lines += [f"Yewloom-Request-Id: {request_id}"]
+        lines += [f"Yewloom-Deadline-Ms: {self.deadline_ms}"]
         lines += [f"Authorization: Token {key}"] if key is not None else []
         lines += [f"Content-Length: {len(body)}", "", ""]
         sent_s = self.record.add("sent", request=request_id, key=key, to=self.address)
         answer = Answer(request_id, sent_s, 0)
         try:
-            async with asyncio.timeout(4.0):
+            async with asyncio.timeout(self.deadline_ms / 1000):
                 reader, writer = await self._open()
                 writer.write("\r\n".join(lines).encode() + body)
                 response = await read_message(reader)
@@ -342,7 +345,9 @@
                 self.close()
         except (TimeoutError, BrokenOffError, ConnectionError):
             self.close()
-        self.record.add("answered", request=request_id, status=answer.status, stamp=answer.stamp)
+        answer.ended_s = self.record.add(
+            "answered", request=request_id, status=answer.status, stamp=answer.stamp
+        )
         return answer
 
     async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
