Let review case 1 lose answers also midway, which joins two runs

Change: half of the lost answers break off after two thirds of their events, and the case also checks ORDER.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
@@ -41,6 +42,9 @@
 LOST_SHARE = 0.4
 """``answer_lost`` of the site file: x = 0.4, for_s = 4.0; here at one of six workers."""
 
+LOST_AFTER = (0, 20)
+"""Events of 30 that arrive of a lost answer: none, or two thirds."""
+
 PLAY_S = 22.0
 SEED = 1
 
@@ -138,9 +142,9 @@
     """Let a worker lose a part of its answers for a while."""
     await asyncio.sleep(CUT_AFTER_S + CUT_FOR_S - LOST_BEFORE_END_S)
     record.add("answers are lost", worker=head.worker_id)
-    head.plan.is_lost = lambda: rng.random() < LOST_SHARE
+    head.plan.lost_after = lambda: rng.choice(LOST_AFTER) if rng.random() < LOST_SHARE else None
     await asyncio.sleep(LOST_FOR_S)
-    head.plan.is_lost = lambda: False
+    head.plan.lost_after = lambda: None
     record.add("answers are lost no more", worker=head.worker_id)
 
 
@@ -168,7 +172,8 @@
 
 
 def verdict(seen: Seen, record: Record, has_trouble: bool) -> bool:
-    """Return whether TWICE held: each of these requests ran once at most."""
+    """Return whether TWICE and ORDER held: each request ran once, no answer joins two runs."""
+    joined = [answer.request_id for answer in seen.answers if len(_runs_in(answer)) > 1]
     twice = {request_id: count for request_id, count in seen.runs.items() if count > 1}
     statuses = Counter(answer.status for answer in seen.answers)
     record.add(
@@ -177,11 +182,20 @@
         statuses={str(status): count for status, count in sorted(statuses.items())},
         ran=len(seen.runs),
         ran_twice=len(twice),
-        first=sorted(twice)[:5],
+        first_twice=sorted(twice)[:5],
+        complete_answers_joined_from_two_runs=len(joined),
+        first_joined=joined[:5],
     )
     if statuses[200] < CALLERS:
         raise RuntimeError("hardly any request was served")
-    return not twice
+    return not (twice or joined)
+
+
+def _runs_in(answer: Answer) -> set[bytes]:
+    """Return the runs that made the events of a complete answer."""
+    if answer.status != 200:
+        return set()
+    return set(re.findall(rb"^data: (\S+)", answer.body, re.MULTILINE))
 
 
 if __name__ == "__main__":
--- a/review/engines.py
+++ b/review/engines.py
@@ -30,11 +30,14 @@
 
 @dataclass
 class StreamPlan:
-    """How an engine answers: the events of a stream, and whether an answer is lost."""
+    """How an engine answers: the events of a stream, and whether an answer is lost.
+
+    ``lost_after`` returns the number of events after which an answer is lost, None if it is not.
+    """
 
     events: int = 30
     interval_s: float = 0.05
-    is_lost: Callable[[], bool] = lambda: False
+    lost_after: Callable[[], int | None] = lambda: None
 
 
 @dataclass
@@ -200,30 +203,35 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve_stream(self, request: Message, writer: asyncio.StreamWriter) -> bool:
-        """Run a request; its answer may be lost, and then its connection is reset."""
+        """Run a request; if its answer is lost, the connection is reset once it has run.
+
+        Each event tells which run made it.
+        """
         request_id = request.get("yewloom-request-id") or ""
         group = self.engine.group
         if not self.is_serving or group is None or request.get("yewloom-model") != group.model:
             writer.write(encode_response(421, b"", [("Yewloom-Instance-Id", self.worker_id)]))
             return True
-        is_lost, plan = self.plan.is_lost(), self.plan
+        plan, lost_after = self.plan, self.plan.lost_after()
         began_s = self._record.add(
-            "run", worker=self.worker_id, request=request_id, answer_lost=is_lost
+            "run", worker=self.worker_id, request=request_id, answer_lost_after=lost_after
         )
         self.runs.append(Run(request_id, self.worker_id, began_s))
-        if is_lost:
-            await asyncio.sleep(plan.events * plan.interval_s)
-            self._record.add("answer lost", worker=self.worker_id, request=request_id)
-            writer.transport.abort()
-            return False
+        run = f"{self.worker_id}.{len(self.runs)}"
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        head += [f"Yewloom-Request-Id: {request_id}"]
-        head += [f"Yewloom-Server-Stamp: {self.worker_id}.{len(self.runs)}"]
-        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        head += [f"Yewloom-Request-Id: {request_id}", f"Yewloom-Server-Stamp: {run}"]
+        unsent = ("\r\n".join(head) + "\r\n\r\n").encode()
         for number in range(1, plan.events + 1):
-            event = b"id: %d\ndata: %d\n\n" % (number, number)
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
             await asyncio.sleep(plan.interval_s)
+            if lost_after is not None and number > lost_after:
+                continue
+            event = f"id: {number}\ndata: {run} {number}\n\n".encode()
+            writer.write(unsent + b"%x\r\n%s\r\n" % (len(event), event))
+            unsent = b""
+            await writer.drain()
+        if lost_after is not None:
+            self._record.add("answer lost", worker=self.worker_id, request=request_id)
+            writer.transport.abort()
+            return False
         writer.write(b"0\r\n\r\n")
         return True
