--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -566,6 +566,11 @@
         return int(probe.getsockname()[1])
 
 
+def _on_terminate(number: int, frame: Any) -> None:
+    """Unwind the case, which ends the processes that it started."""
+    raise SystemExit(2)
+
+
 def run_case(
     play: Callable[[Record, Path, bool], Any], verdict: Callable[[Any, Record, bool], bool]
 ) -> None:
@@ -573,6 +578,7 @@
 
     ``play`` returns what ``verdict`` judges; ``verdict`` returns whether the rule held.
     """
+    signal.signal(signal.SIGTERM, _on_terminate)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
     try:
