Ask one rule, from attempts and relays, whether a request is sent again

Cause: EndpointChooser._may_attempt asked the record only if it held attempts of this host's own (`record.states and ...`). A request that had only been relayed had none, so it counted as never sent, although the relay may have run it. The same passed over the route's number of endpoints.

Ruled out: the peer, which repeats nothing that the message names as sent, and Relays._may_relay, which did ask the record.

Change: AttemptRecord.may_try_another stands alone, and may_send asks it once before each step of a request, for endpoints and relays alike; before, three places asked, each in its own way. So a relay also obeys the planned stop and a quarantine since admission. yewloomd has no relays, and keeps one outcome for all calls of a request; nothing to change there.

Test first: test_attempt_sequences (Hypothesis over sequences of attempts and relays) failed with "2 not less than or equal to 1" on one relay that may have run; test_an_unsafe_request_is_not_repeated_here_once_an_endpoint_ is_reached in test_relays failed too.

--- a/tools/mutations_relays.py
+++ b/tools/mutations_relays.py
@@ -13,10 +13,24 @@
     Mutation(
         "relays: a relayed request is not relayed again",
         "relays",
-        "        if request.is_relayed or ",
-        "        if ",
+        "        return not request.is_relayed and ",
+        "        return ",
         "test_relays",
     ),
+    Mutation(
+        "attempts: what relays may have run counts like attempts",
+        "attempts",
+        "        return [*self.states.values(), *self.relays.values()]\n",
+        "        return list(self.states.values())\n",
+        "test_attempt_sequences",
+    ),
+    Mutation(
+        "forwarding: whether a request may be sent again is asked before each step",
+        "forwarding",
+        "        if not self._chooser.may_send(request):\n",
+        "        if False:\n",
+        "test_attempt_sequences",
+    ),
     Mutation(
         "relays: a relay counts as sent from its first byte",
         "relays",
--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -67,7 +67,10 @@
 
     @property
     def may_try_another(self) -> bool:
-        """Return whether the request may be sent to one more endpoint."""
+        """Return whether the request may be sent once more, to an endpoint or through a peer.
+
+        This is the only place that decides it, from both kinds of attempts.
+        """
         if self._endpoints_reached() >= max(1, self.route.max_endpoints):
             return False
         return self.is_known_not_run or self.route.may_retry
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -45,10 +45,19 @@
         self._stop = stop
         self.durations = RouteDurations()
 
+    def may_send(self, request: ForwardRequest) -> bool:
+        """Return whether a request may be sent once more, to an endpoint or through a peer."""
+        if request.reserved_endpoint is not None:
+            return True  # The rules were applied when it was reserved.
+        if not request.record.may_try_another:
+            return False
+        return self.has_time_before_stop(request) and not self._was_quarantined(request)
+
     def take_next(self, request: ForwardRequest) -> Endpoint | None:
         """Return the endpoint that gets a request next, or None if there is none.
 
-        The attempt is counted, and from now on the request counts as running at that endpoint.
+        The request must be one that may be sent. The attempt is counted, and from now on the
+        request counts as running at that endpoint.
         """
         reserved, request.reserved_endpoint = request.reserved_endpoint, None
         return reserved or self._reserve(request)
@@ -60,7 +69,8 @@
         one. Without the reservation, another request could use up the last allowed retry before
         this request has abandoned its endpoint.
         """
-        request.reserved_endpoint = self._reserve(request)
+        if self.may_send(request):
+            request.reserved_endpoint = self._reserve(request)
         return request.reserved_endpoint is not None
 
     def release_reserved(self, request: ForwardRequest) -> None:
@@ -114,7 +124,7 @@
 
     def is_limited(self, request: ForwardRequest) -> bool:
         """Return whether only this host's shares of rate limits keep a request from endpoints."""
-        return self._may_attempt(request) and self._selector.is_limited(
+        return self._selector.is_limited(
             request.requirements, request.configuration, request.record.states, trio.current_time()
         )
 
@@ -124,8 +134,6 @@
         The wait is part of the request's first MAX_WAIT_SHARE, and ends at a random time after the
         pause.
         """
-        if not self._may_attempt(request):
-            return None
         now_s = trio.current_time()
         pause_s = self._selector.pause_end_s(
             request.requirements, request.configuration, request.record.states, now_s
@@ -148,19 +156,10 @@
         return self._stop.has_time_for(duration_s, trio.current_time())
 
     def _select(self, request: ForwardRequest) -> Endpoint | None:
-        if not self._may_attempt(request):
-            return None
         return self._selector.select(
             request.requirements, request.configuration, request.record.states, trio.current_time()
         )
 
-    def _may_attempt(self, request: ForwardRequest) -> bool:
-        """Return whether a request may be sent to one more endpoint, if one is available."""
-        record = request.record
-        if record.states and not record.may_try_another:
-            return False
-        return self.has_time_before_stop(request) and not self._was_quarantined(request)
-
     def _was_quarantined(self, request: ForwardRequest) -> bool:
         """Return whether a request or a part of it was quarantined since its admission."""
         if not self._quarantines.has_any:
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -171,6 +171,8 @@
 
     async def _try_next(self, request: ForwardRequest) -> bool:
         """Send a request to the next endpoint or peer; return whether nothing is left to do."""
+        if not self._chooser.may_send(request):
+            return True
         peer = self._relays.next_peer(request)
         if peer is None:
             if self._is_unreachable(request):
--- a/yewloom/relays.py
+++ b/yewloom/relays.py
@@ -85,7 +85,10 @@
         self._metrics = metrics
 
     def next_peer(self, request: ForwardRequest) -> RelayPeer | None:
-        """Return the peer to relay a request to now, or None if it should not be relayed."""
+        """Return the peer to relay a request to now, or None if this host has a better way.
+
+        As with an endpoint, the request must be one that may be sent once more.
+        """
         if not (self._may_relay(request) and self._is_cut_off(request)):
             return None
         return self._peers.choose(request.requirements.service, request.record.relays)
@@ -99,10 +102,8 @@
         return self._peers.choose(service, refusing.union(request.record.relays))
 
     def _may_relay(self, request: ForwardRequest) -> bool:
-        """Return whether a request may be relayed to one more peer."""
-        if request.is_relayed or len(request.record.relays) >= MAX_RELAYS:
-            return False
-        return request.record.may_try_another
+        """Return whether a request may be relayed to one more peer, rather than not at all."""
+        return not request.is_relayed and len(request.record.relays) < MAX_RELAYS
 
     def _is_cut_off(self, request: ForwardRequest) -> bool:
         """Return whether this host reaches no endpoint for a request, as far as it knows."""
--- a/yewloom/tests/test_relays.py
+++ b/yewloom/tests/test_relays.py
@@ -211,6 +211,28 @@
 
         run(test)
 
+    def test_an_unsafe_request_is_not_repeated_here_once_an_endpoint_is_reached(self) -> None:
+        """Guards against running an unsafe request here after a peer that may have run it."""
+        own_endpoint = ScriptedEndpoint(respond_ok)
+
+        async def test(hosts: Hosts) -> None:
+            isolated = hosts.isolated
+
+            async def run_and_lose_answer(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+                await isolated.add_plain("reached", own_endpoint)
+                reached = isolated.directory.by_id[HostId("reached")]
+                isolated.reachability.on_connected(reached, trio.current_time())
+
+            for endpoint in hosts.endpoints:
+                endpoint._script = run_and_lose_answer
+            for name in NAMES:
+                unreachable = isolated.directory.by_id[HostId(name)]
+                isolated.reachability.on_failure(unreachable, trio.current_time())
+            self.assertEqual((await hosts.isolated.request("/u/1")).status, 502)
+            self.assertEqual(hosts.run_count() + len(own_endpoint.requests), 1)
+
+        run(test)
+
     def test_a_retryable_request_goes_to_another_peer_if_the_first_is_lost(self) -> None:
         async def test(hosts: Hosts) -> None:
             async def stop_first(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
