Decode whether a configuration requires keys, rather than conclude it

Cause: Configuration.requires_keys was bool(self.customers), a map by API key, and customers without keys left nothing in it. No keys was read as "nobody needs one".

Ruled out: a version that was not in force (the new one was), and the age of keys, which was never looked at since no key was asked for.

Change: requires_keys is a field, decoded from whether the stored configuration has customers at all. On related paths: lists of routes and services that are missing, and customers or keys that are no list, make a configuration invalid instead of an empty or a wrong rule. yewloomd refuses a key that no customer has, so no customer means no request: no change.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -525,4 +525,18 @@
         "",
         "test_unframed_responses",
     ),
+    Mutation(
+        "configuration: keys are required although none is left",
+        "platform/records",
+        'requires_keys="tenants" in fields',
+        'requires_keys=bool(fields.get("tenants"))',
+        "test_request_admission",
+    ),
+    Mutation(
+        "configuration: a missing list of routes is invalid",
+        "platform/records",
+        '_check_list(fields["routes"])',
+        'fields.get("routes", [])',
+        "test_request_admission",
+    ),
 )
--- a/yewloom/configuration.py
+++ b/yewloom/configuration.py
@@ -68,19 +68,20 @@
 
 @value_class
 class Configuration:
-    """One version of the operator's configuration; ``customers`` is keyed by API key."""
+    """One version of the operator's configuration.
+
+    ``requires_keys`` is whether routes that do not allow anonymous access require an API key;
+    ``customers`` is keyed by API key. If keys are required and there are none, no request is
+    allowed on these routes.
+    """
 
     version: int
     routes: RouteTable
     services: Mapping[ServiceName, Service]
+    requires_keys: bool
     customers: Mapping[str, CustomerId]
     limits: CallerLimits = field(default_factory=CallerLimits)
 
-    @property
-    def requires_keys(self) -> bool:
-        """Return whether routes that do not allow anonymous access require an API key."""
-        return bool(self.customers)
-
     def engine_services(self) -> list[Service]:
         """Return the services whose endpoints are model engines."""
         return [service for service in self.services.values() if service.engine is not None]
--- a/yewloom/platform/records.py
+++ b/yewloom/platform/records.py
@@ -66,20 +66,27 @@
 
 
 def _configuration(fields: Any) -> Configuration:
-    services = [_service(item) for item in fields.get("services") or []]
+    services = [_service(item) for item in _check_list(fields["services"])]
     return Configuration(
         version=int(fields["version"]),
-        routes=RouteTable([_route(item) for item in fields.get("routes") or []]),
+        routes=RouteTable([_route(item) for item in _check_list(fields["routes"])]),
         services={service.name: service for service in services},
-        customers={
-            str(key): CustomerId(tenant["name"])
-            for tenant in fields.get("tenants") or []
-            for key in tenant.get("apiKeys") or []
-        },
+        # The wire field "tenants" asks for keys by being there, whether or not it lists any.
+        requires_keys="tenants" in fields,
+        customers=_customers(_check_list(fields.get("tenants", []))),
         limits=_limits(fields.get("limits") or {}),
     )
 
 
+def _customers(tenants: list[Any]) -> dict[str, CustomerId]:
+    """Return the customers by API key."""
+    return {
+        str(key): CustomerId(tenant["name"])
+        for tenant in tenants
+        for key in _check_list(tenant.get("apiKeys", []))
+    }
+
+
 def _route(fields: Any) -> Route:
     split = fields.get("split") or [{"service": fields["service"], "weight": 1}]
     kind = _ROUTE_KINDS[fields["type"]]
@@ -190,6 +197,13 @@
     return started_unix_ms
 
 
+def _check_list(value: Any) -> list[Any]:
+    """Return a list; raise TypeError for anything else, such as a text or a missing value."""
+    if not isinstance(value, list):
+        raise TypeError(f"not a list: {value!r:.40}")
+    return value
+
+
 def _check_text(value: Any) -> str:
     """Return a valid text; raise TypeError or ValueError if it could not be sent to peers."""
     if not isinstance(value, str):
--- a/yewloom/tests/entry_support.py
+++ b/yewloom/tests/entry_support.py
@@ -77,6 +77,7 @@
             ENGINES: Service(ENGINES, make_profile()),
             PLAIN: Service(PLAIN),
         },
+        requires_keys=True,
         customers={"k1": CustomerId("hotel")},
     )
 
--- a/yewloom/tests/test_stall_timeouts.py
+++ b/yewloom/tests/test_stall_timeouts.py
@@ -55,7 +55,7 @@
         put_group(directory, "small", SMALL, ["b"])
         state = ConfigurationState()
         services = {ENGINES: Service(ENGINES, profile)}
-        state.apply(Configuration(1, RouteTable([]), services, {}), 0.0)
+        state.apply(Configuration(1, RouteTable([]), services, False, {}), 0.0)
         self.timeouts = StallTimeouts(directory, state, self.intervals)
 
 
