Keep the failure that an endpoint answered until another one answers

What callers saw: 502 or 504 for a repeatable request that an endpoint had run and answered with 500, when the endpoint that was asked next turned it away or stayed silent.

Cause: the answer was thrown away once another endpoint and a retry were reserved. That an endpoint may be asked was taken for its answer.

Ruled out: the budget of retries, which was asked and reserved before.

Change: the request keeps the failure and falls back on it, also at its deadline. It no longer reserves an endpoint to leave a failure.

Test first: two cases of test_forward_request failed, (502, b'') and (504, b'') in place of (500, b'oops'); 86 tests of forwarding pass.

--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -28,7 +28,7 @@
 from yewloom.event_stream import EventStreamError
 from yewloom.fingerprints import format_fingerprint
 from yewloom.forward_metrics import ForwardMetrics
-from yewloom.forward_request import BufferedResponse, ForwardRequest
+from yewloom.forward_request import BufferedResponse, FailedResponse, ForwardRequest
 from yewloom.loop_lateness import LoopDelayMonitor
 from yewloom.part_record import BEGINNING_S
 from yewloom.prompt_parts import format_prompt_parts
@@ -268,7 +268,8 @@
     ) -> tuple[bool, str]:
         """Buffer a complete response for the caller.
 
-        It is discarded if the request did not run, or if another endpoint can retry a failed one.
+        It is discarded if the request did not run. One that reports a failure is kept in case no
+        other endpoint answers.
         """
         head = response.head
         if response.metadata.is_not_run:
@@ -277,14 +278,15 @@
             return False, f"not run: status {head.status}"
         self._check_request_id(request, response.metadata)
         body = await exchange.read_body()
-        if head.status >= MIN_SERVER_ERROR_STATUS and self._chooser.reserve_another(request):
-            return False, f"failed: status {head.status}"
-        request.record.set_state(endpoint.id, AttemptState.ANSWERED)
         if request.response_writer.is_started:
             return False, f"failed: status {head.status} in the middle of a stream"
-        request.response = BufferedResponse(
-            head.status, self._codec.build_response_headers(head), body
-        )
+        headers = self._codec.build_response_headers(head)
+        buffered = BufferedResponse(head.status, headers, body)
+        if head.status >= MIN_SERVER_ERROR_STATUS:
+            request.failed_response = FailedResponse(endpoint.id, buffered)
+            return False, f"failed: status {head.status}"
+        request.record.set_state(endpoint.id, AttemptState.ANSWERED)
+        request.response = buffered
         return True, "answered"
 
     def _record_not_run(self, endpoint: Endpoint, status: int) -> None:
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from yewloom.attempts import AttemptRecord
+from yewloom.attempts import AttemptRecord, AttemptState
 from yewloom.caller_headers import RequestMetadata
 from yewloom.caller_messages import CallerRequest, ResponseWriter
 from yewloom.configuration import Configuration
@@ -12,7 +12,7 @@
 from yewloom.endpoint_calls import Header
 from yewloom.event_stream import StreamCursor
 from yewloom.fingerprints import compute_fingerprint
-from yewloom.ids import CustomerId, Fingerprint
+from yewloom.ids import CustomerId, Fingerprint, HostId
 from yewloom.retry_window import Retry
 from yewloom.routes import Route
 from yewloom.selection import EndpointRequirements
@@ -28,16 +28,26 @@
     body: bytes
 
 
+@value_class
+class FailedResponse:
+    """The complete response by which an endpoint reported that a request failed there."""
+
+    endpoint: HostId
+    response: BufferedResponse
+
+
 @dataclass
 class ForwardRequest:
     """A request that is being forwarded; times are seconds of trio's clock.
 
     ``response_writer`` writes the response to the caller. ``response`` is the final response of an
-    endpoint, if it is not a stream, once it has arrived. ``quarantine_count`` is the number of
-    times that the request had been quarantined when it was admitted. ``reserved_endpoint`` gets the
-    request after it has abandoned its current endpoint. ``is_relayed`` is whether a peer received
-    it from the caller. ``is_counted`` is whether it was counted for a budget of retries, and
-    ``retry`` what its current or reserved attempt takes from that budget, if it is not the first.
+    endpoint, if it is not a stream, once it has arrived. ``failed_response`` is the newest one that
+    reports a failure, which the caller gets if no endpoint answers. ``quarantine_count`` is the
+    number of times that the request had been quarantined when it was admitted.
+    ``reserved_endpoint`` gets the request after it has abandoned its current endpoint.
+    ``is_relayed`` is whether a peer received it from the caller. ``is_counted`` is whether it was
+    counted for a budget of retries, and ``retry`` what its current or reserved attempt takes from
+    that budget, if it is not the first.
     ``first_unreachable_s`` is when an endpoint was first found unreachable for it.
     ``responding_since_s`` is when the response of the current attempt began, if it has, and
     ``has_begun_well`` whether it went on long enough to show that it crashes no endpoint.
@@ -55,6 +65,7 @@
     cursor: StreamCursor
     first_event_s: float | None = None
     response: BufferedResponse | None = None
+    failed_response: FailedResponse | None = None
     quarantine_count: int = 0
     reserved_endpoint: Endpoint | None = None
     is_relayed: bool = False
@@ -78,6 +89,14 @@
             )
         return self._fingerprint
 
+    def fall_back(self) -> None:
+        """Use the response that reports a failure, if there is no better one."""
+        failed = self.failed_response
+        if failed is None or self.response is not None or self.response_writer.is_started:
+            return
+        self.response = failed.response
+        self.record.set_state(failed.endpoint, AttemptState.ANSWERED)
+
     def settle_retry(self, now_s: float) -> None:
         """Record that the current attempt has reached its endpoint by now, or never will."""
         if self.retry is not None:
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -152,6 +152,7 @@
         with self._time_limit(request):
             await self._try_endpoints(request)
         # Outside the time limit: a response that has arrived is sent even if time has run out.
+        request.fall_back()
         if request.response is not None:
             response = request.response
             await request.response_writer.send_complete(
@@ -181,6 +182,8 @@
             endpoint = self._chooser.take_next(request)
             if endpoint is not None:
                 return await self._attempt(request, endpoint)
+            if request.failed_response is not None:
+                return True  # It need not wait for a retry.
             if self._chooser.is_limited(request):
                 peer = self._relays.next_sharing_peer(request)
         if peer is not None:
