Ask another endpoint beside a silent one, rather than leave its run

Cause: the host ended the silent run because another endpoint could be asked. That one was silent too, then turned the request away, the route's endpoints were used up, and the run that could have gone on was gone.

Ruled out: the change of the configuration (the users saw the same without it) and the time limits.

Change: the run stays open, another endpoint is asked beside it, and the first one that has the next event goes on; the other is ended in the same step, so runs are never joined. A hanging endpoint is left as fast as before. An attempt that is turned away leaves the other as it is. An endpoint that wakes up is avoided no longer. AttemptState.PENDING names an attempt that may be sent at any moment; it counts as an endpoint.

Reservations of endpoints are gone, so the test that one is released once is replaced: expect_released checks that both endpoints are released after each way in which two attempts end.

Test first: test_concurrent_attempts failed in four of its cases, with one event of three or 502.

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -119,12 +119,12 @@
     ),
     Removal(
         "full endpoints are avoided",
-        "endpoint_attempts",
+        "endpoint_exchanges",
         "FULL_AVOIDANCE_S = 0.15",
         "FULL_AVOIDANCE_S = 0.0",
     ),
     Removal(
-        "streams are moved away from stalled groups",
+        "another endpoint is asked beside a stalled group",
         "stalls",
         "return now_s - activity.last_read_s >= timeout_s",
         "return False",
--- a/tools/mutations_crashes.py
+++ b/tools/mutations_crashes.py
@@ -201,8 +201,8 @@
     ),
     Mutation(
         "parts: a response that goes on clears the parts before it ends",
-        "endpoint_attempts",
-        "elif now_s - request.responding_since_s >= BEGINNING_S and not request.has_begun_well:",
+        "endpoint_exchanges",
+        "elif now_s - attempt.responding_since_s >= BEGINNING_S and not attempt.has_begun_well:",
         "elif False:",
         "test_crash_checks",
     ),
--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -131,7 +131,7 @@
     ),
     Mutation(
         "delays: a delayed host checks a seemingly stalled group twice",
-        "endpoint_attempts",
+        "endpoint_exchanges",
         "if is_stalled and not was_delayed and self._loop_delay.delay_s():",
         "if False:",
         "test_forwarding",
--- a/tools/mutations_pauses.py
+++ b/tools/mutations_pauses.py
@@ -12,9 +12,9 @@
     ),
     Mutation(
         "endpoint pauses: an attempt that was chosen before the pause is not sent",
-        "endpoint_attempts",
+        "endpoint_exchanges",
         "            if self._availability.is_withdrawn(endpoint, trio.current_time()):\n"
-        "                raise _Withdrawn\n",
+        "                raise Withdrawn\n",
         "",
         "test_forwarding_pauses",
     ),
--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -14,10 +14,13 @@
 class AttemptState(Enum):
     """How far an attempt at one endpoint got.
 
-    ``NOT_RUN``: the endpoint stated that it did not run the request. ``ANSWERED``: its
-    response is the one that the caller gets.
+    ``PENDING``: the endpoint was chosen, and the request may be sent to it at any moment.
+    ``NOTHING_SENT``: the attempt has ended before anything was sent. ``NOT_RUN``: the endpoint
+    stated that it did not run the request. ``ANSWERED``: its response is the one that the caller
+    gets.
     """
 
+    PENDING = "pending"
     NOTHING_SENT = "nothing_sent"
     SENT = "sent"
     NOT_RUN = "not_run"
@@ -48,8 +51,13 @@
     relays: dict[EntryHostId, AttemptState] = field(default_factory=dict)
 
     def begin(self, endpoint: HostId) -> None:
-        """Record that an endpoint was chosen; nothing has been sent yet."""
-        self.states[endpoint] = AttemptState.NOTHING_SENT
+        """Record that an endpoint was chosen."""
+        self.states[endpoint] = AttemptState.PENDING
+
+    def end(self, endpoint: HostId) -> None:
+        """Record that the attempt at an endpoint has ended."""
+        if self.states[endpoint] is AttemptState.PENDING:
+            self.states[endpoint] = AttemptState.NOTHING_SENT
 
     def set_state(self, endpoint: HostId, state: AttemptState) -> None:
         """Record how far the attempt at an endpoint got."""
@@ -97,6 +105,9 @@
         return [*self.states.values(), *self.relays.values()]
 
     def _endpoints_reached(self) -> int:
-        """Return how many endpoints may have received the request, through peers or directly."""
+        """Return how many endpoints may have received the request, through peers or directly.
+
+        One that may be sent the request at any moment counts as well.
+        """
         direct = sum(state is not AttemptState.NOTHING_SENT for state in self.states.values())
         return direct + sum(state not in _KNOWN_NOT_RUN for state in self.relays.values())
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -1,16 +1,16 @@
 """Choose the next endpoint for a request.
 
-The choice respects the limits of the route, of retries and of a planned stop. A slow response is
-abandoned only if the request can continue at another endpoint; otherwise a slow response is better
-than a truncated one.
+The choice respects the limits of the route, of retries and of a planned stop.
 """
 
+from collections.abc import Container
+
 import trio
 
 from yewloom.attempts import AttemptState
-from yewloom.directory import Endpoint
 from yewloom.endpoint_availability import EndpointAvailability
-from yewloom.forward_request import ForwardRequest
+from yewloom.forward_request import Attempt, ForwardRequest
+from yewloom.ids import HostId
 from yewloom.planned_stop import PlannedStop
 from yewloom.quarantines import Quarantines
 from yewloom.retry_window import RetryBudget
@@ -47,74 +47,57 @@
 
     def may_send(self, request: ForwardRequest) -> bool:
         """Return whether a request may be sent once more, to an endpoint or through a peer."""
-        if request.reserved_endpoint is not None:
-            return True  # The rules were applied when it was reserved.
         if not request.record.may_try_another:
             return False
         return self.has_time_before_stop(request) and not self._was_quarantined(request)
 
-    def take_next(self, request: ForwardRequest) -> Endpoint | None:
-        """Return the endpoint that gets a request next, or None if there is none.
+    def take_next(self, request: ForwardRequest) -> Attempt | None:
+        """Return the next attempt of a request that may be sent, or None if there is no endpoint.
 
-        The request must be one that may be sent. The attempt is counted, and from now on the
-        request counts as running at that endpoint.
+        The attempt is counted, and from now on the request counts as running at its endpoint.
         """
-        reserved, request.reserved_endpoint = request.reserved_endpoint, None
-        return reserved or self._reserve(request)
+        return self._take(request, request.record.states)
 
-    def reserve_another(self, request: ForwardRequest) -> bool:
-        """Reserve another endpoint for a request that was sent; return whether there is one.
+    def take_beside(self, request: ForwardRequest) -> Attempt | None:
+        """Return an attempt beside those that are running, whose endpoints are silent.
 
-        If so, the request may abandon its current endpoint, and ``take_next`` returns the reserved
-        one. Without the reservation, another request could use up the last allowed retry before
-        this request has abandoned its endpoint.
+        Its endpoint is not avoided. Without such an endpoint, the request waits where it is: a run
+        that may go on is worth more than one elsewhere that may not begin.
         """
-        if self.may_send(request):
-            request.reserved_endpoint = self._reserve(request)
-        return request.reserved_endpoint is not None
-
-    def release_reserved(self, request: ForwardRequest) -> None:
-        """Release the endpoint that was reserved for a request which has ended."""
-        if request.reserved_endpoint is not None:
-            self._selector.end(request.reserved_endpoint.id)
-            request.reserved_endpoint = None
-            self._cancel_retry(request)
-
-    def _reserve(self, request: ForwardRequest) -> Endpoint | None:
-        """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
-        endpoint = self._select(request)
-        if endpoint is None:
+        if not self.may_send(request):
             return None
         now_s = trio.current_time()
-        if request.record.is_retry() and not self._acquire_retry(request, now_s):
+        avoided = self._selector.avoided(request.requirements, request.configuration, now_s)
+        return self._take(request, avoided.union(request.record.states))
+
+    def _take(self, request: ForwardRequest, excluded: Container[HostId]) -> Attempt | None:
+        """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
+        now_s = trio.current_time()
+        endpoint = self._selector.select(
+            request.requirements, request.configuration, excluded, now_s
+        )
+        if endpoint is None:
             return None
+        retry = None
+        if request.record.is_retry():
+            retry = self._retries.try_acquire(request.requirements.service, now_s)
+            if retry is None:
+                return None
         self._availability.limits.take_token(endpoint, now_s)
         self._selector.begin(endpoint.id)
-        return endpoint
+        request.record.begin(endpoint.id)
+        return Attempt(endpoint, retry)
 
-    def end_attempt(self, request: ForwardRequest, endpoint: Endpoint) -> None:
+    def end_attempt(self, request: ForwardRequest, attempt: Attempt) -> None:
         """Record that an attempt has ended; a retry counts only if something was sent."""
-        self._selector.end(endpoint.id)
-        if request.reserved_endpoint is not None:
-            return  # The retry is that of the next attempt.
-        if request.record.states.get(endpoint.id) is AttemptState.NOTHING_SENT:
-            self._cancel_retry(request)
+        self._selector.end(attempt.endpoint.id)
+        request.record.end(attempt.endpoint.id)
+        if attempt.retry is None:
+            return
+        if request.record.states.get(attempt.endpoint.id) is AttemptState.NOTHING_SENT:
+            self._retries.cancel(request.requirements.service, attempt.retry)
         else:
-            request.settle_retry(trio.current_time())
-
-    def _acquire_retry(self, request: ForwardRequest, now_s: float) -> bool:
-        """Take a retry from the budget; return whether it allows one."""
-        retry = self._retries.try_acquire(request.requirements.service, now_s)
-        if retry is None:
-            return False
-        request.settle_retry(now_s)
-        request.retry = retry
-        return True
-
-    def _cancel_retry(self, request: ForwardRequest) -> None:
-        if request.retry is not None:
-            self._retries.cancel(request.requirements.service, request.retry)
-            request.retry = None
+            attempt.settle_retry(trio.current_time())
 
     def retry_after_s(self, request: ForwardRequest) -> float:
         """Return when rate limits and pauses allow sending a request anew; 0 if they do now."""
@@ -155,11 +138,6 @@
         duration_s = self.durations.median_s(request.route.name)
         return self._stop.has_time_for(duration_s, trio.current_time())
 
-    def _select(self, request: ForwardRequest) -> Endpoint | None:
-        return self._selector.select(
-            request.requirements, request.configuration, request.record.states, trio.current_time()
-        )
-
     def _was_quarantined(self, request: ForwardRequest) -> bool:
         """Return whether a request or a part of it was quarantined since its admission."""
         if not self._quarantines.has_any:
--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -23,12 +23,14 @@
     head: StreamHead,
     read_chunk: Callable[[], Awaitable[bytes | None]],
     on_chunk: Callable[[], None] = lambda: None,
+    claim: Callable[[], None] = lambda: None,
     is_framed: bool = True,
 ) -> None:
     """Forward events until the stream ends; the caller's response starts with the first event.
 
     Events that the caller already has are left out. Raises ExchangeError if the stream ends inside
-    an event or without any; ``on_chunk`` is called after each chunk that was read. A response that
+    an event or without any; ``on_chunk`` is called after each chunk that was read, and ``claim``
+    before the caller's position in the stream changes. A response that
     is not framed ends with its connection, so one without any event has ended too early even if it
     continues a stream.
     """
@@ -39,6 +41,7 @@
         has_events = has_events or bool(events)
         data = b"".join(e.data for e in events if request.cursor.accept(e))
         if data:
+            claim()
             await _forward_data(request, head, data)
     is_cut = splitter.has_partial_event or not (is_framed or has_events)
     if is_cut or not request.response_writer.is_started:
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 
 from yewloom.caller_headers import HeaderCodec
+from yewloom.concurrent_attempts import ConcurrentAttempts
 from yewloom.configuration import ConfigurationState
 from yewloom.crash_parts import CrashDetection
 from yewloom.directory import EndpointDirectory
 from yewloom.endpoint_attempts import EndpointAttemptRunner
 from yewloom.endpoint_availability import EndpointAvailability
 from yewloom.endpoint_choice import EndpointChooser
+from yewloom.endpoint_exchanges import EndpointExchanges
 from yewloom.event_paces import EventIntervals
 from yewloom.forward_metrics import ForwardMetrics
 from yewloom.forwarding import Forwarder
@@ -70,7 +72,7 @@
         components.header_codec,
         components.selector,
         retries,
-        _build_attempt_runner(components, chooser),
+        ConcurrentAttempts(_build_attempt_runner(components), chooser),
         components.metrics,
         _build_key_trust(components),
         lambda: components.directory.is_loaded,
@@ -92,20 +94,25 @@
     return StallDetector(on_report, timeouts.timeout_s)
 
 
-def _build_attempt_runner(
-    components: ForwarderComponents, chooser: EndpointChooser
-) -> EndpointAttemptRunner:
-    return EndpointAttemptRunner(
+def _build_attempt_runner(components: ForwarderComponents) -> EndpointAttemptRunner:
+    exchanges = EndpointExchanges(
         components.header_codec,
         components.selector,
         components.stalls,
+        components.reachability,
+        components.loop_delay,
+        components.crash_detection.record.parts,
+        components.availability,
+    )
+    return EndpointAttemptRunner(
+        exchanges,
+        components.selector,
+        components.stalls,
         components.metrics,
         components.reachability,
-        chooser,
         components.loop_delay,
         components.crash_detection.record,
         components.crash_detection.checks,
-        components.availability,
     )
 
 
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -1,8 +1,10 @@
-"""State of a caller's request while it is forwarded, and the refusal of a request."""
+"""State of a caller's request and of its attempts while it is forwarded, and its refusal."""
 
 import math
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import trio
 
 from yewloom.attempts import AttemptRecord, AttemptState
 from yewloom.caller_headers import RequestMetadata
@@ -18,6 +20,9 @@
 from yewloom.selection import EndpointRequirements
 from yewloom.values import value_class
 
+MIN_SERVER_ERROR_STATUS = 500
+"""Lowest status by which an endpoint reports that a request failed."""
+
 
 @value_class
 class BufferedResponse:
@@ -36,6 +41,37 @@
     response: BufferedResponse
 
 
+@dataclass(eq=False)
+class Attempt:
+    """An attempt to get a request answered by an endpoint; several may run at the same time.
+
+    ``retry`` is what it takes from the budget of retries, if it is not the first. ``ask_another``
+    starts an attempt at another endpoint beside this one, and returns that endpoint, if any;
+    ``is_silent`` is whether it was called since the endpoint's last event. ``responding_since_s``
+    is when the response began, if it has, and ``has_begun_well`` whether it went on long enough to
+    show that the request crashes no endpoint. ``exchange_scope`` is cancelled when another attempt
+    answers the request.
+    """
+
+    endpoint: Endpoint
+    retry: Retry | None = None
+    ask_another: Callable[[], HostId | None] = lambda: None
+    is_silent: bool = False
+    responding_since_s: float | None = None
+    has_begun_well: bool = False
+    exchange_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def is_overtaken(self) -> bool:
+        """Return whether another attempt answers the request."""
+        return self.exchange_scope.cancel_called
+
+    def settle_retry(self, now_s: float) -> None:
+        """Record that this attempt has reached its endpoint by now, or never will."""
+        if self.retry is not None:
+            self.retry.settle(now_s)
+
+
 @dataclass
 class ForwardRequest:
     """A request that is being forwarded; times are seconds of trio's clock.
@@ -43,14 +79,10 @@
     ``response_writer`` writes the response to the caller. ``response`` is the final response of an
     endpoint, if it is not a stream, once it has arrived. ``failed_response`` is the newest one that
     reports a failure, which the caller gets if no endpoint answers. ``quarantine_count`` is the
-    number of times that the request had been quarantined when it was admitted.
-    ``reserved_endpoint`` gets the request after it has abandoned its current endpoint.
-    ``is_relayed`` is whether a peer received it from the caller. ``is_counted`` is whether it was
-    counted for a budget of retries, and ``retry`` what its current or reserved attempt takes from
-    that budget, if it is not the first.
-    ``first_unreachable_s`` is when an endpoint was first found unreachable for it.
-    ``responding_since_s`` is when the response of the current attempt began, if it has, and
-    ``has_begun_well`` whether it went on long enough to show that it crashes no endpoint.
+    number of times that the request had been quarantined when it was admitted. ``is_relayed`` is
+    whether a peer received it from the caller. ``is_counted`` is whether it was counted for a
+    budget of retries. ``first_unreachable_s`` is when an endpoint was first found unreachable for
+    it. ``running`` are the attempts that run now, in the order in which they began.
     """
 
     caller_request: CallerRequest
@@ -67,13 +99,10 @@
     response: BufferedResponse | None = None
     failed_response: FailedResponse | None = None
     quarantine_count: int = 0
-    reserved_endpoint: Endpoint | None = None
     is_relayed: bool = False
     is_counted: bool = False
-    retry: Retry | None = None
     first_unreachable_s: float = math.inf
-    responding_since_s: float | None = None
-    has_begun_well: bool = False
+    running: list[Attempt] = field(default_factory=list)
     _fingerprint: Fingerprint | None = None
 
     @property
@@ -97,10 +126,14 @@
         self.response = failed.response
         self.record.set_state(failed.endpoint, AttemptState.ANSWERED)
 
-    def settle_retry(self, now_s: float) -> None:
-        """Record that the current attempt has reached its endpoint by now, or never will."""
-        if self.retry is not None:
-            self.retry.settle(now_s)
+    def claim(self, attempt: Attempt) -> None:
+        """Let an attempt answer the request, and end all others.
+
+        The caller has checked in the same step that no other attempt answers it.
+        """
+        for other in self.running:
+            if other is not attempt:
+                other.exchange_scope.cancel()
 
     def remaining_ms(self, now_s: float) -> int:
         """Return the time until the deadline in whole milliseconds."""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -5,7 +5,6 @@
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Protocol
 
 import structlog
 import trio
@@ -13,8 +12,8 @@
 from yewloom.attempts import FailureResponse
 from yewloom.caller_headers import HeaderCodec, RequestMetadata
 from yewloom.caller_messages import CallerDisconnectedError, CallerRequest, ResponseWriter
+from yewloom.concurrent_attempts import ConcurrentAttempts
 from yewloom.configuration import ConfigurationState
-from yewloom.directory import Endpoint
 from yewloom.endpoint_calls import Header
 from yewloom.endpoint_choice import EndpointChooser
 from yewloom.fingerprints import format_fingerprint
@@ -58,17 +57,6 @@
 """Reason for refusing a request because this host is stopping."""
 
 
-class AttemptRunner(Protocol):
-    """Sends a request to one endpoint."""
-
-    async def run(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
-        """Send a request to an endpoint; return whether its response is the one the caller gets.
-
-        A stream has been forwarded by then; a buffered response is stored in the request.
-        """
-        ...
-
-
 class Forwarder:
     """Answers callers' requests by forwarding them to endpoints."""
 
@@ -78,7 +66,7 @@
         codec: HeaderCodec,
         selector: Selector,
         retries: RetryBudget,
-        attempt_runner: AttemptRunner,
+        attempts: ConcurrentAttempts,
         metrics: ForwardMetrics,
         key_trust: KeyTrust,
         is_ready: Callable[[], bool],
@@ -91,7 +79,7 @@
         self._relays = relays
         self._configuration_state = configuration_state
         self._retries = retries
-        self._attempt_runner = attempt_runner
+        self._attempts = attempts
         self._metrics = metrics
         self._chooser = chooser
         self._timers: dict[trio.CancelScope, None] = {}  # In the order in which they started.
@@ -164,11 +152,8 @@
 
     async def _try_endpoints(self, request: ForwardRequest) -> None:
         """Send a request to one endpoint after another until one answers or none is left."""
-        try:
-            while not await self._try_next(request):
-                pass
-        finally:
-            self._chooser.release_reserved(request)
+        while not await self._try_next(request):
+            pass
 
     async def _try_next(self, request: ForwardRequest) -> bool:
         """Send a request to the next endpoint or peer; return whether nothing is left to do."""
@@ -179,9 +164,9 @@
             if self._is_unreachable(request):
                 return True
             self._count(request)
-            endpoint = self._chooser.take_next(request)
-            if endpoint is not None:
-                return await self._attempt(request, endpoint)
+            attempt = self._chooser.take_next(request)
+            if attempt is not None:
+                return await self._attempts.run(request, attempt)
             if request.failed_response is not None:
                 return True  # It need not wait for a retry.
             if self._chooser.is_limited(request):
@@ -221,13 +206,6 @@
             finally:
                 del self._timers[timer]
 
-    async def _attempt(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
-        request.record.begin(endpoint.id)
-        try:
-            return await self._attempt_runner.run(request, endpoint)
-        finally:
-            self._chooser.end_attempt(request, endpoint)
-
     async def _send_failure(self, request: ForwardRequest) -> str:
         """Send the final response to a request that no endpoint answered; return the outcome."""
         if request.response_writer.is_started:
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -213,6 +213,18 @@
         """Send no new requests to an endpoint for some time, while there are others."""
         self._avoid_until_s[endpoint] = max(until_s, self._avoid_until_s.get(endpoint, 0.0))
 
+    def stop_avoiding(self, endpoint: HostId) -> None:
+        """Send an endpoint requests again: it has sent an event after it was silent."""
+        self._avoid_until_s.pop(endpoint, None)
+
+    def avoided(
+        self, requirements: EndpointRequirements, configuration: Configuration, now_s: float
+    ) -> set[HostId]:
+        """Return the endpoints that a request should get only if there is no other one."""
+        engine = _engine_of(requirements, configuration)
+        candidates = self._candidates(requirements, engine, now_s)
+        return {endpoint.id for endpoint, _ in candidates if self._is_avoided(endpoint, now_s)}
+
     def forget(self, endpoint: HostId) -> None:
         """Drop the state of an endpoint that is no longer listed."""
         self._avoid_until_s.pop(endpoint, None)
--- a/yewloom/tests/test_attempt_sequences.py
+++ b/yewloom/tests/test_attempt_sequences.py
@@ -18,7 +18,7 @@
 from yewloom.caller_messages import CallerRequest
 from yewloom.directory import Endpoint
 from yewloom.event_stream import StreamCursor
-from yewloom.forward_request import ForwardRequest
+from yewloom.forward_request import Attempt, ForwardRequest
 from yewloom.ids import EntryHostId, HostId, RequestId
 from yewloom.relay_peers import RelayPeer
 from yewloom.routes import Route, RouteKind
@@ -78,9 +78,9 @@
         peer = next(untried, None)
         return RelayPeer(peer, "") if peer is not None else None
 
-    async def _attempt(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+    async def _attempt(self, request: ForwardRequest, attempt: Attempt) -> bool:
         outcome = self._step.outcome
-        request.record.set_state(endpoint.id, outcome)
+        request.record.set_state(attempt.endpoint.id, outcome)
         return self._end_step(outcome)
 
     async def _relay(self, request: ForwardRequest, peer: RelayPeer) -> bool:
@@ -96,7 +96,7 @@
         """Take steps until the forwarder takes no further one."""
         forwarder, relays = self._fixture.forwarder, self._fixture.forwarder._relays
         with (
-            mock.patch.object(forwarder._attempt_runner, "run", self._attempt),
+            mock.patch.object(forwarder._attempts._runner, "run", self._attempt),
             mock.patch.object(relays, "run", self._relay),
             mock.patch.object(relays, "has_lost_all", self._has_lost_all),
             mock.patch.object(relays._peers, "choose", self._choose_peer),
--- a/yewloom/tests/test_attempts.py
+++ b/yewloom/tests/test_attempts.py
@@ -12,6 +12,9 @@
 
 STATES = st.lists(st.sampled_from(AttemptState), max_size=4)
 
+MAY_RUN = {AttemptState.PENDING, AttemptState.SENT, AttemptState.ANSWERED}
+"""States of attempts by which a request may have run, or may run from one moment to the next."""
+
 
 def _record(kind: RouteKind, states: list[AttemptState], max_endpoints: int = 2) -> AttemptRecord:
     record = AttemptRecord(make_route(kind, max_endpoints=max_endpoints))
@@ -32,7 +35,7 @@
         record = _record(kind, states, max_endpoints=9)
         for number, state in enumerate(relay_states):
             record.relays[EntryHostId(f"p{number}")] = state
-        may_have_run = bool({AttemptState.SENT, AttemptState.ANSWERED} & {*states, *relay_states})
+        may_have_run = bool(MAY_RUN & {*states, *relay_states})
         self.assertEqual(record.is_known_not_run, not may_have_run)
         if may_have_run:
             self.assertNotEqual(record.failure_response(False), FailureResponse.REFUSED)
@@ -45,7 +48,7 @@
         self, kind: RouteKind, states: list[AttemptState], is_out_of_time: bool
     ) -> None:
         record = _record(kind, states)
-        may_have_run = bool({AttemptState.SENT, AttemptState.ANSWERED} & set(states))
+        may_have_run = bool(MAY_RUN & set(states))
         if may_have_run:
             self.assertNotEqual(record.failure_response(is_out_of_time), FailureResponse.REFUSED)
 
@@ -54,7 +57,7 @@
         self, states: list[AttemptState]
     ) -> None:
         record = _record(RouteKind.UNSAFE, states, max_endpoints=9)
-        may_have_run = bool({AttemptState.SENT, AttemptState.ANSWERED} & set(states))
+        may_have_run = bool(MAY_RUN & set(states))
         self.assertEqual(record.may_try_another, not may_have_run)
 
     @given(STATES, st.integers(1, 4))
@@ -65,6 +68,12 @@
         reached = sum(state is not AttemptState.NOTHING_SENT for state in states)
         self.assertEqual(record.may_try_another, reached < max_endpoints)
 
+    def test_an_attempt_that_ends_before_anything_was_sent_has_not_run(self) -> None:
+        record = _record(RouteKind.UNSAFE, [AttemptState.PENDING])
+        self.assertFalse(record.may_try_another)
+        record.end(HostId("e0"))
+        self.assertTrue(record.may_try_another and record.is_known_not_run)
+
     def test_an_endpoint_that_received_nothing_does_not_make_a_retry(self) -> None:
         self.assertFalse(_record(RouteKind.UNSAFE, [AttemptState.NOTHING_SENT]).is_retry())
         self.assertTrue(_record(RouteKind.UNSAFE, [AttemptState.NOT_RUN]).is_retry())
--- a/yewloom/tests/test_forwarding.py
+++ b/yewloom/tests/test_forwarding.py
@@ -471,15 +471,6 @@
 
         run(test)
 
-    def test_the_reserved_endpoint_of_an_ended_request_is_released_once(self) -> None:
-        fixture = ForwarderFixture()
-        endpoint = make_plain("p", "127.0.0.1:1")
-        fixture.selector.begin(endpoint.id)
-        ended = mock.Mock(reserved_endpoint=endpoint)
-        fixture.chooser.release_reserved(ended)
-        fixture.chooser.release_reserved(ended)
-        self.assertEqual((fixture.selector.running_here(), ended.reserved_endpoint), ({}, None))
-
     async def _expect_two_events(self, fixture: ForwarderFixture) -> None:
         response = await fixture.request("/s/1")
         self.assertEqual((response.body, response.is_complete), (event(1) + event(2), True))
--- a/yewloom/tests/test_forwarding_leaving.py
+++ b/yewloom/tests/test_forwarding_leaving.py
@@ -8,8 +8,8 @@
 import trio
 
 from yewloom.departures import MAX_DEPARTURES, Departures
-from yewloom.directory import Endpoint, EndpointDirectory
-from yewloom.forward_request import ForwardRequest
+from yewloom.directory import EndpointDirectory
+from yewloom.forward_request import Attempt, ForwardRequest
 from yewloom.ids import HostId
 from yewloom.tests.entry_support import make_plain
 from yewloom.tests.forwarding_support import (
@@ -111,11 +111,11 @@
             free_endpoint = fixture.directory.by_id[HostId("free")]
             fixture.directory.remove(HostId("free"))
 
-            def leave_after_choice(request: ForwardRequest) -> Endpoint | None:
-                endpoint = chosen(request)
+            def leave_after_choice(request: ForwardRequest) -> Attempt | None:
+                attempt = chosen(request)
                 fixture.departures.record(HostId("leaving"))
                 fixture.directory.put(free_endpoint)
-                return endpoint
+                return attempt
 
             with mock.patch.object(fixture.chooser, "take_next", leave_after_choice):
                 self.assertEqual((await fixture.request("/u/1")).status, 200)
--- a/yewloom/tests/test_forwarding_pauses.py
+++ b/yewloom/tests/test_forwarding_pauses.py
@@ -7,10 +7,9 @@
 import h11
 import trio
 
-from yewloom.directory import Endpoint
 from yewloom.endpoint_choice import MAX_WAIT_SHARE
 from yewloom.endpoint_pauses import MAX_SPREAD_S
-from yewloom.forward_request import ForwardRequest
+from yewloom.forward_request import Attempt, ForwardRequest
 from yewloom.ids import HostId
 from yewloom.routes import RouteKind
 from yewloom.tests.entry_support import make_route
@@ -93,11 +92,11 @@
             await fixture.add_plain("pausing", pausing)
             chosen = fixture.chooser.take_next
 
-            def pause_after_choice(request: ForwardRequest) -> Endpoint | None:
-                endpoint = chosen(request)
+            def pause_after_choice(request: ForwardRequest) -> Attempt | None:
+                attempt = chosen(request)
                 fixture.pauses.apply(HostId("pausing"), 3.0, trio.current_time())
                 fixture.directory.put(free_endpoint)
-                return endpoint
+                return attempt
 
             await fixture.add_plain("free", free)
             free_endpoint = fixture.directory.by_id[HostId("free")]
