Ask no endpoint beside a silent one that is likely to be silent itself

Cause: each silence was read as a failure of that endpoint alone, so each request was begun a second time, at endpoints that were silent too. When they woke up they met two requests for one.

Ruled out: the endpoints' own limits; without a silence none is turned away.

Change: an endpoint is asked only if it is not silent itself. Two or more silent endpoints of a data centre, if they are most of those with streams here, speak for the others there; the one at which the request runs speaks for none. An endpoint that wakes up is avoided for 0.15 s more only.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -349,6 +349,20 @@
         "        self.states[endpoint] = AttemptState.NOTHING_SENT\n",
         "test_concurrent_attempts",
     ),
+    Mutation(
+        "streams: an endpoint that is silent itself is not asked",
+        "endpoint_choice",
+        "find_silent(candidates, tried, self._stalls, now_s).union(tried)",
+        "set(tried)",
+        "test_concurrent_attempts",
+    ),
+    Mutation(
+        "streams: most silent endpoints of a data centre speak for the others",
+        "shared_silence",
+        "    return activities.keys() - active\n",
+        "    return silent\n",
+        "test_shared_silence",
+    ),
     Mutation(
         "forwarding: the endpoint of an attempt that has ended is released",
         "endpoint_choice",
--- a/yewloom/concurrent_attempts.py
+++ b/yewloom/concurrent_attempts.py
@@ -44,9 +44,9 @@
             return await _Attempts(self, request).run(attempt)
         return await self.run_one(request, attempt)
 
-    def take_beside(self, request: ForwardRequest) -> Attempt | None:
-        """Return an attempt to run beside the others, or None if there is none."""
-        return self._chooser.take_beside(request)
+    def take_beside(self, request: ForwardRequest, silent: Attempt) -> Attempt | None:
+        """Return an attempt to run beside a silent one, or None if there is none."""
+        return self._chooser.take_beside(request, silent)
 
     async def run_one(self, request: ForwardRequest, attempt: Attempt) -> bool:
         """Run one attempt; return whether its response is the one the caller gets."""
@@ -77,7 +77,7 @@
 
     async def _run_one(self, attempt: Attempt, nursery: trio.Nursery) -> None:
         def ask_another() -> HostId | None:
-            another = self._attempts.take_beside(self._request)
+            another = self._attempts.take_beside(self._request, attempt)
             if another is None:
                 return None
             nursery.start_soon(self._run_one, another, nursery)
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -16,6 +16,8 @@
 from yewloom.retry_window import RetryBudget
 from yewloom.route_durations import RouteDurations
 from yewloom.selection import Selector
+from yewloom.shared_silence import find_silent
+from yewloom.stalls import StallDetector
 
 MAX_WAIT_SHARE = 0.25
 """Longest wait for an endpoint that pauses, as a share of the request's time. A caller that is told
@@ -37,7 +39,9 @@
         stop: PlannedStop,
         quarantines: Quarantines,
         availability: EndpointAvailability,
+        stalls: StallDetector,
     ) -> None:
+        self._stalls = stalls
         self._availability = availability
         self._quarantines = quarantines
         self._selector = selector
@@ -58,17 +62,23 @@
         """
         return self._take(request, request.record.states)
 
-    def take_beside(self, request: ForwardRequest) -> Attempt | None:
-        """Return an attempt beside those that are running, whose endpoints are silent.
+    def take_beside(self, request: ForwardRequest, silent: Attempt) -> Attempt | None:
+        """Return an attempt beside one whose endpoint is silent.
 
-        Its endpoint is not avoided. Without such an endpoint, the request waits where it is: a run
-        that may go on is worth more than one elsewhere that may not begin.
+        Its endpoint is neither avoided nor likely to be silent. Without such an endpoint, the
+        request waits where it is: a run that may go on is worth more than one elsewhere that may
+        not begin. If it has waited for that reason, it waits once more when the first endpoint
+        wakes up, since its own is likely to follow.
         """
         if not self.may_send(request):
             return None
-        now_s = trio.current_time()
-        avoided = self._selector.avoided(request.requirements, request.configuration, now_s)
-        return self._take(request, avoided.union(request.record.states))
+        now_s, tried = trio.current_time(), request.record.states
+        candidates = self._selector.candidates(request.requirements, request.configuration, now_s)
+        excluded = find_silent(candidates, tried, self._stalls, now_s).union(tried)
+        excluded |= {each.id for each in candidates if self._selector.is_avoided(each, now_s)}
+        was_held_back = silent.is_held_back
+        silent.is_held_back = all(each.id in excluded for each in candidates)
+        return None if was_held_back else self._take(request, excluded)
 
     def _take(self, request: ForwardRequest, excluded: Container[HostId]) -> Attempt | None:
         """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
--- a/yewloom/endpoint_exchanges.py
+++ b/yewloom/endpoint_exchanges.py
@@ -43,8 +43,8 @@
 logger = structlog.get_logger(__name__)
 
 FULL_AVOIDANCE_S = 0.15
-"""Time for which an endpoint that reported itself full gets no new requests: it processes a few
-batches in this time."""
+"""Time for which an endpoint that reported itself full, or that has just woken up, gets no new
+requests: it processes a few batches in this time."""
 
 MISDIRECTED_STATUS = 421
 """Status by which an endpoint reports that a request was meant for another one."""
@@ -229,7 +229,7 @@
         self._stalls.on_event(attempt.endpoint.id, now_s, delay_s)
         if attempt.is_silent:
             attempt.is_silent = False
-            self._selector.stop_avoiding(attempt.endpoint.id)
+            self._selector.shorten_avoidance(attempt.endpoint.id, now_s + FULL_AVOIDANCE_S)
 
     def _record_progress(self, request: ForwardRequest, attempt: Attempt, now_s: float) -> None:
         """Record when the response begins; a while later its endpoint has not crashed on it."""
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -66,6 +66,7 @@
         components.planned_stop,
         quarantines,
         components.availability,
+        components.stalls,
     )
     return Forwarder(
         components.configuration_state,
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -111,7 +111,7 @@
                 continue
             if endpoint.id in slow:
                 penalty += SLOW_PENALTY
-            if self._is_avoided(endpoint, now_s):
+            if self.is_avoided(endpoint, now_s):
                 penalty += AVOIDED_PENALTY
             endpoints.append(endpoint)
             scores.append(penalty + self._load(endpoint, engine))
@@ -213,17 +213,23 @@
         """Send no new requests to an endpoint for some time, while there are others."""
         self._avoid_until_s[endpoint] = max(until_s, self._avoid_until_s.get(endpoint, 0.0))
 
-    def stop_avoiding(self, endpoint: HostId) -> None:
-        """Send an endpoint requests again: it has sent an event after it was silent."""
-        self._avoid_until_s.pop(endpoint, None)
+    def shorten_avoidance(self, endpoint: HostId, until_s: float) -> None:
+        """Avoid an endpoint no longer than until a given time."""
+        if endpoint in self._avoid_until_s:
+            self._avoid_until_s[endpoint] = min(until_s, self._avoid_until_s[endpoint])
 
-    def avoided(
+    def candidates(
         self, requirements: EndpointRequirements, configuration: Configuration, now_s: float
-    ) -> set[HostId]:
-        """Return the endpoints that a request should get only if there is no other one."""
+    ) -> list[Endpoint]:
+        """Return all endpoints that accept such requests, whether or not one could be sent now."""
         engine = _engine_of(requirements, configuration)
-        candidates = self._candidates(requirements, engine, now_s)
-        return {endpoint.id for endpoint, _ in candidates if self._is_avoided(endpoint, now_s)}
+        return [endpoint for endpoint, _ in self._candidates(requirements, engine, now_s)]
+
+    def is_avoided(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether an endpoint should get new requests only if there is no other one."""
+        if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
+            return True
+        return self._reachability.is_avoided(endpoint)
 
     def forget(self, endpoint: HostId) -> None:
         """Drop the state of an endpoint that is no longer listed."""
@@ -238,11 +244,6 @@
         """Return how many requests this host and its peers have running at each endpoint."""
         return Counter(self._running) + Counter(self._peers.loads())
 
-    def _is_avoided(self, endpoint: Endpoint, now_s: float) -> bool:
-        if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
-            return True
-        return self._reachability.is_avoided(endpoint)
-
     def _candidates(
         self, requirements: EndpointRequirements, engine: EngineProfile | None, now_s: float
     ) -> Iterator[tuple[Endpoint, float]]:
--- a/yewloom/stalls.py
+++ b/yewloom/stalls.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from yewloom.ids import HostId
 from yewloom.stall_timeouts import DEFAULT_STALL_TIMEOUT_S
@@ -37,11 +38,26 @@
 """Time for which an event of a group is reported to peers: the interval between messages to them.
 """
 
+SILENT_SHARE = 0.5
+"""Share of its stall timeout after which an endpoint without events counts as silent. Of endpoints
+that fall silent together, the others have not stalled yet when the first one has."""
+
 MAX_MESSAGE_DELAY_S = 0.1
 """Longest time until a peer's message is read if the event loop was not delayed: it covers network
 latency and other work on a slow host."""
 
 
+class Activity(Enum):
+    """What the streams of this host show of an endpoint.
+
+    ``UNKNOWN``: it has no stream there, or none that has waited long for its first event.
+    """
+
+    UNKNOWN = "unknown"
+    ACTIVE = "active"
+    SILENT = "silent"
+
+
 @dataclass
 class _StreamActivity:
     """Activity of a group's streams.
@@ -221,6 +237,16 @@
             timeout_s = min(timeout_s, PEER_REPORTED_TIMEOUT_S)
         return now_s - activity.last_read_s >= timeout_s
 
+    def activity_of(self, leader: HostId, now_s: float) -> Activity:
+        """Return what this host's streams show of an endpoint."""
+        activity = self._activity.get(leader)
+        if activity is None:
+            return Activity.UNKNOWN
+        timeout_s = self._stall_timeout_s(leader, activity, now_s)
+        if now_s - activity.last_read_s >= SILENT_SHARE * timeout_s:
+            return Activity.SILENT
+        return Activity.ACTIVE if activity.has_events else Activity.UNKNOWN
+
     def _stall_timeout_s(self, leader: HostId, activity: _StreamActivity, now_s: float) -> float:
         """Return the time without events after which a group counts as stalled."""
         return self._timeout_s(leader, now_s) if activity.has_events else FIRST_EVENT_TIMEOUT_S
--- a/yewloom/tests/test_concurrent_attempts.py
+++ b/yewloom/tests/test_concurrent_attempts.py
@@ -14,6 +14,7 @@
 from yewloom.tests.forwarding_support import (
     ForwarderFixture,
     ScriptedEndpoint,
+    SharedEndpoint,
     event,
     refuse_not_run,
     respond_with_error,
@@ -211,3 +212,27 @@
             self.assertEqual(third.requests, [])
 
         run(test)
+
+
+class TestSharedSilence(unittest.TestCase):
+    """While most endpoints are silent at once, none of them is asked to take over."""
+
+    def test_streams_of_endpoints_that_are_silent_together_stay_where_they_run(self) -> None:
+        """Guards against endpoints that meet two requests for one when they wake up."""
+
+        async def test(fixture: ForwarderFixture) -> None:
+            endpoints = [SharedEndpoint(falls_silent(SILENCE_S)) for _ in range(3)]
+            for number, endpoint in enumerate(endpoints):
+                await fixture.add_engine(f"e{number}", endpoint)
+            async with trio.open_nursery() as nursery:
+                for _ in range(9):
+                    nursery.start_soon(self._expect_whole, fixture)
+                    await trio.sleep(0.005)
+            self.assertEqual(sum(len(each.requests) for each in endpoints), 9)
+
+        run(test)
+
+    async def _expect_whole(self, fixture: ForwarderFixture) -> None:
+        response = await fixture.request("/s/1")
+        self.assertEqual(response.body, event(1) + event(2) + event(3))
+        self.assertTrue(response.is_complete)
--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -215,8 +215,8 @@
         self.followed.record_listing(5, 0.0)
         self.selector.avoid(HostId("a"), 100.0)
 
-    def _is_avoided(self) -> bool:
-        return self.selector._is_avoided(self.directory.by_id[HostId("a")], 1.0)
+    def is_avoided(self) -> bool:
+        return self.selector.is_avoided(self.directory.by_id[HostId("a")], 1.0)
 
     def _apply(self, started_unix_ms: int, source: str) -> None:
         """Apply an entry from a listing, a watch or a peer."""
@@ -239,7 +239,7 @@
                 with self.subTest(source=source, started_unix_ms=started_unix_ms):
                     self.setUp()
                     self._apply(started_unix_ms, source)
-                    self.assertFalse(self._is_avoided())
+                    self.assertFalse(self.is_avoided())
                     self.assertEqual(self.restarted, ["a"])
                     listed = self.directory.by_id[HostId("a")]
                     self.assertEqual(listed.started_unix_ms, started_unix_ms)
@@ -248,7 +248,7 @@
         for source in ("listing", "watch", "peer"):
             self.setUp()
             self._apply(7, source)
-            self.assertTrue(self._is_avoided())
+            self.assertTrue(self.is_avoided())
             self.assertEqual(self.restarted, [])
 
     def test_late_change_from_a_peer_about_the_earlier_process_is_ignored(self) -> None:
