Send a stream that has begun back to an endpoint that turned it away

What callers saw: a stream whose run broke off was cut off, with time left, because its second endpoint was full for a moment.

Cause: an endpoint that had turned a request away counted as used up for good. The same endpoint is no further one, so the route allows it.

Ruled out: the budget of retries, which had room.

Change: such a stream goes back after 0.15 s, then with pauses that double, four times at most, each a retry. A caller without a part of its answer is told at once, since it may ask another host.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -356,6 +356,27 @@
         "set(tried)",
         "test_concurrent_attempts",
     ),
+    Mutation(
+        "streams: a stream that has begun goes back to an endpoint that turned it away",
+        "endpoint_choice",
+        "if request.response_writer.is_started else set()",
+        "if False else set()",
+        "test_concurrent_attempts",
+    ),
+    Mutation(
+        "streams: a caller without a part of its answer is told at once",
+        "endpoint_choice",
+        "if request.response_writer.is_started else set()",
+        "if True else set()",
+        "test_concurrent_attempts",
+    ),
+    Mutation(
+        "streams: a stream goes back a bounded number of times",
+        "forward_request",
+        "now_s + pause_s if self.count <= MAX_RETURNS else math.inf",
+        "now_s + pause_s",
+        "test_concurrent_attempts",
+    ),
     Mutation(
         "streams: most silent endpoints of a data centre speak for the others",
         "shared_silence",
--- a/yewloom/attempts.py
+++ b/yewloom/attempts.py
@@ -83,6 +83,12 @@
             return False
         return self.is_known_not_run or self.route.may_retry
 
+    def turned_away(self) -> set[HostId]:
+        """Return the endpoints that did not run a request which may be sent to them again."""
+        if not self.route.may_retry:
+            return set()
+        return {host for host, state in self.states.items() if state is AttemptState.NOT_RUN}
+
     def unreachable_count(self) -> int:
         """Return the number of endpoints to which nothing could be sent."""
         return sum(state is AttemptState.NOTHING_SENT for state in self.states.values())
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -51,7 +51,8 @@
 
     def may_send(self, request: ForwardRequest) -> bool:
         """Return whether a request may be sent once more, to an endpoint or through a peer."""
-        if not request.record.may_try_another:
+        record = request.record
+        if not record.may_try_another and not self._may_return(request):
             return False
         return self.has_time_before_stop(request) and not self._was_quarantined(request)
 
@@ -60,7 +61,7 @@
 
         The attempt is counted, and from now on the request counts as running at its endpoint.
         """
-        return self._take(request, request.record.states)
+        return self._take(request, self._tried(request))
 
     def take_beside(self, request: ForwardRequest, silent: Attempt) -> Attempt | None:
         """Return an attempt beside one whose endpoint is silent.
@@ -72,7 +73,7 @@
         """
         if not self.may_send(request):
             return None
-        now_s, tried = trio.current_time(), request.record.states
+        now_s, tried = trio.current_time(), self._tried(request)
         candidates = self._selector.candidates(request.requirements, request.configuration, now_s)
         excluded = find_silent(candidates, tried, self._stalls, now_s).union(tried)
         excluded |= {each.id for each in candidates if self._selector.is_avoided(each, now_s)}
@@ -80,6 +81,33 @@
         silent.is_held_back = all(each.id in excluded for each in candidates)
         return None if was_held_back else self._take(request, excluded)
 
+    def return_wait_s(self, request: ForwardRequest) -> float | None:
+        """Return how long to wait before a request goes back to an endpoint that turned it away.
+
+        None if there is no such endpoint, if the request's time ends before, or if it is due now.
+        """
+        next_s, now_s = request.returns.next_s, trio.current_time()
+        if now_s >= next_s or next_s >= request.deadline_s or not _returnable(request):
+            return None
+        return next_s - now_s
+
+    def _may_return(self, request: ForwardRequest) -> bool:
+        """Return whether a request may be sent again now to an endpoint that turned it away."""
+        return bool(_returnable(request)) and trio.current_time() >= request.returns.next_s
+
+    def _tried(self, request: ForwardRequest) -> set[HostId]:
+        """Return the endpoints that a request may not be sent to next.
+
+        If its route allows no further ones, these are all but those that turned it away.
+        """
+        record = request.record
+        if record.may_try_another:
+            return set(record.states)
+        candidates = self._selector.candidates(
+            request.requirements, request.configuration, trio.current_time()
+        )
+        return {each.id for each in candidates} - _returnable(request)
+
     def _take(self, request: ForwardRequest, excluded: Container[HostId]) -> Attempt | None:
         """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
         now_s = trio.current_time()
@@ -102,6 +130,8 @@
         """Record that an attempt has ended; a retry counts only if something was sent."""
         self._selector.end(attempt.endpoint.id)
         request.record.end(attempt.endpoint.id)
+        if request.record.states[attempt.endpoint.id] is AttemptState.NOT_RUN:
+            request.returns.record_not_run(trio.current_time())
         if attempt.retry is None:
             return
         if request.record.states.get(attempt.endpoint.id) is AttemptState.NOTHING_SENT:
@@ -154,3 +184,12 @@
             return False
         count = self._quarantines.count_of(request.fingerprint, request.metadata.shared_parts)
         return count > request.quarantine_count
+
+
+def _returnable(request: ForwardRequest) -> set[HostId]:
+    """Return the endpoints to which a request may be sent again, as no further ones.
+
+    They turned it away. A caller that has a part of its answer would lose it; any other is better
+    told at once, so that it can ask another host.
+    """
+    return request.record.turned_away() if request.response_writer.is_started else set()
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -74,6 +74,32 @@
             self.retry.settle(now_s)
 
 
+MAX_RETURNS = 4
+"""Number of times that a stream is sent again to endpoints that turned it away. With the growing
+pauses, the last time is when a caller would give up a silent stream."""
+
+FIRST_RETURN_PAUSE_S = 0.15
+"""Pause before the first of these times, in which a full endpoint processes a few batches; each
+further one is twice as long."""
+
+
+@dataclass
+class Returns:
+    """When a request may be sent again to an endpoint that turned it away.
+
+    ``count`` is how often it was turned away; ``next_s`` is infinite after too many times.
+    """
+
+    count: int = 0
+    next_s: float = 0.0
+
+    def record_not_run(self, now_s: float) -> None:
+        """Record that an endpoint has turned the request away."""
+        self.count += 1
+        pause_s = FIRST_RETURN_PAUSE_S * 2 ** (self.count - 1)
+        self.next_s = now_s + pause_s if self.count <= MAX_RETURNS else math.inf
+
+
 @dataclass
 class ForwardRequest:
     """A request that is being forwarded; times are seconds of trio's clock.
@@ -84,7 +110,8 @@
     number of times that the request had been quarantined when it was admitted. ``is_relayed`` is
     whether a peer received it from the caller. ``is_counted`` is whether it was counted for a
     budget of retries. ``first_unreachable_s`` is when an endpoint was first found unreachable for
-    it. ``running`` are the attempts that run now, in the order in which they began.
+    it. ``returns`` says when it may be sent again to an endpoint that turned it away. ``running``
+    are the attempts that run now, in the order in which they began.
     """
 
     caller_request: CallerRequest
@@ -104,6 +131,7 @@
     is_relayed: bool = False
     is_counted: bool = False
     first_unreachable_s: float = math.inf
+    returns: Returns = field(default_factory=Returns)
     running: list[Attempt] = field(default_factory=list)
     _fingerprint: Fingerprint | None = None
 
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -158,7 +158,7 @@
     async def _try_next(self, request: ForwardRequest) -> bool:
         """Send a request to the next endpoint or peer; return whether nothing is left to do."""
         if not self._chooser.may_send(request):
-            return True
+            return not await self._wait_for_return(request)
         peer = self._relays.next_peer(request)
         if peer is None:
             if self._is_unreachable(request):
@@ -188,6 +188,17 @@
             arrived_s = request.caller_request.arrived_s
             self._retries.on_request(request.requirements.service, arrived_s)
 
+    async def _wait_for_return(self, request: ForwardRequest) -> bool:
+        """Wait until an endpoint that turned a request away may be asked again.
+
+        Return False at once if there is none, or if the request has a response to fall back on.
+        """
+        wait_s = self._chooser.return_wait_s(request)
+        if wait_s is None or request.failed_response is not None:
+            return False
+        await trio.sleep(wait_s)
+        return True
+
     async def _wait_for_pause(self, request: ForwardRequest) -> bool:
         """Wait for an endpoint that pauses; return False at once if the request can't wait."""
         wait_s = self._chooser.pause_wait_s(request)
