Go on after a relay that fails in the middle of a stream

What callers saw (by reading, and a test): a stream that had begun at an own endpoint was cut off when the endpoint of the peer to which it was relayed answered with a failure, though the route allowed a further endpoint.

Cause: Relays._buffer took any whole answer for the one that the caller gets, also where a stream had begun and it could not be sent.

Change: it is a failed relay there, as it is a failed attempt for an own endpoint, and the request goes on.

Test first: in test_relays the sound peer got no request, (1, 0) in place of (1, 1); 21 tests of test_relays pass.

--- a/yewloom/relays.py
+++ b/yewloom/relays.py
@@ -160,6 +160,8 @@
                 return self._process_own_response(request, peer, head)
             if request.route.is_stream and head.status == 200:
                 await self._forward_stream(request, peer, exchange, head)
+            elif request.response_writer.is_started:
+                return False, f"failed: {head.status} in the middle of a stream"
             else:
                 await self._buffer(request, peer, exchange, head)
             return True, "answered"
@@ -218,9 +220,8 @@
         while (chunk := await self._while_live(peer, exchange.read_chunk)) is not None:
             body += chunk
         request.record.relays[peer.host] = AttemptState.ANSWERED
-        if not request.response_writer.is_started:
-            headers = self._codec.build_response_headers(head)
-            request.response = BufferedResponse(head.status, headers, bytes(body))
+        headers = self._codec.build_response_headers(head)
+        request.response = BufferedResponse(head.status, headers, bytes(body))
 
     async def _while_live(self, peer: RelayPeer, step: Callable[[], Awaitable[T]]) -> T:
         """Run a step that may be cancelled and restarted; raise ExchangeError if the peer is lost.
--- a/yewloom/tests/test_relays.py
+++ b/yewloom/tests/test_relays.py
@@ -3,6 +3,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from unittest import mock
 
 import h11
 import trio
@@ -29,6 +30,7 @@
     event,
     refuse_not_run,
     respond_ok,
+    respond_with_error,
 )
 from yewloom.tests.free_ports import allocate_address
 
@@ -433,6 +435,36 @@
 
         run(test, peers=1)
 
+    def test_a_failure_at_the_peer_does_not_end_a_stream_that_has_begun(self) -> None:
+        """Guards against a stream that is cut off although a further endpoint is allowed."""
+
+        async def send_one_event(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.start(200, content_type="text/event-stream")
+            await endpoint.send(event(1))
+
+        async def send_the_second(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.start(200, content_type="text/event-stream")
+            await endpoint.send(event(2))
+            await endpoint.finish()
+
+        async def test(hosts: Hosts) -> None:
+            isolated = hosts.isolated
+            for host in (isolated, *hosts.peers):
+                route = replace(STREAM_ROUTE, max_endpoints=3)
+                newer = make_configuration(route, version=4)
+                host.configuration_state.apply(newer, trio.current_time())
+            await isolated.add_engine("e1", ScriptedEndpoint(send_one_event), True)
+            _add_unreachable_engines(isolated, "e2", "e3")
+            failing, sound = SharedEndpoint(respond_with_error), SharedEndpoint(send_the_second)
+            for peer, endpoint in zip(hosts.peers, (failing, sound), strict=True):
+                await peer.add_engine("e2", endpoint)
+            isolated.forwarder._relays._peers._rng = mock.Mock(sample=lambda peers, n: peers[:1])
+            response = await isolated.request("/s/1")
+            self.assertEqual((len(failing.requests), len(sound.requests)), (1, 1))
+            self.assertEqual((response.body, response.is_complete), (event(1) + event(2), True))
+
+        run(test)
+
 
 class TestRelayedAttempts(unittest.TestCase):
     """A peer learns which endpoints may have received the request."""
