Let the soak silence endpoints together, take all keys away and lose relays

Two mixes: "silence" lets most or all endpoints fall silent at once while the configuration changes, turns requests away as they wake up, and takes all keys away for 7 s; "lost_relays" cuts hosts from endpoints and loses the answers to the other hosts while the links come back. A new check finds streams that a host ends in undisturbed times with time left. It holds for all mixes; planned stops keep their own checks.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -38,7 +38,7 @@
         "test_isolated_host",
         "test_program_start",
     ),
-    ("test_crashing_part", "test_crowded_host", "test_soak_crashes"),
+    ("test_crashing_part", "test_crowded_host", "test_soak_crashes", "test_soak_shared_faults"),
 )
 """Test modules by lane; those of one lane run in sequence, which takes 2 to 4 minutes."""
 
--- a/yewloom/platform/standin_engine.py
+++ b/yewloom/platform/standin_engine.py
@@ -45,7 +45,8 @@
     member. With ``is_silent``, it sends no reports and does not update the store; with
     ``is_cut_off_from_store``, it sends reports but does not update the store. With ``is_loading``,
     it reports that it is loading weights, and rejects orders to load others. Unless ``pause_s`` is
-    0, it rejects requests and asks for a pause of that time. With ``is_leaving``, it says in each
+    0, it rejects requests and asks for a pause of that time; with ``turns_away``, it rejects them
+    and asks for none. With ``is_leaving``, it says in each
     response that it leaves.
 
     Records: ``groups_made_ready`` holds the groups in which it has been ready, with their members,
@@ -77,6 +78,7 @@
     is_loading: bool = False
     is_leaving: bool = False
     pause_s: float = 0.0
+    turns_away: bool = False
     started_unix_ms: int = FIRST_START_UNIX_MS
     groups_of_earlier_processes: set[tuple[str, int]] = field(default_factory=set)
     progress_enabled: trio.Event = field(default_factory=_new_set_event)
@@ -221,6 +223,8 @@
             return Response(status_code=421, headers=headers)
         if self.pause_s:
             return self._ask_for_pause(request, headers)
+        if self.turns_away:
+            return Response(status_code=503, headers=headers | {"yewloom-not-executed": "1"})
         if self.on_run is not None:
             self.on_run(self, request, await request.body())
         headers["yewloom-server-stamp"] = self.name
--- a/yewloom/tests/soak/fault_play.py
+++ b/yewloom/tests/soak/fault_play.py
@@ -46,6 +46,7 @@
 from yewloom.tests.soak.fragile import PARTS_HEADER
 from yewloom.tests.soak.ledger import GRACE_S, Disturbance, Isolation, Ledger, PartSending
 from yewloom.tests.soak.proxy import DatagramFault, LinkFault
+from yewloom.tests.soak.shared_faults import LoseAnswers, RevokeAllKeys, TurnAway
 
 FAULT_EFFECT_S = 4.0
 """Time after the end of a fault for which its effects may last."""
@@ -65,10 +66,23 @@
 RECORD_EXPIRY_S = 3.6
 """Time after which the records of ended endpoints expire: three missed heartbeats."""
 
-PLANNED_WORK = (StopEntry, StopStartingEntry, ReloadEntry, ChangeConfiguration)
+PLANNED_WORK = (
+    StopEntry,
+    StopStartingEntry,
+    ReloadEntry,
+    ChangeConfiguration,
+    RevokeAllKeys,
+)
 """Faults that are planned work, and so do not count as disturbances."""
 
-NO_DISTURBANCE = (*PLANNED_WORK, IsolateEntries, HoldEndpoints, CrowdEntry, SendCrashingPart)
+NO_DISTURBANCE = (
+    *PLANNED_WORK,
+    IsolateEntries,
+    HoldEndpoints,
+    TurnAway,
+    CrowdEntry,
+    SendCrashingPart,
+)
 """Faults that do not count as disturbances. Hosts without links to endpoints, hosts that find
 endpoints silent for a second, and those with most callers owe the same as others; so do all while
 requests crash endpoints."""
@@ -442,3 +456,32 @@
 @apply_fault.register
 async def _(fault: ChangeConfiguration, fleet: Fleet, ledger: Ledger) -> None:
     fleet.change_configuration()
+
+
+@apply_fault.register
+async def _(fault: RevokeAllKeys, fleet: Fleet, ledger: Ledger) -> None:
+    if fleet.is_keyless:
+        return
+    fleet.revoke_all_keys()
+    await trio.sleep(fault.for_s)
+    fleet.give_new_keys()
+
+
+@apply_fault.register
+async def _(fault: TurnAway, fleet: Fleet, ledger: Ledger) -> None:
+    for soak_engine in fleet.engines:
+        soak_engine.engine.turns_away = True
+    await trio.sleep(fault.for_s)
+    for soak_engine in fleet.engines:
+        soak_engine.engine.turns_away = False
+
+
+@apply_fault.register
+async def _(fault: LoseAnswers, fleet: Fleet, ledger: Ledger) -> None:
+    others = [number for number in range(len(fleet.entries)) if number not in fault.entries]
+    links = [link for number in others for link in fleet.links_of(number)]
+    for link in links:
+        link.fault = LinkFault.CUT_BACK
+    await trio.sleep(fault.for_s)
+    for link in links:
+        link.fault = LinkFault.NONE
--- a/yewloom/tests/soak/faults.py
+++ b/yewloom/tests/soak/faults.py
@@ -19,7 +19,9 @@
     on which plain endpoints crash, and lets most callers come to one host, among planned work,
     losses of hosts and returns of the store. ``REPEATS`` lets most plain endpoints reject requests
     while hosts are killed, most callers come to one host after the other, and endpoints leave among
-    many changes.
+    many changes. ``SILENCE`` lets most endpoints fall silent at once while the configuration
+    changes, and takes all API keys away. ``LOST_RELAYS`` cuts hosts from endpoints, and loses the
+    answers to the others when the links come back.
     """
 
     FAULTS = "faults"
@@ -31,6 +33,8 @@
     ISOLATION = "isolation"
     CRASHES = "crashes"
     REPEATS = "repeats"
+    SILENCE = "silence"
+    LOST_RELAYS = "lost_relays"
 
 
 class StoreFault(Enum):
--- a/yewloom/tests/soak/fleet.py
+++ b/yewloom/tests/soak/fleet.py
@@ -224,6 +224,8 @@
     """Whether each entry host reaches plain endpoints through its own links, too. Hosts of one data
     centre tell each other addresses, so each must be in its own."""
     retry_extra: int = 100
+    is_keyless: bool = False
+    """Whether the current version gives no customer a key."""
     fragile: list[FragileEndpoint] = field(default_factory=list)
     crash_times: EndpointTimes = field(default_factory=EndpointTimes)
     _known_engines: list[UserEngineStandIn] = field(default_factory=list)
@@ -326,7 +328,7 @@
 
     def write_again(self) -> None:
         """Write what the operator and the endpoints have written, if the store has lost it."""
-        self.store.put("config", "main", configuration(self.version))
+        self._write_configuration()
         for soak_engine in self.engines:
             soak_engine.engine.publish()
         for endpoint, address in self._plain:
@@ -384,8 +386,33 @@
     def change_configuration(self) -> None:
         """Write the next version, which revokes the key of the version before the current one."""
         self.version += 1
-        self.store.put("config", "main", configuration(self.version))
-        self.ledger.revoked_s[self.version - 2] = trio.current_time()
+        self._write_configuration()
+        now_s = trio.current_time()
+        self.ledger.revoked_s.setdefault(self.version - 2, now_s)
+        if self.is_keyless:
+            self.ledger.revoked_s.setdefault(self.version, now_s)
+
+    def revoke_all_keys(self) -> None:
+        """Write a version in which no customer has a key; its own key is never held."""
+        held = [self.version - 1, self.version]
+        self.version += 1
+        self.is_keyless = True
+        self._write_configuration()
+        now_s = trio.current_time()
+        for version in [*held, self.version]:
+            self.ledger.revoked_s.setdefault(version, now_s)
+
+    def give_new_keys(self) -> None:
+        """Write a version with two keys that none before it held."""
+        self.version += 2
+        self.is_keyless = False
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        fields = configuration(self.version)
+        if self.is_keyless:
+            fields["tenants"] = [{"name": "customer", "apiKeys": []}]
+        self.store.put("config", "main", fields)
 
     def pids(self) -> dict[str, int]:
         """Return the ids of the running entry host processes, by process name."""
--- a/yewloom/tests/soak/ledger.py
+++ b/yewloom/tests/soak/ledger.py
@@ -341,6 +341,8 @@
             found += self._check_request(sent)
             if self._is_unanswered(sent):
                 found.append(Violation("unanswered", sent.request_id, f"by {sent.process_name}"))
+            if self._is_cut_off(sent):
+                found.append(Violation("cut off", sent.request_id, f"by {sent.process_name}"))
         found += self._check_pauses()
         found += self._check_departures()
         found += check_isolations(self)
@@ -479,6 +481,22 @@
         is_close_race = sent.ended_s - sent.fully_sent_s <= CLOSE_RACE_S
         return not is_close_race and not self.runs.get(sent.request_id)
 
+    def _is_cut_off(self, sent: SentRequest) -> bool:
+        """Return whether a host ended a stream in undisturbed times, with time left.
+
+        Planned stops are checked apart. Links to endpoints that are cut may have reset its
+        connection, also while it went on through another host.
+        """
+        if sent.status != 200 or sent.is_complete or sent.ended_s is None or sent.has_given_up:
+            return False
+        if self._is_disturbed(sent.sent_s, sent.ended_s) or _has_reached_deadline(sent):
+            return False
+        if sent.process_name in self.planned_stops:
+            return False
+        return not any(
+            _overlaps(cut.interval, sent.sent_s, sent.ended_s) for cut in self.isolations
+        )
+
     def _is_lost(self, sent: SentRequest, stopped_s: float) -> bool:
         """Return whether a planned stop cut off a request that ran in undisturbed times.
 
--- a/yewloom/tests/soak/run.py
+++ b/yewloom/tests/soak/run.py
@@ -35,6 +35,7 @@
 from yewloom.tests.soak.process_waits import CpuSampler
 from yewloom.tests.soak.repeat_checks import check_repeats
 from yewloom.tests.soak.report import SoakTimes, describe
+from yewloom.tests.soak.shared_faults import draw_lost_relays, draw_silence
 
 START_TIMEOUT_S = 60.0
 """Time-out until all entry hosts serve; usually 1 s is enough, but a busy machine needs many times
@@ -95,6 +96,10 @@
             return draw_crashes(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.REPEATS:
             return draw_repeats(rng, self.duration_s, self.entries)
+        if self.mix is FaultMix.SILENCE:
+            return draw_silence(rng, self.duration_s, self.entries)
+        if self.mix is FaultMix.LOST_RELAYS:
+            return draw_lost_relays(rng, self.duration_s, self.entries)
         if self.mix is FaultMix.RETURNS:
             return draw_returns(rng, self.duration_s, self.entries)
         faults = draw_faults(rng, self.duration_s, self.entries)
@@ -148,7 +153,7 @@
         nursery.start_soon(lag.run)
         fleet = Fleet(folder, ledger, rng, nursery)
         fleet.retry_extra = plan.retry_extra
-        if plan.mix is FaultMix.ISOLATION:
+        if plan.mix in (FaultMix.ISOLATION, FaultMix.LOST_RELAYS):
             fleet.data_centres = tuple(f"hall-{letter}" for letter in ascii_lowercase)
             fleet.has_own_links = True
         if plan.mix is FaultMix.CRASHES:
