Split events in time that grows with their length, and let others run

Cause: the splitter searched and copied its whole buffer for each piece, up to 1 MB, and all pieces of a read were taken without another task running.

Ruled out: the endpoints of the other requests, and their routes; the host itself stood still.

Change: each byte is searched once, and once more with its whole event; an event ends at 64 KB as unreadable, and such a stream goes on elsewhere where its route allows it.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -391,6 +391,27 @@
         "",
         "test_concurrent_attempts",
     ),
+    Mutation(
+        "streams: what was searched for a blank line is not searched again",
+        "event_stream",
+        "        self._searched_bytes = max(0, len(self._partial) - _BLANK_LINE_BYTES + 1)\n",
+        "        self._searched_bytes = 0\n",
+        "test_event_stream",
+    ),
+    Mutation(
+        "streams: other tasks run while a response in many pieces is read",
+        "endpoint_calls",
+        "        if self._pieces >= PIECES_PER_TURN:\n",
+        "        if False:\n",
+        "test_long_messages",
+    ),
+    Mutation(
+        "callers: other tasks run while a request in many pieces is read",
+        "caller_connection",
+        "        if self._pieces >= PIECES_PER_TURN:\n",
+        "        if False:\n",
+        "test_long_messages",
+    ),
     Mutation(
         "unanswered calls: connections open during an unanswered call are not reused",
         "http_calls",
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -14,7 +14,7 @@
     SendTimer,
 )
 from yewloom.configuration import CallerLimits
-from yewloom.endpoint_calls import READ_BYTES
+from yewloom.endpoint_calls import PIECES_PER_TURN, READ_BYTES
 from yewloom.socket_ages import ReadAges
 from yewloom.socket_facts import peer_port_of, read_available
 
@@ -58,6 +58,7 @@
         )
         self._is_disconnected = False
         self._requests = 0
+        self._pieces = 0  # Pieces of requests that were taken since other tasks ran.
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -168,6 +169,10 @@
                 return None
 
     async def _next_event(self) -> object:
+        self._pieces += 1
+        if self._pieces >= PIECES_PER_TURN:
+            self._pieces = 0
+            await trio.lowlevel.checkpoint()
         while True:
             event = self._connection.next_event()
             if event is not h11.NEED_DATA:
@@ -177,6 +182,7 @@
                     data = await self._stream.receive_some(READ_BYTES)
                 except trio.BrokenResourceError as error:
                     raise CallerDisconnectedError from error
+                self._pieces = 0
                 self._receive(data)
             if timeout_scope.cancelled_caught:
                 raise h11.RemoteProtocolError(
--- a/yewloom/callers.py
+++ b/yewloom/callers.py
@@ -281,12 +281,12 @@
 
     async def _read_body(self, request: Request) -> bytes:
         limit = self._node.settings.requests.max_body_bytes
-        body = b""
+        body = bytearray()
         async for chunk in request.stream():
             body += chunk
             if len(body) > limit:
                 raise bad_request_problem(f"The body is larger than {limit} bytes.", 413)
-        return body
+        return bytes(body)
 
     def _check_model(self, completion: CompletionRequest) -> None:
         if not self._node.table.policies_for(completion.model):
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -25,6 +25,10 @@
 READ_BYTES = 65536
 """Maximum number of bytes to read from a connection at once."""
 
+PIECES_PER_TURN = 64
+"""Number of pieces of a message that are taken from what has been read before other tasks run: some
+milliseconds of work. One read may hold thousands."""
+
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Maximum total length of the status line and headers of an endpoint's response."""
 
@@ -98,6 +102,7 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
+        self._pieces = 0  # Taken since other tasks ran.
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -167,12 +172,17 @@
         scope.cancel()
 
     async def _next_event(self) -> object:
+        self._pieces += 1
+        if self._pieces >= PIECES_PER_TURN:
+            self._pieces = 0
+            await trio.lowlevel.checkpoint()  # Before an event is taken, which is not lost so.
         while True:
             try:
                 event = self._connection.next_event()
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self._stream.receive_some(READ_BYTES)
+                self._pieces = 0
                 if not data and self._connection.their_state is h11.SEND_RESPONSE:
                     raise ExchangeError(
                         ExchangeFailure.CONNECTION_LOST, True, "closed before its answer"
--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -14,6 +14,8 @@
 from result import Err, Ok, Result
 
 from yewloom.endpoint_announcements import NO_PAUSE, RequestedPause, decode_pause
+from yewloom.endpoint_calls import PIECES_PER_TURN
+from yewloom.event_stream import EventSplitter, EventStreamError, StreamEvent
 from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure, HttpResponse, HttpStream
 from yewloom.ids import RequestId
 from yewloom.retries import CallFailure
@@ -26,7 +28,6 @@
 """Statuses with which an endpoint reports that it did not run a call."""
 
 _READ_END_TIMEOUT_S = 0.1
-_EVENT_END = b"\n\n"
 _EVENT_DATA = b"data:"
 _OUTCOME_HEADER = "x-outcome"
 _NOT_RUN = "not_run"
@@ -191,12 +192,22 @@
 
 async def _parse_chunks(stream: HttpStream) -> AsyncIterator[StreamChunk]:
     """Split the body into events of one ``data`` line each, and decode them."""
-    partial_event = b""
+    splitter, pieces = EventSplitter(), 0
     async for data in stream.chunks:
-        *events, partial_event = (partial_event + data).split(_EVENT_END)
-        for event in events:
-            if event.startswith(_EVENT_DATA):
-                yield _parse_chunk(event.removeprefix(_EVENT_DATA))
+        for event in _split(splitter, data):
+            if event.data.startswith(_EVENT_DATA):
+                yield _parse_chunk(event.data.removeprefix(_EVENT_DATA))
+        pieces += 1
+        if pieces % PIECES_PER_TURN == 0:
+            await trio.lowlevel.checkpoint()
+
+
+def _split(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+    """Return the events that are complete now; raise EndpointError if one is unreadable."""
+    try:
+        return splitter.feed(data)
+    except EventStreamError as error:
+        raise EndpointError(CallFailure.CONNECTION_LOST, str(error)) from error
 
 
 def _parse_chunk(data: bytes) -> StreamChunk:
--- a/yewloom/event_stream.py
+++ b/yewloom/event_stream.py
@@ -11,8 +11,12 @@
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?:\n|$)")
 
-MAX_EVENT_BYTES = 1 << 20
-"""Maximum length of an event that is buffered. Endpoints' events have a few hundred bytes."""
+_BLANK_LINE_BYTES = 4
+"""Greatest length of a blank line with the line end before it."""
+
+MAX_EVENT_BYTES = 1 << 16
+"""Maximum length of an event that is buffered. Endpoints' events have a few hundred bytes, and a
+host may hold one for each of its streams."""
 
 
 class EventStreamError(Exception):
@@ -31,25 +35,54 @@
     """Splits the body of one endpoint's response into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._partial = bytearray()
+        self._searched_bytes = 0  # The first bytes of it that start no blank line.
 
     @property
     def has_partial_event(self) -> bool:
-        """Return whether the buffer holds the start of an incomplete event."""
-        return bool(self._buffer)
+        """Return whether the start of an incomplete event is buffered."""
+        return bool(self._partial)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes, and return the events that are complete now."""
-        self._buffer += data
-        events = []
-        while (end := _BLANK_LINE.search(self._buffer)) is not None:
-            event, self._buffer = self._buffer[: end.end()], self._buffer[end.end() :]
-            id_match = _ID_LINE.search(event)
-            events.append(StreamEvent(int(id_match.group(1)) if id_match else None, event))
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EventStreamError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        """Add received bytes, and return the events that are complete now.
+
+        Raises EventStreamError if an event is too long or has an invalid id.
+        """
+        if self._partial:
+            self._partial += data
+            if _BLANK_LINE.search(self._partial, self._searched_bytes) is None:
+                self._keep()
+                return []
+            data = bytes(self._partial)
+            self._partial.clear()
+        return self._split(data)
+
+    def _split(self, data: bytes) -> list[StreamEvent]:
+        """Return the complete events in a text, and keep the rest of it."""
+        events, start = [], 0
+        while (end := _BLANK_LINE.search(data, start)) is not None:
+            event, start = data[start : end.end()], end.end()
+            match = _ID_LINE.search(event)
+            events.append(StreamEvent(_event_id(match[1]) if match else None, event))
+            if start == len(data):
+                return events
+        self._partial += data[start:]
+        self._keep()
         return events
 
+    def _keep(self) -> None:
+        """Keep an incomplete event, whose end may be the beginning of a blank line."""
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventStreamError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        self._searched_bytes = max(0, len(self._partial) - _BLANK_LINE_BYTES + 1)
+
+
+def _event_id(digits: bytes) -> int:
+    try:
+        return int(digits)
+    except ValueError as error:  # Python converts a few thousand digits at most.
+        raise EventStreamError(f"an event's id has {len(digits)} digits") from error
+
 
 class StreamCursor:
     """Tracks the position in one stream that several endpoints deliver in turn.
--- a/yewloom/tests/test_event_stream.py
+++ b/yewloom/tests/test_event_stream.py
@@ -1,11 +1,20 @@
 """Tests of streams across several endpoints: complete, in order, each event once."""
 
+import re
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from yewloom.event_stream import EventSplitter, EventStreamError, StreamCursor, StreamEvent
+from yewloom import event_stream
+from yewloom.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventStreamError,
+    StreamCursor,
+    StreamEvent,
+)
 
 
 def _event(number: int) -> bytes:
@@ -40,6 +49,59 @@
         self.assertEqual(event.event_id, 3)
 
 
+class _CountedPattern:
+    """A compiled pattern that counts the bytes that it has looked at."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def search(self, data: bytes, start: int = 0) -> re.Match[bytes] | None:
+        match = self._pattern.search(data, start)
+        self.searched_bytes += (len(data) if match is None else match.end()) - start
+        return match
+
+
+class TestWork(unittest.TestCase):
+    """The work for an event grows with its length, however many pieces it arrives in."""
+
+    def _searched_bytes(self, length: int, piece: int) -> int:
+        """Return how many bytes are searched in an event that arrives in pieces."""
+        pattern = _CountedPattern(event_stream._BLANK_LINE)
+        event = b"data: %s\n\n" % (b"x" * length)
+        with mock.patch.object(event_stream, "_BLANK_LINE", pattern):
+            splitter, events = EventSplitter(), list[StreamEvent]()
+            for start in range(0, len(event), piece):
+                events += splitter.feed(event[start : start + piece])
+        self.assertEqual([each.data for each in events], [event])
+        return pattern.searched_bytes
+
+    def test_the_work_grows_no_faster_than_the_length(self) -> None:
+        """Guards against a host that stands still while one long event arrives in pieces."""
+        for length in (1_000, 10_000, 60_000):
+            self.assertLess(self._searched_bytes(length, 70), 3 * length)
+
+    def test_many_events_in_one_piece_are_searched_once(self) -> None:
+        pattern = _CountedPattern(event_stream._BLANK_LINE)
+        data = b"".join(_event(number) for number in range(1, 1001))
+        with mock.patch.object(event_stream, "_BLANK_LINE", pattern):
+            self.assertEqual(len(EventSplitter().feed(data)), 1000)
+        self.assertEqual(pattern.searched_bytes, len(data))
+
+    def test_an_event_that_is_too_long_is_an_error_at_once(self) -> None:
+        splitter, fed = EventSplitter(), 0
+        with self.assertRaises(EventStreamError):
+            while True:
+                splitter.feed(b"x" * 70)
+                fed += 70
+        self.assertLess(fed, MAX_EVENT_BYTES + 70)
+
+    def test_an_id_that_no_number_holds_is_an_error(self) -> None:
+        """Guards against an id that ends the process: Python refuses to convert it."""
+        with self.assertRaises(EventStreamError):
+            EventSplitter().feed(b"id: %s\n\n" % (b"9" * 5000))
+
+
 class TestStreamCursor(unittest.TestCase):
     """Streams of several endpoints are joined into one."""
 
