Bound the request bodies that an entry host holds at once

Cause: each body was bounded, but not their sum, and each was held twice, as it had arrived and joined with its head for the endpoint.

Test first: test_body_budget needs the bound.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -412,6 +412,20 @@
         "        if False:\n",
         "test_long_messages",
     ),
+    Mutation(
+        "callers: a body without room is refused",
+        "body_budget",
+        "        if self.held_bytes + more_bytes > max_bytes:\n",
+        "        if False:\n",
+        "test_body_budget",
+    ),
+    Mutation(
+        "callers: the room of a body is given back",
+        "body_budget",
+        "            self.held_bytes -= held.taken_bytes\n",
+        "            pass\n",
+        "test_body_budget",
+    ),
     Mutation(
         "unanswered calls: connections open during an unanswered call are not reused",
         "http_calls",
--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -1,9 +1,12 @@
 """One caller connection: reads requests within the configured limits and sends responses."""
 
+from collections.abc import Sequence
+
 import h11
 import structlog
 import trio
 
+from yewloom.body_budget import RETRY_AFTER_S, BodiesFullError, BodyBudget, HeldBody
 from yewloom.caller_activity import CallerActivity
 from yewloom.caller_messages import (
     CallerDisconnectedError,
@@ -14,7 +17,7 @@
     SendTimer,
 )
 from yewloom.configuration import CallerLimits
-from yewloom.endpoint_calls import PIECES_PER_TURN, READ_BYTES
+from yewloom.endpoint_calls import PIECES_PER_TURN, READ_BYTES, Header
 from yewloom.socket_ages import ReadAges
 from yewloom.socket_facts import peer_port_of, read_available
 
@@ -44,7 +47,9 @@
         handlers: Handlers,
         limits: CallerLimits,
         ages: ReadAges,
+        bodies: BodyBudget | None = None,
     ) -> None:
+        self._bodies = bodies or BodyBudget()
         self._activity = activity
         self._stream = stream
         self._handlers = handlers
@@ -69,9 +74,18 @@
 
     async def _serve_request(self) -> bool:
         """Read and serve one request; return whether the connection may carry another one."""
+        with self._bodies.holding() as held:
+            return await self._serve_held(held)
+
+    async def _serve_held(self, held: HeldBody) -> bool:
+        """Read and serve one request, whose body is held meanwhile."""
         try:
             with self._activity.reading_request() as scope:
-                request = await self._read_request()
+                request = await self._read_request(held)
+        except BodiesFullError as error:
+            retry_after = (b"retry-after", f"{RETRY_AFTER_S:g}".encode())
+            await self._reject(503, f"no room for the body: {error}", [retry_after])
+            return False
         except h11.RemoteProtocolError as error:
             await self._reject(
                 error.error_status_hint, "malformed request, or a size or time limit exceeded"
@@ -82,7 +96,7 @@
             return False
         return request is not None and await self._respond(request)
 
-    async def _read_request(self) -> CallerRequest | None:
+    async def _read_request(self, held: HeldBody) -> CallerRequest | None:
         with trio.move_on_after(self._limits.header_timeout_ms / 1000) as timeout_scope:
             head = await self._next_event()
         if timeout_scope.cancelled_caught:
@@ -92,10 +106,11 @@
         self._check_header_size(head)
         if not self._activity.accepts_requests:
             return self._request(head, b"")  # It will be rejected, so its body is not needed.
+        held.grow(min(_announced_bytes(head), self._limits.max_body_bytes))
         if self._connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(continue_response) or b"")
-        body = await self._read_body()
+        body = await self._read_body(held)
         return self._request(head, body) if body is not None else None
 
     def _request(self, head: h11.Request, body: bytes) -> CallerRequest:
@@ -153,12 +168,13 @@
             self._send_time_at_arrival_s = self._send_timer.total_s()
         self._connection.receive_data(bytes(data))
 
-    async def _read_body(self) -> bytes | None:
+    async def _read_body(self, held: HeldBody) -> bytes | None:
         body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 body += event.data
+                held.grow(len(body))
                 if len(body) > self._limits.max_body_bytes:
                     raise h11.RemoteProtocolError(
                         "body larger than the limit", error_status_hint=413
@@ -245,7 +261,7 @@
             "stopping_ms": self._activity.stopping_ms(),
         }
 
-    async def _reject(self, status: int, reason: str) -> None:
+    async def _reject(self, status: int, reason: str, headers: Sequence[Header] = ()) -> None:
         """Send an error response to a request that can't be read, and close the connection."""
         logger.info(
             "request rejected by the connection", status=status, reason=reason, **self._log_fields()
@@ -254,7 +270,7 @@
             response = ResponseWriter(
                 self._stream, self._connection, lambda: True, self._send_timer
             )
-            await response.send_complete(status, [], b"")
+            await response.send_complete(status, list(headers), b"")
         await self._linger_and_close()
 
     async def _linger_and_close(self) -> None:
@@ -265,3 +281,9 @@
                     pass
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
+
+
+def _announced_bytes(head: h11.Request) -> int:
+    """Return the length of the body that a request announces; 0 if it comes in chunks."""
+    values = (value for name, value in head.headers if name == b"content-length")
+    return int(next(values, b"0"))
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -12,6 +12,7 @@
 import structlog
 import trio
 
+from yewloom.body_budget import BodyBudget
 from yewloom.caller_activity import CallerActivity
 from yewloom.caller_connection import CallerConnection
 from yewloom.caller_messages import CallerDisconnectedError, Handlers
@@ -47,7 +48,10 @@
         handlers: Handlers,
         limits: Callable[[], CallerLimits],
         ages: ReadAges | None = None,
+        bodies: BodyBudget | None = None,
     ) -> None:
+        """Initialize; servers that share ``bodies`` hold no more than its bound together."""
+        self._bodies = bodies or BodyBudget()
         self._handlers = handlers
         self._limits = limits
         self._ages = ages or ReadAges()
@@ -136,7 +140,7 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
-            self.activity, stream, self._handlers, self._limits(), self._ages
+            self.activity, stream, self._handlers, self._limits(), self._ages, self._bodies
         )
         try:
             await connection.run()
--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -14,6 +14,7 @@
 import trio
 
 from yewloom.addresses import split_address
+from yewloom.nurseries import open_nursery
 from yewloom.values import value_class
 
 Header = tuple[bytes, bytes]
@@ -109,18 +110,20 @@
 
     async def send(self, request: OutgoingRequest) -> None:
         """Send a request, and stop early if its response starts before all of it is sent."""
-        data = self._connection.send(
+        head = self._connection.send(
             h11.Request(method=request.method, target=request.target, headers=list(request.headers))
         )
+        body = b""
         if request.body:
-            data += self._connection.send(h11.Data(data=request.body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
-        if len(data) <= READ_BYTES:
-            await self._write(data)
+            body = self._connection.send(h11.Data(data=request.body)) or b""
+        end = self._connection.send(h11.EndOfMessage()) or b""
+        if len(head) + len(body) <= READ_BYTES:
+            await self._write(head + body + end)
             return
-        async with trio.open_nursery() as nursery:
+        async with open_nursery() as nursery:
             nursery.start_soon(self._stop_on_early_response, nursery.cancel_scope)
-            await self._write(data)
+            for part in (head, body, end):  # Not joined, as that would copy a long body.
+                await self._write(part)
             nursery.cancel_scope.cancel()
 
     async def read_head(self) -> ResponseHead:
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -9,6 +9,7 @@
 import trio
 
 from yewloom.background import run_with_restarts
+from yewloom.body_budget import BodyBudget
 from yewloom.caller_messages import CallerRequest, Handlers, ResponseWriter
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits, ConfigurationState
@@ -96,10 +97,12 @@
             data_centre, self._peer_states, lambda peer: self._exchange.address_of(peer), rng
         )
         self._forwarder = self._build_forwarder()
+        self._bodies = BodyBudget(settings.host.max_buffered_mb << 20)
         self._caller_server = CallerServer(
             Handlers(self._handle, self._forwarder.reject),
             self._caller_limits,
             ReadAges(self._loop_delay.delay_s),
+            self._bodies,
         )
         self._coordinator = self._build_coordinator()
         self._endpoint_intake = self._build_endpoint_intake()
@@ -157,6 +160,7 @@
             self._metrics,
             HostReadiness(self._has_full_state, self._is_ready),
             self._endpoints.crash_detection.page,
+            self._bodies,
         )
 
     def _build_forwarder(self) -> Forwarder:
--- a/yewloom/entry_servers.py
+++ b/yewloom/entry_servers.py
@@ -8,6 +8,7 @@
 from prometheus_client import generate_latest
 
 from yewloom.addresses import split_address
+from yewloom.body_budget import BodyBudget
 from yewloom.caller_messages import CallerRequest, Handler, Handlers, ResponseWriter
 from yewloom.caller_server import CallerServer
 from yewloom.configuration import CallerLimits
@@ -47,6 +48,7 @@
         metrics: ForwardMetrics,
         host_readiness: HostReadiness,
         quarantine_page: QuarantinePage,
+        bodies: BodyBudget,
     ) -> None:
         self._quarantine_page = quarantine_page
         self._settings = settings
@@ -55,7 +57,7 @@
         self._host_readiness = host_readiness
         self._readiness_server = CallerServer(Handlers(self._respond_readiness), CallerLimits)
         self._metrics_server = CallerServer(Handlers(self._respond_to_operator), CallerLimits)
-        self._peer_server = CallerServer(Handlers(peer_handler), peer_limits)
+        self._peer_server = CallerServer(Handlers(peer_handler), peer_limits, bodies=bodies)
 
     async def start(self, nursery: trio.Nursery, early_listener: EarlyListener | None) -> None:
         """Start serving; ``early_listener`` holds the callers' socket if it is already open."""
