--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -91,50 +91,16 @@
             return None
         return next_s - now_s
 
-    def _may_return(self, request: ForwardRequest) -> bool:
-        """Return whether a request may be sent again now to an endpoint that turned it away."""
-        return bool(_returnable(request)) and trio.current_time() >= request.returns.next_s
-
-    def _tried(self, request: ForwardRequest) -> set[HostId]:
-        """Return the endpoints that a request may not be sent to next.
-
-        If its route allows no further ones, these are all but those that turned it away.
-        """
-        record = request.record
-        if record.may_try_another:
-            return set(record.states)
-        candidates = self._selector.candidates(
-            request.requirements, request.configuration, trio.current_time()
-        )
-        return {each.id for each in candidates} - _returnable(request)
-
-    def _take(self, request: ForwardRequest, excluded: Container[HostId]) -> Attempt | None:
-        """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
-        now_s = trio.current_time()
-        endpoint = self._selector.select(
-            request.requirements, request.configuration, excluded, now_s
-        )
-        if endpoint is None:
-            return None
-        retry = None
-        if request.record.is_retry():
-            retry = self._retries.try_acquire(request.requirements.service, now_s)
-            if retry is None:
-                return None
-        self._availability.limits.take_token(endpoint, now_s)
-        self._selector.begin(endpoint.id)
-        request.record.begin(endpoint.id)
-        return Attempt(endpoint, retry)
-
     def end_attempt(self, request: ForwardRequest, attempt: Attempt) -> None:
         """Record that an attempt has ended; a retry counts only if something was sent."""
         self._selector.end(attempt.endpoint.id)
         request.record.end(attempt.endpoint.id)
-        if request.record.states[attempt.endpoint.id] is AttemptState.NOT_RUN:
+        state = request.record.states[attempt.endpoint.id]
+        if state is AttemptState.NOT_RUN:
             request.returns.record_not_run(trio.current_time())
         if attempt.retry is None:
             return
-        if request.record.states.get(attempt.endpoint.id) is AttemptState.NOTHING_SENT:
+        if state is AttemptState.NOTHING_SENT:
             self._retries.cancel(request.requirements.service, attempt.retry)
         else:
             attempt.settle_retry(trio.current_time())
@@ -178,6 +144,41 @@
         duration_s = self.durations.median_s(request.route.name)
         return self._stop.has_time_for(duration_s, trio.current_time())
 
+    def _may_return(self, request: ForwardRequest) -> bool:
+        """Return whether a request may be sent again now to an endpoint that turned it away."""
+        return bool(_returnable(request)) and trio.current_time() >= request.returns.next_s
+
+    def _tried(self, request: ForwardRequest) -> set[HostId]:
+        """Return the endpoints that a request may not be sent to next.
+
+        If its route allows no further ones, these are all but those that turned it away.
+        """
+        record = request.record
+        if record.may_try_another:
+            return set(record.states)
+        candidates = self._selector.candidates(
+            request.requirements, request.configuration, trio.current_time()
+        )
+        return {each.id for each in candidates} - _returnable(request)
+
+    def _take(self, request: ForwardRequest, excluded: Container[HostId]) -> Attempt | None:
+        """Choose an endpoint and count the attempt, without yielding to other tasks in between."""
+        now_s = trio.current_time()
+        endpoint = self._selector.select(
+            request.requirements, request.configuration, excluded, now_s
+        )
+        if endpoint is None:
+            return None
+        retry = None
+        if request.record.is_retry():
+            retry = self._retries.try_acquire(request.requirements.service, now_s)
+            if retry is None:
+                return None
+        self._availability.limits.take_token(endpoint, now_s)
+        self._selector.begin(endpoint.id)
+        request.record.begin(endpoint.id)
+        return Attempt(endpoint, retry)
+
     def _was_quarantined(self, request: ForwardRequest) -> bool:
         """Return whether a request or a part of it was quarantined since its admission."""
         if not self._quarantines.has_any:
--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -30,9 +30,8 @@
 
     Events that the caller already has are left out. Raises ExchangeError if the stream ends inside
     an event or without any; ``on_chunk`` is called after each chunk that was read, and ``claim``
-    before the caller's position in the stream changes. A response that
-    is not framed ends with its connection, so one without any event has ended too early even if it
-    continues a stream.
+    before events are forwarded. A response that is not framed ends with its connection, so one
+    without any event has ended too early even if it continues a stream.
     """
     splitter, has_events = EventSplitter(), False
     while (chunk := await read_chunk()) is not None:
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -48,10 +48,10 @@
     ``retry`` is what it takes from the budget of retries, if it is not the first. ``ask_another``
     starts an attempt at another endpoint beside this one, and returns that endpoint, if any;
     ``is_silent`` is whether it was called since the endpoint's last event, and ``is_held_back``
-    whether no endpoint could be asked when this was last tried. ``responding_since_s``
-    is when the response began, if it has, and ``has_begun_well`` whether it went on long enough to
-    show that the request crashes no endpoint. ``exchange_scope`` is cancelled when another attempt
-    answers the request.
+    whether no endpoint could be asked when this was last tried. ``responding_since_s`` is when the
+    response began, if it has, and ``has_begun_well`` whether it went on long enough to show that
+    the request crashes no endpoint. ``exchange_scope`` is cancelled when another attempt answers
+    the request.
     """
 
     endpoint: Endpoint
