--- a/yewloom/tests/test_intake.py
+++ b/yewloom/tests/test_intake.py
@@ -32,7 +32,8 @@
 
 def _configuration(revision: int, version: int | None = None) -> StoredObject:
     """Return a stored configuration; one without a version is invalid."""
-    return StoredObject("config/main", revision, json.dumps({"version": version}))
+    fields = {"version": version, "routes": [], "services": []}
+    return StoredObject("config/main", revision, json.dumps(fields))
 
 
 class TestEndpointIntake(unittest.TestCase):
