Give the pausing endpoint of a test a pause that outlasts it

The known failure of test_a_pausing_endpoint_gets_no_request_while_another_ serves is traced: the endpoint asked for 1.2 s, and 20 requests that take longer than the 0.7 s left of it meet an endpoint that may be asked again. The check, exactly one request among 20 more, is as strict as before, and holds at any speed.

--- a/yewloom/tests/test_forwarding_pauses.py
+++ b/yewloom/tests/test_forwarding_pauses.py
@@ -26,6 +26,9 @@
 
 PAUSE_S = float(PAUSE)
 
+LONG_PAUSE = "60"
+"""A pause that outlasts a test, also on a busy machine."""
+
 IN_TRANSIT_S = 0.5
 """Time after the rejection in which requests may still arrive that were sent before it."""
 
@@ -35,6 +38,11 @@
     await endpoint.answer(503, b"", yewloom_not_executed="1", retry_after=PAUSE)
 
 
+async def _ask_for_long_pause(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+    """Reject a request as not run, and ask for a pause that outlasts the test."""
+    await endpoint.answer(503, b"", yewloom_not_executed="1", retry_after=LONG_PAUSE)
+
+
 async def _ask_once(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
     """Ask for a pause with the first response, then answer."""
     await (_ask_for_pause if len(endpoint.requests) == 1 else respond_ok)(endpoint, request)
@@ -46,7 +54,7 @@
     # Guards against requests to an endpoint that has asked for a pause.
     def test_a_pausing_endpoint_gets_no_request_while_another_serves(self) -> None:
         async def test(fixture: ForwarderFixture) -> None:
-            pausing, free = ScriptedEndpoint(_ask_for_pause), ScriptedEndpoint(respond_ok)
+            pausing, free = ScriptedEndpoint(_ask_for_long_pause), ScriptedEndpoint(respond_ok)
             await fixture.add_plain("pausing", pausing)
             self.assertEqual((await fixture.request("/u/1")).status, 503)
             await fixture.add_plain("free", free)
