Log when a stopping host stops accepting requests

The hypotheses on requests taken long after SIGTERM differ in whether the host closed at all, and when; no log line told it. 'stopped accepting' has the requests that are open, and how late the close ran. The test failed before (no such line).

--- a/yewloom/shutdown.py
+++ b/yewloom/shutdown.py
@@ -79,11 +79,21 @@
         self._alarm.start(lambda: self._plan.exit_s - trio.current_time(), self._plan.add_delay)
         self._activity.begin_stop()
         await trio.sleep_until(self._plan.stops_accepting_s)
-        self._server.stop_accepting()
+        self._stop_accepting()
         await self._wait_for_open_requests()
         with trio.move_on_at(self._plan.exit_s):
             await self._cut_off_open_requests()
 
+    def _stop_accepting(self) -> None:
+        """Accept no more connections or requests."""
+        late_s = trio.current_time() - self._plan.stops_accepting_s
+        self._server.stop_accepting()
+        logger.info(
+            "stopped accepting",
+            open_requests=self._activity.open_requests,
+            late_ms=round(late_s * 1000),
+        )
+
     async def _wait_for_open_requests(self) -> None:
         """Wait until no request is open, or until the remaining ones must be cut off."""
         plan, activity = self._plan, self._activity
--- a/yewloom/tests/test_shutdown.py
+++ b/yewloom/tests/test_shutdown.py
@@ -3,6 +3,7 @@
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from unittest import mock
 
 import trio
 import trio.testing
@@ -107,6 +108,12 @@
         trio.run(stop, clock=clock)
         self.assertEqual(requests.ended, [])
 
+    def test_the_log_says_when_a_host_stopped_accepting_requests(self) -> None:
+        """Guards against logs that can't tell a host that never closed from one that did."""
+        with mock.patch("yewloom.shutdown.logger") as logger:
+            self._stop(1, 0.001)
+        logger.info.assert_called_with("stopped accepting", open_requests=1, late_ms=0)
+
     def test_the_alarm_is_set_for_the_exit_time(self) -> None:
         self._stop(0, 0.0)
         self.assertAlmostEqual(self.alarm.left_s, GRACE_S - EXIT_MARGIN_S)
