Log which code a process runs, and report it as a metric

A record of requests that were lost could not be told from one of older code, except by comparing its text with that of an earlier incident.

--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -60,10 +60,20 @@
             "Age of what this host knows of the endpoints; 1e9 if it lacks a change.",
             registry=self.registry,
         )
+        self._build_info = Gauge(
+            "yewloom_build_info",
+            "Always 1; the label is the revision of the code that runs.",
+            ["revision"],
+            registry=self.registry,
+        )
         self._log_lines_lost = self._counter(
             "yewloom_log_lines_lost", "Log lines left out because nobody read the log."
         )
 
+    def set_revision(self, revision: str) -> None:
+        """Set the revision of the code that runs."""
+        self._build_info.labels(revision).set(1)
+
     def on_request(self, kind: str, status: int, outcome: str, duration_s: float) -> None:
         """Count a request that has ended."""
         # Such an outcome contains an age, and each age would create a new time series.
--- a/yewloom/platform/program.py
+++ b/yewloom/platform/program.py
@@ -27,6 +27,7 @@
 from yewloom.platform.store import StoreClient
 from yewloom.platform_parts import PlatformParts
 from yewloom.process_signals import ProcessSignals
+from yewloom.revision import read_revision
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.settings import read_entry_settings
 from yewloom.store_revisions import StoreEra
@@ -100,6 +101,7 @@
         case Ok(settings):
             pass
     configure_logs(settings.host.log_level, sink, settings.host.id)
+    _report_revision(metrics)
     rng = random.Random()
     loop_delay = LoopDelayMonitor()
     parts = build_parts(settings, rng, metrics, loop_delay)
@@ -116,6 +118,13 @@
     return 0
 
 
+def _report_revision(metrics: ForwardMetrics) -> None:
+    """Log the revision of the code that runs, and record it as a metric."""
+    revision = read_revision()
+    metrics.set_revision(revision)
+    logger.info("starting", revision=revision)
+
+
 def _enable_garbage_collection() -> None:
     """Enable garbage collection, and exclude the objects created by the imports from it.
 
