Let a kept connection obey the limits in force, not those of when it was accepted

What callers saw, beside a change of the configuration: a connection that the new configuration lets rest for longer was closed at the end of the old time, across a request that was on its way; a body or headers that the new limits allow got 413 or 431.

Cause: CallerConnection was given the limits once, when its connection was accepted. New connections had the new ones. The limits are read now where they are used; a wait that times out goes on if its limit was raised meanwhile; a changed limit of headers takes a new parser before the next request, since h11 can't change it.

Ruled out: that a lowered limit loses a request: callers rest for less than it, and the older, longer wait only keeps a socket open.

--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -1,6 +1,6 @@
 """One caller connection: reads requests within the configured limits and sends responses."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import h11
 import structlog
@@ -38,14 +38,17 @@
 
 
 class CallerConnection:
-    """One connection, which serves its requests in sequence."""
+    """One connection, which serves its requests in sequence.
+
+    ``limits`` returns the limits in force, which may change while the connection is kept.
+    """
 
     def __init__(
         self,
         activity: CallerActivity,
         stream: trio.abc.HalfCloseableStream,
         handlers: Handlers,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         ages: ReadAges,
         bodies: BodyBudget | None = None,
     ) -> None:
@@ -58,9 +61,8 @@
         self._arrived_s: float | None = None  # When the next request's first bytes arrived.
         self._send_timer = SendTimer()
         self._send_time_at_arrival_s = 0.0  # Total send time at that arrival.
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._max_header_bytes = limits().max_header_bytes
+        self._connection = self._new_connection()
         self._is_disconnected = False
         self._requests = 0
         self._pieces = 0  # Pieces of requests that were taken since other tasks ran.
@@ -72,8 +74,27 @@
                 return
             self._connection.start_next_cycle()
 
+    def _new_connection(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_header_bytes)
+
+    def _apply_header_limit(self) -> None:
+        """Give the next request, of which bytes may have arrived, a parser with the limit in force.
+
+        h11 can't change the limit of a connection.
+        """
+        max_header_bytes = self._limits().max_header_bytes
+        if max_header_bytes == self._max_header_bytes:
+            return
+        self._max_header_bytes = max_header_bytes
+        data, is_closed = self._connection.trailing_data
+        self._connection = self._new_connection()
+        self._connection.receive_data(data)
+        if is_closed:
+            self._connection.receive_data(b"")
+
     async def _serve_request(self) -> bool:
         """Read and serve one request; return whether the connection may carry another one."""
+        self._apply_header_limit()
         with self._bodies.holding() as held:
             return await self._serve_held(held)
 
@@ -97,7 +118,7 @@
         return request is not None and await self._respond(request)
 
     async def _read_request(self, held: HeldBody) -> CallerRequest | None:
-        with trio.move_on_after(self._limits.header_timeout_ms / 1000) as timeout_scope:
+        with trio.move_on_after(self._limits().header_timeout_ms / 1000) as timeout_scope:
             head = await self._next_event()
         if timeout_scope.cancelled_caught:
             raise h11.RemoteProtocolError("headers not received in time", error_status_hint=408)
@@ -106,7 +127,7 @@
         self._check_header_size(head)
         if not self._activity.accepts_requests:
             return self._request(head, b"")  # It will be rejected, so its body is not needed.
-        held.grow(min(_announced_bytes(head), self._limits.max_body_bytes))
+        held.grow(min(_announced_bytes(head), self._limits().max_body_bytes))
         if self._connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(continue_response) or b"")
@@ -133,23 +154,38 @@
         """Reject headers over the limit; h11 itself only checks headers that arrive in parts."""
         size = len(head.method) + len(head.target) + REQUEST_LINE_OVERHEAD_BYTES
         size += sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in head.headers)
-        if size > self._limits.max_header_bytes:
+        if size > self._max_header_bytes:
             raise h11.RemoteProtocolError("headers larger than the limit", error_status_hint=431)
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return whether any arrived."""
-        data: bytes | bytearray = b""
-        with self._activity.reading_request(self._limits.idle_timeout_ms / 1000) as scope:
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except trio.BrokenResourceError:
-                return False
-        if scope.cancelled_caught:
+        idle_since_s = trio.current_time()
+        data = await self._read_while_idle(idle_since_s)
+        while data is None and self._may_stay_idle(idle_since_s):
+            data = await self._read_while_idle(idle_since_s)
+        if data is None:
             data = self._read_pending()
         if data:
             self._receive(data)
         return bool(data)
 
+    async def _read_while_idle(self, idle_since_s: float) -> bytes | bytearray | None:
+        """Return received bytes, none if the caller has closed, or None when the time is over."""
+        with self._activity.reading_request(self._idle_left_s(idle_since_s)):
+            try:
+                return await self._stream.receive_some(READ_BYTES)
+            except trio.BrokenResourceError:
+                return b""
+        return None
+
+    def _may_stay_idle(self, idle_since_s: float) -> bool:
+        """Return whether a wait that has timed out goes on, as its limit was raised meanwhile."""
+        return self._activity.accepts_requests and self._idle_left_s(idle_since_s) > 0
+
+    def _idle_left_s(self, idle_since_s: float) -> float:
+        """Return how much longer a connection that is idle since then may stay open."""
+        return idle_since_s + self._limits().idle_timeout_ms / 1000 - trio.current_time()
+
     def _read_pending(self) -> bytes:
         """Read data that arrived after the wait timed out, while other connections were handled.
 
@@ -175,7 +211,7 @@
             if isinstance(event, h11.Data):
                 body += event.data
                 held.grow(len(body))
-                if len(body) > self._limits.max_body_bytes:
+                if len(body) > self._limits().max_body_bytes:
                     raise h11.RemoteProtocolError(
                         "body larger than the limit", error_status_hint=413
                     )
@@ -193,7 +229,7 @@
             event = self._connection.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            with trio.move_on_after(self._limits.idle_timeout_ms / 1000) as timeout_scope:
+            with trio.move_on_after(self._limits().idle_timeout_ms / 1000) as timeout_scope:
                 try:
                     data = await self._stream.receive_some(READ_BYTES)
                 except trio.BrokenResourceError as error:
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -140,7 +140,7 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
-            self.activity, stream, self._handlers, self._limits(), self._ages, self._bodies
+            self.activity, stream, self._handlers, self._limits, self._ages, self._bodies
         )
         try:
             await connection.run()
--- a/yewloom/tests/caller_support.py
+++ b/yewloom/tests/caller_support.py
@@ -87,7 +87,7 @@
 
     async def _serve(self, stream: MemoryStream) -> None:
         connection = CallerConnection(
-            self.activity, stream, Handlers(self._handle), CallerLimits(), ReadAges()
+            self.activity, stream, Handlers(self._handle), CallerLimits, ReadAges()
         )
         with trio.CancelScope() as scope:
             self._running.add(scope)
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -82,7 +82,7 @@
             ours, theirs = trio.testing.memory_stream_pair()
             handlers = Handlers(handle)
             connection = CallerConnection(
-                CallerActivity(), theirs, handlers, CallerLimits(), ReadAges()
+                CallerActivity(), theirs, handlers, CallerLimits, ReadAges()
             )
             await ours.send_all(b"GET /1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
             async with trio.open_nursery() as nursery:
@@ -105,7 +105,7 @@
             ours, theirs = trio.testing.lockstep_stream_pair()
             handlers, began_s = Handlers(handle), trio.current_time()
             connection = CallerConnection(
-                CallerActivity(), theirs, handlers, CallerLimits(), ReadAges()
+                CallerActivity(), theirs, handlers, CallerLimits, ReadAges()
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ours.send_all, request_bytes("/1"))
@@ -127,7 +127,7 @@
             began_s = trio.current_time()
             ours, theirs = trio.testing.memory_stream_pair()
             connection = CallerConnection(
-                CallerActivity(), theirs, Handlers(handle), CallerLimits(), _OldBytes()
+                CallerActivity(), theirs, Handlers(handle), CallerLimits, _OldBytes()
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.run)
@@ -160,7 +160,7 @@
 
         ours, theirs = trio.testing.lockstep_stream_pair()
         connection = CallerConnection(
-            CallerActivity(), theirs, Handlers(handle), CallerLimits(), ReadAges()
+            CallerActivity(), theirs, Handlers(handle), CallerLimits, ReadAges()
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ours.send_all, request_bytes("/1") + request_bytes("/2"))
