Answer a request truthfully when this host's own code fails on it

What callers would see: their connection closed, with neither an answer nor a refusal, after a whole request was read. Cause: an error that no layer foresaw left the forwarder, and the server closed the connection; no 'request' line was logged either. Now the forwarder logs the error, answers by the record of attempts (503 while nothing was sent, 502 once an endpoint may have run it, a stream that has begun stays unfinished), and logs the outcome.

Ruled out by reading: yewloomd, whose ASGI server answers 500.

--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -57,6 +57,10 @@
 """Reason for refusing a request because this host is stopping."""
 
 
+UNEXPECTED_ERROR = "unexpected error"
+"""Beginning of the outcome of a request during which this host's own code failed."""
+
+
 class Forwarder:
     """Answers callers' requests by forwarding them to endpoints."""
 
@@ -112,6 +116,9 @@
             outcome = ANSWERED if is_served else "caller gone"
             self._record_outcome(caller_request, metadata, request, response_writer, outcome, relay)
             raise
+        except Exception:
+            logger.exception("request failed", reason=UNEXPECTED_ERROR)
+            outcome = await self._respond_after_error(request, response_writer)
         self._record_outcome(caller_request, metadata, request, response_writer, outcome, relay)
 
     async def reject(self, caller_request: CallerRequest, response_writer: ResponseWriter) -> None:
@@ -217,6 +224,16 @@
             finally:
                 del self._timers[timer]
 
+    async def _respond_after_error(
+        self, request: ForwardRequest | None, response_writer: ResponseWriter
+    ) -> str:
+        """Send the final response after an unexpected error; return the outcome."""
+        if request is None:
+            refusal = Refusal(503, UNEXPECTED_ERROR, RETRY_AFTER_S)
+            await self._send_refusal(response_writer, refusal)
+            return UNEXPECTED_ERROR
+        return f"{UNEXPECTED_ERROR}; {await self._send_failure(request)}"
+
     async def _send_failure(self, request: ForwardRequest) -> str:
         """Send the final response to a request that no endpoint answered; return the outcome."""
         if request.response_writer.is_started:
