Bound the interim responses of an endpoint by count and bytes

Ruled out: a limit of h11, which bounds one unfinished message; the stall detector, which ends no attempt at a plain service.

After 16 interim responses, or 64 KiB of their headers together, the attempt ends as unreadable, and another endpoint is asked where the route allows it.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -33,6 +33,10 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Maximum total length of the status line and headers of an endpoint's response."""
 
+MAX_INTERIM_RESPONSES = 16
+"""Maximum number of interim responses (status 1xx) before a response. Endpoints send one or two;
+their headers together may be as long as those of one response."""
+
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
 """Maximum length of a response body that is buffered. Responses of plain services have a few
 kilobytes."""
@@ -104,6 +108,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._pieces = 0  # Taken since other tasks ran.
+        self._interim_count, self._interim_bytes = 0, 0
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -134,6 +139,7 @@
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError(ExchangeFailure.CONNECTION_LOST, True, "no answer")
+            self._count_interim(event)
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or None if the response is complete.
@@ -158,6 +164,16 @@
                 )
         return bytes(body)
 
+    def _count_interim(self, interim: h11.InformationalResponse) -> None:
+        """Count an interim response; raise ExchangeError if there are too many."""
+        self._interim_count += 1
+        self._interim_bytes += sum(len(name) + len(value) for name, value in interim.headers)
+        if (
+            self._interim_count > MAX_INTERIM_RESPONSES
+            or self._interim_bytes > MAX_RESPONSE_HEAD_BYTES
+        ):
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too many interim answers")
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
