Send the rest of a long request after an interim response

An endpoint that sent an interim response (1xx) before it had read a request of more than 64 KiB got only what was in the socket buffers by then, and waited for the rest until the request's time was over. It would be unreadable or late, while the request may be half executed.

Exchange.send stops early when anything arrives, since a response may be final before the body is read. An interim response is not: the endpoint still wants the body. Ruled out: the endpoint's side (it reads on), flow control.

Sending now stops only when the head of the response itself is there, or the response has failed, which read_head then tells. An endpoint that closes without an answer while it is sent a long request now counts as a lost connection, as it does with a short one, not as a cut answer.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -109,6 +109,7 @@
         self._stream = stream
         self._pieces = 0  # Taken since other tasks ran.
         self._interim_count, self._interim_bytes = 0, 0
+        self._early: ResponseHead | ExchangeError | None = None
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -133,6 +134,12 @@
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the response."""
+        early, self._early = self._early, None
+        if isinstance(early, ExchangeError):
+            raise early
+        return early or await self._read_head()
+
+    async def _read_head(self) -> ResponseHead:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -183,11 +190,11 @@
             return
 
     async def _stop_on_early_response(self, scope: trio.CancelScope) -> None:
+        """Stop sending when the response starts; interim ones say nothing about the request."""
         try:
-            data = await self._stream.receive_some(READ_BYTES)
-        except trio.BrokenResourceError:
-            data = b""
-        self._connection.receive_data(data)
+            self._early = await self._read_head()
+        except ExchangeError as error:
+            self._early = error
         scope.cancel()
 
     async def _next_event(self) -> object:
--- a/yewloom/tests/test_interim_responses.py
+++ b/yewloom/tests/test_interim_responses.py
@@ -2,12 +2,21 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import h11
 import trio
 
-from yewloom.endpoint_calls import MAX_RESPONSE_HEAD_BYTES
+from yewloom.endpoint_calls import (
+    CONNECT_TIMEOUT_S,
+    MAX_RESPONSE_HEAD_BYTES,
+    ExchangeError,
+    ExchangeFailure,
+    OutgoingRequest,
+    open_exchange,
+)
 from yewloom.tests.forwarding_support import (
+    LONG_BODY,
     ForwarderFixture,
     ScriptedEndpoint,
     respond_ok,
@@ -18,7 +27,7 @@
 LONG_INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: " + b"x" * 30_000 + b"\r\n\r\n"
 
 FEW = 3
-DEADLINE_S, AT_ONCE_S = 4.0, 1.0
+DEADLINE_S, AT_ONCE_S, EARLY_S = 4.0, 1.0, 0.1
 
 Script = Callable[[ScriptedEndpoint, h11.Request], Awaitable[None]]
 
@@ -76,3 +85,59 @@
 
     def test_another_endpoint_is_asked_where_the_route_allows_it(self) -> None:
         self.assertEqual(self._statuses(_repeat(INTERIM, 0.0), "/r/1", 6), [200] * 6)
+
+
+async def _serve_slow_reader(stream: trio.SocketStream, early: bytes) -> None:
+    """Answer before the body of a request is read, then with the length of the body."""
+    connection, length = h11.Connection(h11.SERVER), 0
+    await stream.send_all(early)
+    await trio.sleep(EARLY_S)
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(1 << 20))
+        elif isinstance(event, h11.Data):
+            length += len(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            break
+    body = b"%d" % length
+    await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+
+
+class TestLongRequests(unittest.TestCase):
+    """What arrives while a long request is sent."""
+
+    def _exchange(self, early: bytes) -> bytes:
+        """Return the body of the answer to a long request after these early bytes."""
+
+        async def main() -> bytes:
+            [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            async with trio.open_nursery() as nursery:
+                serve = partial(_serve_slow_reader, early=early)
+                nursery.start_soon(trio.serve_listeners, serve, [listener])
+                address = "{}:{}".format(*listener.socket.getsockname())
+                headers = [(b"host", b"h"), (b"content-length", str(len(LONG_BODY)).encode())]
+                with trio.fail_after(DEADLINE_S):
+                    async with open_exchange(address, CONNECT_TIMEOUT_S) as exchange:
+                        await exchange.send(OutgoingRequest(b"POST", b"/", headers, LONG_BODY))
+                        await exchange.read_head()
+                        body = await exchange.read_body()
+                nursery.cancel_scope.cancel()
+            return body
+
+        return trio.run(main)
+
+    def test_an_interim_response_does_not_cut_the_request(self) -> None:
+        """Guards against half a body, for whose rest an endpoint waits."""
+        self.assertEqual(self._exchange(INTERIM), b"%d" % len(LONG_BODY))
+
+    def test_an_early_response_ends_the_request(self) -> None:
+        early = b"HTTP/1.1 413 Too Long\r\ncontent-length: 3\r\n\r\nlen"
+        self.assertEqual(self._exchange(early), b"len")
+
+    def test_interim_responses_without_end_end_the_request(self) -> None:
+        with self.assertRaises(ExceptionGroup) as caught:
+            self._exchange(INTERIM * 100)
+        [error] = caught.exception.exceptions
+        assert isinstance(error, ExchangeError)
+        self.assertEqual(error.failure, ExchangeFailure.INVALID_RESPONSE)
