Count only new events as a sign that a stream's endpoint works

A resumable stream whose endpoint had stalled but still sent something was not continued elsewhere: comments, fields without data, an event again and again, or an event byte by byte, every 50 ms, held it until the caller gave up. An engine that hangs behind a front that keeps connections alive does that.

Each chunk of the body was recorded as activity of the endpoint, before it was looked at, and as the beginning of the response; and each chunk began the wait until the next check anew, so that none came. Comments keep a connection alive by the standard; they say nothing of the engine, and a client that gives up a stream after a gap between events does not count them either.

Ruled out: the stall timeouts themselves (silence is found in time), the budget of retries (untouched here).

Activity, intervals and progress are now recorded for chunks that complete an event that is new in this response: its id is above all before it, or it has data and no id. Other chunks only run the check that is due. Events that the caller already has still count, as their ids rise in this response.

--- a/yewloom/endpoint_exchanges.py
+++ b/yewloom/endpoint_exchanges.py
@@ -37,7 +37,7 @@
 from yewloom.part_record import BEGINNING_S, PartRecord
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
-from yewloom.stalls import STALLED_AVOIDANCE_S, StallDetector
+from yewloom.stalls import CHECK_INTERVAL_S, STALLED_AVOIDANCE_S, StallDetector
 from yewloom.values import value_class
 
 logger = structlog.get_logger(__name__)
@@ -198,14 +198,18 @@
     ) -> tuple[bool, str]:
         """Forward events as they arrive, and record their intervals."""
         last_event_s: float | None = None
+        check = self._silence_check(request, attempt)
 
         async def read_chunk() -> bytes | None:
             return await self._run_beside_others(request, attempt, exchange.read_chunk)
 
-        def on_chunk() -> None:
+        def on_chunk(has_new_event: bool) -> None:
             nonlocal last_event_s
             if attempt.is_overtaken:
                 raise Overtaken
+            if not has_new_event:
+                check()
+                return
             now_s, delay_s = trio.current_time(), self._loop_delay.delay_s()
             self._record_activity(attempt, now_s, delay_s)
             # If this host's event loop was delayed, the interval says nothing about the endpoint.
@@ -257,8 +261,31 @@
             is_stalled = self._stalls.is_stalled(leader, trio.current_time())
             if is_stalled and not was_delayed and self._loop_delay.delay_s():
                 was_delayed = True
-            elif is_stalled and (asked := attempt.ask_another()) is not None:
-                self._record_silence(request, attempt, asked)
+            elif is_stalled:
+                self._ask_another(request, attempt)
+
+    def _silence_check(self, request: ForwardRequest, attempt: Attempt) -> Callable[[], None]:
+        """Return a check to run after bytes without a new event, as they end each wait for one."""
+        next_check_s = trio.current_time() + CHECK_INTERVAL_S
+
+        def check() -> None:
+            nonlocal next_check_s
+            now_s = trio.current_time()
+            if not request.route.is_resumable or now_s < next_check_s:
+                return
+            next_check_s = now_s + CHECK_INTERVAL_S
+            if (
+                self._stalls.is_stalled(attempt.endpoint.id, now_s)
+                and not self._loop_delay.delay_s()
+            ):
+                self._ask_another(request, attempt)
+
+        return check
+
+    def _ask_another(self, request: ForwardRequest, attempt: Attempt) -> None:
+        """Ask another endpoint beside a silent one, if there is one."""
+        if (asked := attempt.ask_another()) is not None:
+            self._record_silence(request, attempt, asked)
 
     def _record_silence(self, request: ForwardRequest, attempt: Attempt, asked: HostId) -> None:
         """Avoid and report an endpoint beside which another one was asked."""
--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -5,7 +5,7 @@
 import trio
 
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, Header
-from yewloom.event_stream import EventSplitter
+from yewloom.event_stream import EventSplitter, ResponseProgress
 from yewloom.forward_request import ForwardRequest
 from yewloom.values import value_class
 
@@ -22,21 +22,22 @@
     request: ForwardRequest,
     head: StreamHead,
     read_chunk: Callable[[], Awaitable[bytes | None]],
-    on_chunk: Callable[[], None] = lambda: None,
+    on_chunk: Callable[[bool], None] = lambda has_new_event: None,
     claim: Callable[[], None] = lambda: None,
     is_framed: bool = True,
 ) -> None:
     """Forward events until the stream ends; the caller's response starts with the first event.
 
     Events that the caller already has are left out. Raises ExchangeError if the stream ends inside
-    an event or without any; ``on_chunk`` is called after each chunk that was read, and ``claim``
-    before events are forwarded. A response that is not framed ends with its connection, so one
-    without any event has ended too early even if it continues a stream.
+    an event or without any; ``on_chunk`` is called after each chunk that was read, with whether it
+    brought an event that is new in this response, and ``claim`` before events are forwarded. A
+    response that is not framed ends with its connection, so one without any event has ended too
+    early even if it continues a stream.
     """
-    splitter, has_events = EventSplitter(), False
+    splitter, progress, has_events = EventSplitter(), ResponseProgress(), False
     while (chunk := await read_chunk()) is not None:
-        on_chunk()
         events = splitter.feed(chunk)
+        on_chunk(progress.advance(events))
         has_events = has_events or bool(events)
         data = b"".join(e.data for e in events if request.cursor.accept(e))
         if data:
--- a/yewloom/event_stream.py
+++ b/yewloom/event_stream.py
@@ -5,11 +5,13 @@
 """
 
 import re
+from collections.abc import Iterable
 
 from yewloom.values import value_class
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?:\n|$)")
+_DATA_LINE = re.compile(rb"(?:^|\n)data[:\r\n]")
 
 _BLANK_LINE_BYTES = 4
 """Greatest length of a blank line with the line end before it."""
@@ -30,6 +32,11 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def is_keep_alive(self) -> bool:
+        """Return whether this is no event for its reader, like a comment by itself."""
+        return self.event_id is None and _DATA_LINE.search(self.data) is None
+
 
 class EventSplitter:
     """Splits the body of one endpoint's response into events."""
@@ -84,6 +91,30 @@
         raise EventStreamError(f"an event's id has {len(digits)} digits") from error
 
 
+class ResponseProgress:
+    """Tells which events of one response show that its endpoint goes on with it.
+
+    A front before an engine that hangs may still send comments, or an event again.
+    """
+
+    def __init__(self) -> None:
+        self._last_id = -1
+
+    def advance(self, events: Iterable[StreamEvent]) -> bool:
+        """Return whether any of the next events is new in this response."""
+        is_new = False
+        for event in events:
+            is_new = self._is_new(event) or is_new
+        return is_new
+
+    def _is_new(self, event: StreamEvent) -> bool:
+        if event.event_id is None:
+            return not event.is_keep_alive
+        is_new = event.event_id > self._last_id
+        self._last_id = max(self._last_id, event.event_id)
+        return is_new
+
+
 class StreamCursor:
     """Tracks the position in one stream that several endpoints deliver in turn.
 
