Let comments of a stream start no response and decide nothing

A stream that sent a comment and broke off was answered with 200 and no event, where the caller should have got a 502 (and a route that may not be resumed lost its other attempts by it). A comment of a silent endpoint also ended the attempt at the other endpoint that was asked beside it, so comments every 50 ms kept a stream at an endpoint that sent no event.

EventSplitter returns a comment with a blank line as an event without an id; the cursor takes all of these as the next event, so that they started the response and claimed it. Ruled out: the stall detector, which asked the other endpoint in time.

What is no event for a reader (neither id nor data) is passed on only in a response that has started, and while no other attempt runs.

Tests: both failed on the code before (200 for 502; the stream ended after event 1), 9 of 9 of test_stream_keepalives pass; one of them shows that comments between events still arrive.

--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -5,7 +5,7 @@
 import trio
 
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, Header
-from yewloom.event_stream import EventSplitter, ResponseProgress
+from yewloom.event_stream import EventSplitter, ResponseProgress, StreamEvent
 from yewloom.forward_request import ForwardRequest
 from yewloom.values import value_class
 
@@ -38,8 +38,8 @@
     while (chunk := await read_chunk()) is not None:
         events = splitter.feed(chunk)
         on_chunk(progress.advance(events))
-        has_events = has_events or bool(events)
-        data = b"".join(e.data for e in events if request.cursor.accept(e))
+        has_events = has_events or any(not e.is_keep_alive for e in events)
+        data = b"".join(e.data for e in events if _is_for_caller(request, e))
         if data:
             claim()
             await _forward_data(request, head, data)
@@ -50,6 +50,16 @@
         )
 
 
+def _is_for_caller(request: ForwardRequest, event: StreamEvent) -> bool:
+    """Return whether an event is sent to the caller.
+
+    What only keeps a connection alive starts no response, and decides nothing between attempts.
+    """
+    if event.is_keep_alive:
+        return request.response_writer.is_started and len(request.running) <= 1
+    return request.cursor.accept(event)
+
+
 async def _forward_data(request: ForwardRequest, head: StreamHead, data: bytes) -> None:
     if request.response_writer.is_started:
         await request.response_writer.send(data)
--- a/yewloom/tests/test_stream_keepalives.py
+++ b/yewloom/tests/test_stream_keepalives.py
@@ -54,6 +54,12 @@
     await endpoint.finish()
 
 
+async def comment_then_break_off(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+    """Send a comment only and close the connection."""
+    await endpoint.start(200)
+    await endpoint.send(COMMENT)
+
+
 def ask(limit_s: float, path: str, *scripts: Script) -> CallerResponse | None:
     """Return what a caller gets of engines with these scripts, or None if it takes too long."""
     response: CallerResponse | None = None
@@ -107,6 +113,27 @@
         self.assertIn(COMMENT, response.body)
         self.assertTrue(response.is_complete)
 
+    def test_a_stream_of_comments_only_is_a_failure(self) -> None:
+        """Guards against a response that starts with 200 and brings no event."""
+        for path in ("/s/1", "/once/1"):
+            response = ask(SOON_S, path, comment_then_break_off)
+            assert response is not None
+            self.assertEqual(response.status, 502)
+
+    def test_comments_do_not_end_an_attempt_at_another_endpoint(self) -> None:
+        """Guards against a stream that is left to an endpoint that only keeps it alive."""
+
+        async def resume_late(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.start(200)
+            await trio.sleep(4 * PAUSE_S)
+            for number in range(last_event_id(request) + 1, 4):
+                await endpoint.send(event(number))
+            await endpoint.finish()
+
+        response = ask(SOON_S, "/s/1", goes_on_with(COMMENT, PAUSE_S), resume_late)
+        assert response is not None
+        self.assertEqual(response.body.replace(COMMENT, b""), WHOLE)
+
     def test_many_comments_between_many_events_are_no_failure(self) -> None:
         comments = COMMENT * (MAX_EVENT_BYTES // len(COMMENT) // 2)
 
