Bound what a stream sends without a new event

An endpoint that sent comments, or one event again, at full speed and without end held a caller of a stream until the caller gave up, and kept the host reading: each block was complete, and only the length of one block is bounded.

Ruled out: the bound of an event (64 KiB, holds for one block), the stall detector (on a route that may not be resumed nobody else is asked).

After 64 KiB of comments and repeated events without a new one between them the response is unreadable, like an event that is too long: another endpoint is asked where the route allows it, and without one the caller gets 502, or its stream is broken off.

--- a/yewloom/event_stream.py
+++ b/yewloom/event_stream.py
@@ -20,6 +20,10 @@
 """Maximum length of an event that is buffered. Endpoints' events have a few hundred bytes, and a
 host may hold one for each of its streams."""
 
+MAX_IDLE_BYTES = 1 << 16
+"""Maximum length of comments and repeated events before a new one: as much as of an event that is
+buffered. A comment a second takes hours for it."""
+
 
 class EventStreamError(Exception):
     """An event of a stream is missing or too long."""
@@ -99,13 +103,25 @@
 
     def __init__(self) -> None:
         self._last_id = -1
+        self._idle_bytes = 0  # Since the last new event.
 
     def advance(self, events: Iterable[StreamEvent]) -> bool:
-        """Return whether any of the next events is new in this response."""
-        is_new = False
+        """Return whether any of the next events is new in this response.
+
+        Raises EventStreamError if the events before the next new one are too long.
+        """
+        has_new = False
         for event in events:
-            is_new = self._is_new(event) or is_new
-        return is_new
+            if self._is_new(event):
+                has_new, self._idle_bytes = True, 0
+            else:
+                self._add_idle(len(event.data))
+        return has_new
+
+    def _add_idle(self, count: int) -> None:
+        self._idle_bytes += count
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise EventStreamError(f"no new event in {MAX_IDLE_BYTES} bytes")
 
     def _is_new(self, event: StreamEvent) -> bool:
         if event.event_id is None:
--- a/yewloom/tests/test_stream_keepalives.py
+++ b/yewloom/tests/test_stream_keepalives.py
@@ -26,6 +26,8 @@
 SOON_S = 3.0
 """Longer than the time after which another endpoint is asked, shorter than a caller waits."""
 
+AT_ONCE_S = 1.0
+
 Script = Callable[[ScriptedEndpoint, h11.Request], Awaitable[None]]
 
 
@@ -103,6 +105,27 @@
         self._expect_continued(goes_on_with(b"x", PAUSE_S))
 
 
+class TestEndlessStream(unittest.TestCase):
+    """What arrives without anything new is bounded."""
+
+    def _expect_broken_off(self, script: Script) -> None:
+        response = ask(AT_ONCE_S, "/once/1", script)
+        assert response is not None
+        self.assertEqual(response.body.replace(COMMENT, b""), event(1))
+        self.assertFalse(response.is_complete)
+
+    def test_a_repeated_event_ends_the_stream(self) -> None:
+        self._expect_broken_off(goes_on_with(event(1) * 100, 0.0))
+
+    def test_comments_end_the_stream(self) -> None:
+        self._expect_broken_off(goes_on_with(COMMENT * 100, 0.0))
+
+    def test_comments_before_the_first_event_are_answered_as_a_failure(self) -> None:
+        response = ask(AT_ONCE_S, "/once/1", goes_on_with(COMMENT * 100, 0.0, before=0))
+        assert response is not None
+        self.assertEqual(response.status, 502)
+
+
 class TestComments(unittest.TestCase):
     """Comments may come beside events."""
 
