--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -5,7 +5,7 @@
 import trio
 
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, Header
-from yewloom.event_stream import EventSplitter
+from yewloom.event_stream import EventSplitter, ResponseProgress, StreamEvent
 from yewloom.forward_request import ForwardRequest
 from yewloom.values import value_class
 
@@ -22,23 +22,24 @@
     request: ForwardRequest,
     head: StreamHead,
     read_chunk: Callable[[], Awaitable[bytes | None]],
-    on_chunk: Callable[[], None] = lambda: None,
+    on_chunk: Callable[[bool], None] = lambda has_new_event: None,
     claim: Callable[[], None] = lambda: None,
     is_framed: bool = True,
 ) -> None:
     """Forward events until the stream ends; the caller's response starts with the first event.
 
     Events that the caller already has are left out. Raises ExchangeError if the stream ends inside
-    an event or without any; ``on_chunk`` is called after each chunk that was read, and ``claim``
-    before events are forwarded. A response that is not framed ends with its connection, so one
-    without any event has ended too early even if it continues a stream.
+    an event or without any; ``on_chunk`` is called after each chunk that was read, with whether it
+    brought an event that is new in this response, and ``claim`` before events are forwarded. A
+    response that is not framed ends with its connection, so one without any event has ended too
+    early even if it continues a stream.
     """
-    splitter, has_events = EventSplitter(), False
+    splitter, progress, has_events = EventSplitter(), ResponseProgress(), False
     while (chunk := await read_chunk()) is not None:
-        on_chunk()
         events = splitter.feed(chunk)
-        has_events = has_events or bool(events)
-        data = b"".join(e.data for e in events if request.cursor.accept(e))
+        on_chunk(progress.advance(events))
+        has_events = has_events or any(not e.is_keep_alive for e in events)
+        data = b"".join(e.data for e in events if _is_for_caller(request, e))
         if data:
             claim()
             await _forward_data(request, head, data)
@@ -49,6 +50,16 @@
         )
 
 
+def _is_for_caller(request: ForwardRequest, event: StreamEvent) -> bool:
+    """Return whether an event is sent to the caller.
+
+    What only keeps a connection alive starts no response, and decides nothing between attempts.
+    """
+    if event.is_keep_alive:
+        return request.response_writer.is_started and len(request.running) <= 1
+    return request.cursor.accept(event)
+
+
 async def _forward_data(request: ForwardRequest, head: StreamHead, data: bytes) -> None:
     if request.response_writer.is_started:
         await request.response_writer.send(data)
