--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -71,6 +71,8 @@
 REPEATABLE_ROUTE = make_route(RouteKind.RETRYABLE, "/r/")
 OPEN_ROUTE = make_route(RouteKind.RETRYABLE, "/open/", is_open=True)
 ROUTES = (STREAM_ROUTE, NON_RESUMABLE_ROUTE, UNSAFE_ROUTE, REPEATABLE_ROUTE, OPEN_ROUTE)
+LASTING_ROUTES = tuple(replace(route, timeout_ms=60_000) for route in ROUTES)
+"""The same routes, with a time limit that no test reaches, however slow the machine is."""
 
 
 class ScriptedEndpoint:
