Send the events before a missing one, rather than count them as sent

What a caller of a resumed stream got: events 1, 3 and 4. A chunk held events 2 and 4: taking 2 moved the cursor, 4 raised the error of a missing event, and 2 was never sent, while the next endpoint was asked to go on after 2. Cause: the cursor moves when an event is taken, and the chunk was sent only if all of it could be taken. Now what was taken is sent before the error is raised.

Evidence: test_resumed_streams failed before (1, 3, 4). Ruled out: the splitter, whose errors move no cursor.

--- a/yewloom/event_forwarding.py
+++ b/yewloom/event_forwarding.py
@@ -5,7 +5,12 @@
 import trio
 
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, Header
-from yewloom.event_stream import EventSplitter, ResponseProgress, StreamEvent
+from yewloom.event_stream import (
+    EventSplitter,
+    EventStreamError,
+    ResponseProgress,
+    StreamEvent,
+)
 from yewloom.forward_request import ForwardRequest
 from yewloom.values import value_class
 
@@ -39,10 +44,12 @@
         events = splitter.feed(chunk)
         on_chunk(progress.advance(events))
         has_events = has_events or any(not e.is_keep_alive for e in events)
-        data = b"".join(e.data for e in events if _is_for_caller(request, e))
+        data, error = _accept(request, events)
         if data:
             claim()
             await _forward_data(request, head, data)
+        if error is not None:
+            raise error
     is_cut = splitter.has_partial_event or not (is_framed or has_events)
     if is_cut or not request.response_writer.is_started:
         raise ExchangeError(
@@ -50,6 +57,20 @@
         )
 
 
+def _accept(
+    request: ForwardRequest, events: Sequence[StreamEvent]
+) -> tuple[bytes, EventStreamError | None]:
+    """Return what is sent to the caller, and why the events after it are not."""
+    data = bytearray()
+    try:
+        for event in events:
+            if _is_for_caller(request, event):
+                data += event.data
+    except EventStreamError as error:
+        return bytes(data), error
+    return bytes(data), None
+
+
 def _is_for_caller(request: ForwardRequest, event: StreamEvent) -> bool:
     """Return whether an event is sent to the caller.
 
