List an attempt as running before its task begins

A stream whose endpoint had just woken up could run at a second endpoint as well for a moment: an attempt that was asked for, but whose task had not begun, was not among those that the answering attempt ends. It ended at its own first event instead. Cause: attempts were listed by their own task. They are listed where they are taken now.

Evidence: the test of _Attempts failed before ([False] != [True]).

--- a/yewloom/concurrent_attempts.py
+++ b/yewloom/concurrent_attempts.py
@@ -40,6 +40,7 @@
 
         Only attempts at streams that may be resumed ask for others.
         """
+        request.running.append(attempt)
         if request.route.is_resumable:
             return await _Attempts(self, request).run(attempt)
         return await self.run_one(request, attempt)
@@ -49,8 +50,10 @@
         return self._chooser.take_beside(request, silent)
 
     async def run_one(self, request: ForwardRequest, attempt: Attempt) -> bool:
-        """Run one attempt; return whether its response is the one the caller gets."""
-        request.running.append(attempt)
+        """Run one attempt, which is listed as running; return whether the caller gets its response.
+
+        It is listed before its task begins, so that another one may end it from the first moment.
+        """
         try:
             return await self._runner.run(request, attempt)
         finally:
@@ -80,6 +83,7 @@
             another = self._attempts.take_beside(self._request, attempt)
             if another is None:
                 return None
+            self._request.running.append(another)
             nursery.start_soon(self._run_one, another, nursery)
             return another.endpoint.id
 
--- a/yewloom/tests/test_concurrent_attempts.py
+++ b/yewloom/tests/test_concurrent_attempts.py
@@ -9,7 +9,8 @@
 import h11
 import trio
 
-from yewloom.forward_request import FIRST_RETURN_PAUSE_S, MAX_RETURNS
+from yewloom.concurrent_attempts import ConcurrentAttempts
+from yewloom.forward_request import FIRST_RETURN_PAUSE_S, MAX_RETURNS, Attempt, ForwardRequest
 from yewloom.ids import HostId
 from yewloom.stall_timeouts import DEFAULT_STALL_TIMEOUT_S
 from yewloom.stalls import CHECK_INTERVAL_S, FIRST_EVENT_TIMEOUT_S
@@ -303,3 +304,27 @@
             self.assertEqual(len(full.requests), 2)
 
         run(test)
+
+
+class TestAttemptAskedInTheMomentOfWakingUp(unittest.TestCase):
+    """An attempt that was asked for, but has not begun, is ended like one that runs."""
+
+    def test_an_attempt_that_has_not_begun_is_ended_too(self) -> None:
+        """Guards against a second run that goes on beside the one that answers."""
+        request = ForwardRequest(*[mock.Mock() for _ in range(10)])
+        attempts = [Attempt(mock.Mock()), Attempt(mock.Mock())]
+        was_overtaken: list[bool] = []
+
+        async def run_one(_: ForwardRequest, attempt: Attempt) -> bool:
+            if attempt is attempts[0]:
+                attempt.ask_another()
+                request.claim(attempt)  # An event was there: read without waiting.
+                return True
+            was_overtaken.append(attempt.is_overtaken)
+            return False
+
+        runner, chooser = mock.Mock(run=run_one), mock.Mock()
+        chooser.take_beside.return_value = attempts[1]
+        together = ConcurrentAttempts(runner, chooser)
+        self.assertTrue(trio.run(together.run, request, attempts[0]))
+        self.assertEqual(was_overtaken, [True])
