Answer requests whose headers can't be used as they are

What a caller saw: its connection closed without an answer, for a deadline of 400 digits (too great for a float), and for a Connection header that lists the host (a request without one can't be built). Causes: a whole number of any length was taken; every header that Connection lists was dropped. More than 15 digits are an invalid header now (400), and the host is always sent on.

--- a/yewloom/platform/headers.py
+++ b/yewloom/platform/headers.py
@@ -50,6 +50,12 @@
 )
 """Headers of callers that are not forwarded: the API key, and those that the entry host sets."""
 
+_REQUIRED = frozenset({b"host"})
+"""Headers without which no request can be sent, whatever a Connection header lists."""
+
+MAX_DIGITS = 15
+"""Maximum number of digits of a whole number in a header: such a number is exact as a float."""
+
 _MISDIRECTED_STATUS = 421
 _RETRY_AFTER = b"retry-after"
 _SERVER_LIMIT = b"server-limit"
@@ -81,7 +87,8 @@
         self, headers: Sequence[Header], metadata: ForwardingMetadata
     ) -> list[Header]:
         """Return the headers of a request to forward to an endpoint."""
-        dropped = _listed_in_connection(headers) | _HOP_BY_HOP | _NOT_FROM_CALLER
+        listed = _listed_in_connection(headers) - _REQUIRED
+        dropped = listed | _HOP_BY_HOP | _NOT_FROM_CALLER
         if metadata.last_event_id is not None:
             dropped |= {_LAST_EVENT_ID}
         forwarded = [header for header in headers if header[0] not in dropped]
@@ -166,6 +173,6 @@
     text = values.get(name)
     if text is None:
         return None
-    if not text.isdigit():
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         raise HeaderError(f"{name.decode()} is not a whole number")
     return int(text)
