Refuse late requests at a stopping host that is held up when it should close

Callers would see: a request that arrives seconds after SIGTERM is taken, and cut off with the end of the grace if it takes longer than what is left.

Cause: that a stopping host takes no more work was true only from the moment at which the task that closes it runs. If the process is held up over that moment (no processor, a long pass of its loop), the requests that arrived meanwhile and the closing task become ready in the same pass, which runs its tasks in an order that the runtime draws. A request on a kept connection, or a relayed one, that comes first is accepted.

The phase now knows its time: from then on no request is accepted, whether or not the task has run. The closing itself (sockets, queue) is done once, as before, and asks whether it was done, not the time.

Not shown with real processes: a process that SIGSTOP finds waiting for events gets its expired timers first when it wakes.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -117,6 +117,13 @@
         "self._handlers.accept",
         "test_planned_stop",
     ),
+    Mutation(
+        "planned stop: no request is accepted after the notice period if the closing is late",
+        "shutdown",
+        "self._activity.begin_stop(self._plan.stops_accepting_s)",
+        "self._activity.begin_stop()",
+        "test_late_requests",
+    ),
     Mutation(
         "planned stop: a connection that becomes idle after the notice period is closed",
         "caller_activity",
@@ -141,7 +148,7 @@
     Mutation(
         "planned stop: queued connections are refused before the socket is closed",
         "caller_server",
-        "            if not self.activity.accepts_requests:\n                self._reject_queued()",
+        "            if self.activity.is_closed:\n                self._reject_queued()",
         "            pass",
         "test_caller_server",
     ),
--- a/tools/mutations_relays.py
+++ b/tools/mutations_relays.py
@@ -73,6 +73,13 @@
         "        if True:\n",
         "test_relays",
     ),
+    Mutation(
+        "relays: a host that accepts no more requests refuses relayed ones, too",
+        "relay_server",
+        "            if self._activity.accepts_requests:\n",
+        "            if True:\n",
+        "test_late_requests",
+    ),
     Mutation(
         "relays: peers that lost the service are not chosen",
         "relay_peers",
--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self._phase = Phase.SERVING
         self._stopping_since_s = 0.0
+        self._stops_accepting_s = math.inf
         self._reading_scopes: set[trio.CancelScope] = set()
         self._closing_connections = 0
         self._has_changed = trio.Event()
@@ -36,14 +37,26 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Return whether a request that has just been read may be started."""
-        return self._phase is not Phase.CLOSED
+        """Return whether a request that has just been read may be started.
 
-    def begin_stop(self) -> None:
-        """Begin a planned stop."""
+        The time counts, and not only the phase: after a delay of the process, requests may be read
+        before the task that closes the server runs.
+        """
+        if self._phase is Phase.LEAVING:
+            return trio.current_time() < self._stops_accepting_s
+        return self._phase is Phase.SERVING
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the server has been told to accept no more requests."""
+        return self._phase is Phase.CLOSED
+
+    def begin_stop(self, stops_accepting_s: float = math.inf) -> None:
+        """Begin a planned stop; from ``stops_accepting_s`` on, no requests are accepted."""
         if self._phase is Phase.SERVING:
             self._phase = Phase.LEAVING
             self._stopping_since_s = trio.current_time()
+            self._stops_accepting_s = stops_accepting_s
 
     def stop_accepting(self) -> None:
         """Accept no more requests, and don't wait for requests that have not arrived."""
--- a/yewloom/caller_server.py
+++ b/yewloom/caller_server.py
@@ -94,7 +94,7 @@
         Callers may have opened connections that are still in the accept queue. Requests on them are
         rejected; closing the socket alone would reset those connections.
         """
-        if self.activity.accepts_requests:
+        if not self.activity.is_closed:
             self.activity.stop_accepting()
             self._accept_scope.cancel()
             if self._listener is not None:
@@ -104,7 +104,7 @@
     def _before_close(self) -> None:
         """Empty the accept queue once more; after that, the planned stop need not wait for it."""
         with self._listener_hold:
-            if not self.activity.accepts_requests:
+            if self.activity.is_closed:
                 self._reject_queued()
 
     def _reject_queued(self) -> None:
--- a/yewloom/shutdown.py
+++ b/yewloom/shutdown.py
@@ -77,7 +77,7 @@
         )
         self._plan.begin(requested_s, unnoticed_s)
         self._alarm.start(lambda: self._plan.exit_s - trio.current_time(), self._plan.add_delay)
-        self._activity.begin_stop()
+        self._activity.begin_stop(self._plan.stops_accepting_s)
         await trio.sleep_until(self._plan.stops_accepting_s)
         self._stop_accepting()
         await self._wait_for_open_requests()
