Let only events renew the wait for an engine's stream in yewloomd

A stream whose engine sent something, but no event, was not resumed elsewhere after stall_timeout_ms ("time without an event"), and not even at the request's deadline, which is looked at after each event: interim responses, a head or an event byte by byte, or comments, one every 50 ms, held the caller for good.

httpcore gives each read the time-out anew: it passes over interim responses in a loop without bounds, and _parse_chunks passed over what holds no data line. Ruled out: the length of a head (h11 in httpcore bounds it at 100 KiB) and of an event (64 KiB), which end a fast one only.

The head as a whole now has the time of one read, with those to connect, and the wait for an event has one due time whatever arrives meanwhile.

Tests: 4 of 4 of test_endless_engine_words failed before (no end within 1.5 s, with a stall time of 0.3 s); they pass, with those of http_pools, silent_connections, dispatch, slow_engines, long_messages, streams and engine_restart (52 in all).

--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any, Protocol
@@ -150,7 +151,7 @@
             async with self._client.stream("POST", url, body, stall_timeout_s) as stream:
                 if stream.status != 200:
                     raise _status_error(stream.status, stream.headers)
-                yield _parse_chunks(stream)
+                yield _parse_chunks(stream, stall_timeout_s)
                 await _read_end(stream)
         except HttpCallError as error:
             raise _endpoint_error(error) from error
@@ -190,18 +191,32 @@
             continue
 
 
-async def _parse_chunks(stream: HttpStream) -> AsyncIterator[StreamChunk]:
-    """Split the body into events of one ``data`` line each, and decode them."""
+async def _parse_chunks(
+    stream: HttpStream, stall_timeout_s: float = math.inf
+) -> AsyncIterator[StreamChunk]:
+    """Split the body into events of one ``data`` line each, and decode them.
+
+    Raises EndpointError if the next event takes too long; comments do not prolong the wait.
+    """
     splitter, pieces = EventSplitter(), 0
-    async for data in stream.chunks:
+    due_s = trio.current_time() + stall_timeout_s
+    while (data := await _next_piece(stream, due_s)) is not None:
         for event in _split(splitter, data):
             if event.data.startswith(_EVENT_DATA):
                 yield _parse_chunk(event.data.removeprefix(_EVENT_DATA))
+                due_s = trio.current_time() + stall_timeout_s
         pieces += 1
         if pieces % PIECES_PER_TURN == 0:
             await trio.lowlevel.checkpoint()
 
 
+async def _next_piece(stream: HttpStream, due_s: float) -> bytes | None:
+    """Return the next bytes of a body, or None at its end; raise EndpointError if it is late."""
+    with trio.move_on_at(due_s):
+        return await anext(stream.chunks, None)
+    raise EndpointError(CallFailure.STALLED, "no event in time")
+
+
 def _split(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
     """Return the events that are complete now; raise EndpointError if one is unreadable."""
     try:
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -3,7 +3,7 @@
 import json
 import ssl
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from enum import Enum
 from typing import Any
 
@@ -143,15 +143,23 @@
     ) -> AsyncIterator[HttpStream]:
         """Send a request and read the response body as it arrives.
 
-        ``read_timeout_s`` limits each wait for more of the response.
+        ``read_timeout_s`` limits each wait for more of the response, and that for its head as a
+        whole.
         """
         extensions = self._extensions(read_timeout_s)
+        head_timeout_s = 2 * self._connect_timeout_s + read_timeout_s  # With waits to be sent.
         try:
             async with self._pools.pool_for(url) as pool:
                 with _converted_errors():
-                    async with pool.stream(
-                        method, url, content=body, extensions=extensions
-                    ) as response:
+                    async with AsyncExitStack() as exits:
+                        response = None
+                        with trio.move_on_after(head_timeout_s):
+                            response = await exits.enter_async_context(
+                                pool.stream(method, url, content=body, extensions=extensions)
+                            )
+                        if response is None:
+                            detail = f"no head of a response in {head_timeout_s:g} s"
+                            raise HttpCallError(HttpFailure.TIMED_OUT, detail)
                         yield HttpStream(
                             response.status, _header_dict(response), response.aiter_stream()
                         )
