Bound the bodies that yewloomd reads whole from endpoints

A service or engine that sent a body without end was read into memory until the call's time was over: a report for the probe's time-out, a service's response for the whole time of its caller (60 kB chunks on localhost: no end within 1.5 s), each by its own connection and nothing but the link as a limit.

HttpClient.call let httpcore join the body; httpcore bounds heads (100 KiB) but no body. Ruled out: the time-outs of the calls, which hold; the number of interim responses, which take no memory and end with the call's time-out.

call now reads the body by pieces and gives up one that is too long as a lost connection: 4 MiB for reports, orders and cancellations, 16 MiB for services' responses (as in entry hosts), 64 MiB by default, so for the platform's listings.

--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 
 from yewloom.endpoint_announcements import NO_PAUSE, RequestedPause, decode_pause
-from yewloom.endpoint_calls import PIECES_PER_TURN
+from yewloom.endpoint_calls import MAX_BUFFERED_RESPONSE_BYTES, PIECES_PER_TURN
 from yewloom.event_stream import EventSplitter, EventStreamError, StreamEvent
 from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure, HttpResponse, HttpStream
 from yewloom.ids import RequestId
@@ -28,6 +28,10 @@
 REFUSAL_STATUSES = {409, 429, 503}
 """Statuses with which an endpoint reports that it did not run a call."""
 
+MAX_REPORT_BYTES = 4 << 20
+"""Maximum length of an endpoint's report: far more than its load and its latest cache events take.
+"""
+
 _READ_END_TIMEOUT_S = 0.1
 _EVENT_DATA = b"data:"
 _OUTCOME_HEADER = "x-outcome"
@@ -119,7 +123,10 @@
         """Request an endpoint's report."""
         try:
             response = await self._client.call(
-                "GET", f"http://{address}/report", self._probe_timeout_s
+                "GET",
+                f"http://{address}/report",
+                self._probe_timeout_s,
+                max_bytes=MAX_REPORT_BYTES,
             )
             if response.status != 200:
                 return Err(EndpointError(CallFailure.ENDPOINT_ERROR, f"status {response.status}"))
@@ -133,7 +140,9 @@
         """Send an order to a model engine."""
         url = f"http://{address}/order"
         try:
-            response = await self._client.call("POST", url, timeout_s, to_json(order).encode())
+            response = await self._client.call(
+                "POST", url, timeout_s, to_json(order).encode(), max_bytes=MAX_REPORT_BYTES
+            )
         except HttpCallError as error:
             return Err(str(error))
         if response.status != 200:
@@ -161,7 +170,9 @@
         body = json.dumps({"request_id": request_id}).encode()
         try:
             url = f"http://{address}/cancel"
-            await self._client.call("POST", url, self._probe_timeout_s, body)
+            await self._client.call(
+                "POST", url, self._probe_timeout_s, body, max_bytes=MAX_REPORT_BYTES
+            )
         except HttpCallError:
             return
 
@@ -172,7 +183,13 @@
         url = f"http://{address}{call.path}"
         try:
             response = await self._client.call(
-                call.method, url, timeout_s, call.body, call.headers, new_connection=is_unsafe
+                call.method,
+                url,
+                timeout_s,
+                call.body,
+                call.headers,
+                new_connection=is_unsafe,
+                max_bytes=MAX_BUFFERED_RESPONSE_BYTES,
             )
         except HttpCallError as error:
             raise _endpoint_error(error) from error
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -16,6 +16,10 @@
 MAX_CONNECTIONS = 2048
 """Maximum number of connections to one host."""
 
+MAX_RESPONSE_BYTES = 64 << 20
+"""Default for the maximum length of a response body that is read whole: a listing of the platform
+has some megabytes."""
+
 KEEP_ALIVE_S = 10.0
 """Default time for which an idle connection is kept."""
 
@@ -117,22 +121,26 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         new_connection: bool = False,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
-        """Send a request and return its complete response; raises HttpCallError."""
+        """Send a request and return its complete response; raises HttpCallError.
+
+        A response whose body is longer than ``max_bytes`` is one that cannot be read.
+        """
         connection_kind = _ConnectionKind(is_reused=not new_connection)
         with trio.move_on_after(timeout_s):
             if new_connection:
-                return await self._call_on_new_connection(method, url, body, headers)
+                return await self._call_on_new_connection(method, url, body, headers, max_bytes)
             async with self._pools.pool_for(url) as pool:
                 with _converted_errors():
-                    response = await pool.request(
+                    async with pool.stream(
                         method,
                         url,
                         headers=_header_list(headers),
                         content=body,
                         extensions=self._extensions() | {"trace": connection_kind.on_trace},
-                    )
-                    return _to_response(response)
+                    ) as response:
+                        return await _read_response(response, max_bytes)
         await self._pools.retire(url)
         detail = f"{method} {url} after {timeout_s:g} s over a {connection_kind} connection"
         raise HttpCallError(HttpFailure.TIMED_OUT, detail)
@@ -177,17 +185,24 @@
         await self._pools.close()
 
     async def _call_on_new_connection(
-        self, method: str, url: str, body: bytes, headers: Mapping[str, str] | None
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str] | None,
+        max_bytes: int,
     ) -> HttpResponse:
         all_headers = [*_header_list(headers), (b"connection", b"close")]
         with _converted_errors():
-            async with httpcore.AsyncConnectionPool(
-                ssl_context=self._options.tls, network_backend=self._options.network
-            ) as pool:
-                response = await pool.request(
+            async with (
+                httpcore.AsyncConnectionPool(
+                    ssl_context=self._options.tls, network_backend=self._options.network
+                ) as pool,
+                pool.stream(
                     method, url, headers=all_headers, content=body, extensions=self._extensions()
-                )
-                return _to_response(response)
+                ) as response,
+            ):
+                return await _read_response(response, max_bytes)
 
     def _extensions(self, read_timeout_s: float | None = None) -> dict[str, Any]:
         timeouts = {
@@ -221,8 +236,14 @@
     return [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
 
 
-def _to_response(response: httpcore.Response) -> HttpResponse:
-    return HttpResponse(response.status, _header_dict(response), response.content)
+async def _read_response(response: httpcore.Response, max_bytes: int) -> HttpResponse:
+    """Read a body to its end; raise HttpCallError if it is too long."""
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > max_bytes:
+            raise HttpCallError(HttpFailure.MAYBE_SENT, f"more than {max_bytes} bytes of body")
+    return HttpResponse(response.status, _header_dict(response), bytes(body))
 
 
 def _header_dict(response: httpcore.Response) -> dict[str, str]:
--- a/yewloom/tests/asgi_client.py
+++ b/yewloom/tests/asgi_client.py
@@ -6,7 +6,13 @@
 import trio
 from starlette.types import ASGIApp, Message, Scope
 
-from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure, HttpResponse
+from yewloom.http_calls import (
+    MAX_RESPONSE_BYTES,
+    HttpCallError,
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+)
 
 
 class AsgiHttpClient(HttpClient):
@@ -26,6 +32,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         new_connection: bool = False,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
         """Send a request and return its complete response; raises HttpCallError."""
         with trio.move_on_after(timeout_s):
--- a/yewloom/tests/test_endless_engine_words.py
+++ b/yewloom/tests/test_endless_engine_words.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from yewloom.endpoints import EndpointError, GenerateCall, HttpEndpoints
+from yewloom.endpoints import EndpointError, GenerateCall, HttpEndpoints, ServiceCall
 from yewloom.http_calls import HttpClient
 from yewloom.ids import RequestId
 from yewloom.retries import CallFailure
@@ -90,3 +90,24 @@
 
     def test_an_event_byte_by_byte_does_not_renew_the_wait(self) -> None:
         self._expect_stalled(HEAD + _token(0), _chunk(b"x"), tokens=1)
+
+
+class TestCalls(unittest.TestCase):
+    """A response that is read whole is bounded."""
+
+    def test_a_report_without_end_ends_the_probe_before_its_time_is_over(self) -> None:
+        async def probe(endpoints: HttpEndpoints, address: str) -> None:
+            began_s = trio.current_time()
+            self.assertTrue((await endpoints.probe(address)).is_err())
+            self.assertLess(trio.current_time() - began_s, SOON_S / 2)
+
+        _run(HEAD, _chunk(b"x" * 60000), 0.0, probe)
+
+    def test_a_service_response_without_end_ends_the_call(self) -> None:
+        async def call(endpoints: HttpEndpoints, address: str) -> None:
+            with self.assertRaises(EndpointError):
+                await endpoints.call_service(
+                    address, ServiceCall("GET", "/", {}, b""), SOON_S, False
+                )
+
+        _run(HEAD, _chunk(b"x" * 60000), 0.0, call)
--- a/yewloom/tests/test_platform_adapter.py
+++ b/yewloom/tests/test_platform_adapter.py
@@ -17,7 +17,13 @@
 from yewloom.directory import GroupKey, MemberState
 from yewloom.endpoint_announcements import AnnouncedLimit, RequestedPause
 from yewloom.endpoint_calls import ResponseHead
-from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure, HttpResponse
+from yewloom.http_calls import (
+    MAX_RESPONSE_BYTES,
+    HttpCallError,
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+)
 from yewloom.ids import CustomerId, GroupId, HostId, ModelName
 from yewloom.platform.engines import HttpEngineClient, order_fields
 from yewloom.platform.headers import HttpHeaderCodec
@@ -331,6 +337,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         new_connection: bool = False,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
         self.calls.append((method, url, json.loads(body) if body else None))
         await trio.sleep(self.pause_s)
