Bound the framing of a response by the body that it frames

An endpoint that sent single bytes of body in chunks with extensions of 30 kB, at full speed and without end, held its caller until the request's time was over, and kept the host reading: each chunk line was below the bound of a line (64 KiB), and the bounds of a body and of an event count the body alone, so that a body of 16 MiB could come with some 500 GB of extensions.

Ruled out: chunks of length zero, which end a body (h11 gives no empty data); trailers, which are bounded together (64 KiB) and renew no wait.

A response is now unreadable when what is not body exceeds 256 KiB and 16 bytes for each byte of body. Chunks of one byte have 5.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -37,6 +37,14 @@
 """Maximum number of interim responses (status 1xx) before a response. Endpoints send one or two;
 their headers together may be as long as those of one response."""
 
+FREE_FRAMING_BYTES = 4 * MAX_RESPONSE_HEAD_BYTES
+"""Length of a response that need not be body: its heads, its trailers and what waits to be parsed.
+"""
+
+MAX_FRAMING_RATIO = 16
+"""Maximum number of further bytes around each byte of body: chunks of one byte have 5, and a few
+may have an extension."""
+
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
 """Maximum length of a response body that is buffered. Responses of plain services have a few
 kilobytes."""
@@ -109,6 +117,7 @@
         self._stream = stream
         self._pieces = 0  # Taken since other tasks ran.
         self._interim_count, self._interim_bytes = 0, 0
+        self._received_bytes, self._body_bytes = 0, 0
         self._early: ResponseHead | ExchangeError | None = None
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
@@ -155,6 +164,7 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -181,6 +191,13 @@
         ):
             raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too many interim answers")
 
+    def _count_received(self, count: int) -> None:
+        """Count received bytes; raise ExchangeError if too few of those before were body."""
+        framing_bytes = self._received_bytes - self._body_bytes
+        self._received_bytes += count
+        if framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too little body")
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
@@ -213,6 +230,7 @@
                     raise ExchangeError(
                         ExchangeFailure.CONNECTION_LOST, True, "closed before its answer"
                     )
+                self._count_received(len(data))
                 self._connection.receive_data(data)
             except h11.RemoteProtocolError as error:
                 # trailing_data[1] says whether h11 has been told of the end of the stream.
