--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any, Protocol
@@ -14,7 +15,7 @@
 from result import Err, Ok, Result
 
 from yewloom.endpoint_announcements import NO_PAUSE, RequestedPause, decode_pause
-from yewloom.endpoint_calls import PIECES_PER_TURN
+from yewloom.endpoint_calls import MAX_BUFFERED_RESPONSE_BYTES, PIECES_PER_TURN
 from yewloom.event_stream import EventSplitter, EventStreamError, StreamEvent
 from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure, HttpResponse, HttpStream
 from yewloom.ids import RequestId
@@ -27,6 +28,10 @@
 REFUSAL_STATUSES = {409, 429, 503}
 """Statuses with which an endpoint reports that it did not run a call."""
 
+MAX_REPORT_BYTES = 4 << 20
+"""Maximum length of an endpoint's report: far more than its load and its latest cache events take.
+"""
+
 _READ_END_TIMEOUT_S = 0.1
 _EVENT_DATA = b"data:"
 _OUTCOME_HEADER = "x-outcome"
@@ -118,7 +123,10 @@
         """Request an endpoint's report."""
         try:
             response = await self._client.call(
-                "GET", f"http://{address}/report", self._probe_timeout_s
+                "GET",
+                f"http://{address}/report",
+                self._probe_timeout_s,
+                max_bytes=MAX_REPORT_BYTES,
             )
             if response.status != 200:
                 return Err(EndpointError(CallFailure.ENDPOINT_ERROR, f"status {response.status}"))
@@ -132,7 +140,9 @@
         """Send an order to a model engine."""
         url = f"http://{address}/order"
         try:
-            response = await self._client.call("POST", url, timeout_s, to_json(order).encode())
+            response = await self._client.call(
+                "POST", url, timeout_s, to_json(order).encode(), max_bytes=MAX_REPORT_BYTES
+            )
         except HttpCallError as error:
             return Err(str(error))
         if response.status != 200:
@@ -150,7 +160,7 @@
             async with self._client.stream("POST", url, body, stall_timeout_s) as stream:
                 if stream.status != 200:
                     raise _status_error(stream.status, stream.headers)
-                yield _parse_chunks(stream)
+                yield _parse_chunks(stream, stall_timeout_s)
                 await _read_end(stream)
         except HttpCallError as error:
             raise _endpoint_error(error) from error
@@ -160,7 +170,9 @@
         body = json.dumps({"request_id": request_id}).encode()
         try:
             url = f"http://{address}/cancel"
-            await self._client.call("POST", url, self._probe_timeout_s, body)
+            await self._client.call(
+                "POST", url, self._probe_timeout_s, body, max_bytes=MAX_REPORT_BYTES
+            )
         except HttpCallError:
             return
 
@@ -171,7 +183,13 @@
         url = f"http://{address}{call.path}"
         try:
             response = await self._client.call(
-                call.method, url, timeout_s, call.body, call.headers, new_connection=is_unsafe
+                call.method,
+                url,
+                timeout_s,
+                call.body,
+                call.headers,
+                new_connection=is_unsafe,
+                max_bytes=MAX_BUFFERED_RESPONSE_BYTES,
             )
         except HttpCallError as error:
             raise _endpoint_error(error) from error
@@ -190,18 +208,32 @@
             continue
 
 
-async def _parse_chunks(stream: HttpStream) -> AsyncIterator[StreamChunk]:
-    """Split the body into events of one ``data`` line each, and decode them."""
+async def _parse_chunks(
+    stream: HttpStream, stall_timeout_s: float = math.inf
+) -> AsyncIterator[StreamChunk]:
+    """Split the body into events of one ``data`` line each, and decode them.
+
+    Raises EndpointError if the next event takes too long; comments do not prolong the wait.
+    """
     splitter, pieces = EventSplitter(), 0
-    async for data in stream.chunks:
+    due_s = trio.current_time() + stall_timeout_s
+    while (data := await _next_piece(stream, due_s)) is not None:
         for event in _split(splitter, data):
             if event.data.startswith(_EVENT_DATA):
                 yield _parse_chunk(event.data.removeprefix(_EVENT_DATA))
+                due_s = trio.current_time() + stall_timeout_s
         pieces += 1
         if pieces % PIECES_PER_TURN == 0:
             await trio.lowlevel.checkpoint()
 
 
+async def _next_piece(stream: HttpStream, due_s: float) -> bytes | None:
+    """Return the next bytes of a body, or None at its end; raise EndpointError if it is late."""
+    with trio.move_on_at(due_s):
+        return await anext(stream.chunks, None)
+    raise EndpointError(CallFailure.STALLED, "no event in time")
+
+
 def _split(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
     """Return the events that are complete now; raise EndpointError if one is unreadable."""
     try:
