Wait for the pause that an endpoint named before a stream goes back to it

What a caller saw: its stream cut off after event 1, though the endpoint that had turned it away would have taken it 0.4 s later. Cause: when a request may go back was decided by its own growing pause alone; the choice of endpoints passes over one that has asked for a pause, so nothing was left at that moment. Without a Retry-After the same stream was completed. Both times count now, within the request's own time.

Ruled out: that the endpoint gets a request within its pause, which the choice prevents as before.

--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -3,6 +3,7 @@
 The choice respects the limits of the route, of retries and of a planned stop.
 """
 
+import math
 from collections.abc import Container
 
 import trio
@@ -86,10 +87,11 @@
 
         None if there is no such endpoint, if the request's time ends before, or if it is due now.
         """
-        next_s, now_s = request.returns.next_s, trio.current_time()
-        if now_s >= next_s or next_s >= request.deadline_s or not _returnable(request):
+        now_s = trio.current_time()
+        return_s = self._return_s(request, now_s)
+        if now_s >= return_s or return_s >= request.deadline_s:
             return None
-        return next_s - now_s
+        return return_s - now_s
 
     def end_attempt(self, request: ForwardRequest, attempt: Attempt) -> None:
         """Record that an attempt has ended; a retry counts only if something was sent."""
@@ -146,7 +148,27 @@
 
     def _may_return(self, request: ForwardRequest) -> bool:
         """Return whether a request may be sent again now to an endpoint that turned it away."""
-        return bool(_returnable(request)) and trio.current_time() >= request.returns.next_s
+        now_s = trio.current_time()
+        return now_s >= self._return_s(request, now_s)
+
+    def _return_s(self, request: ForwardRequest, now_s: float) -> float:
+        """Return when a request may be sent again to an endpoint that turned it away.
+
+        The endpoint may have asked for a pause with it. Infinite if there is no such endpoint.
+        """
+        returnable = _returnable(request)
+        if not returnable:
+            return math.inf
+        candidates = self._selector.candidates(request.requirements, request.configuration, now_s)
+        wait_s = min(
+            (
+                self._availability.wait_s(each, now_s)
+                for each in candidates
+                if each.id in returnable
+            ),
+            default=math.inf,
+        )
+        return max(request.returns.next_s, now_s + wait_s)
 
     def _tried(self, request: ForwardRequest) -> set[HostId]:
         """Return the endpoints that a request may not be sent to next.
