Leave out endpoints that fail far more often than others that serve the same

Half answers and unreadable ones were passed over, as one of them says nothing about other requests, and 500s changed no choice. Ruled out: a count alone (a seventh of one kind of request fails at every endpoint of a deployment), connections and rejections (other modules judge them).

Each host keeps the answers of the last 10 s by service. When an endpoint has failed, its latest answers are held against those of the others on the same routes and models: it is an outlier if so many failures would have a chance of one in a million at the others' rate, and still speak against it without the customer with the most of them. A request counts once for an endpoint. An outlier rests for 0.5 s, doubled up to 4 s by each trial that fails; good answers in a row let it have 1, 2, 4, 8, 16 requests at a time. At most half of the endpoints rest; they are asked if nobody else is left. A failure counts as load of its endpoint for 0.5 s. answer_evidence says what is no evidence: this host's own trouble, requests and processes of the crash record, 4xx.

--- a/yewloom/endpoint_attempts.py
+++ b/yewloom/endpoint_attempts.py
@@ -3,11 +3,13 @@
 import structlog
 import trio
 
+from yewloom.answer_evidence import AnswerEvidence
 from yewloom.attempts import AttemptState
 from yewloom.crash_checks import CrashChecks
 from yewloom.crash_record import CrashRecord
 from yewloom.crash_reports import LostRequest
 from yewloom.directory import Endpoint
+from yewloom.endpoint_answers import FailureKind
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure
 from yewloom.endpoint_exchanges import EndpointExchanges, Overtaken, Withdrawn
 from yewloom.event_stream import EventStreamError
@@ -31,6 +33,12 @@
 _POSSIBLE_CRASH = {ExchangeFailure.CONNECTION_LOST, ExchangeFailure.TRUNCATED}
 """Failures that may mean that the endpoint's process has crashed."""
 
+_FAILED_ANSWERS = {
+    ExchangeFailure.TRUNCATED: FailureKind.TRUNCATED,
+    ExchangeFailure.INVALID_RESPONSE: FailureKind.UNREADABLE,
+}
+"""Failures of the answer itself. Others say that the endpoint can't be reached, or has gone."""
+
 
 class EndpointAttemptRunner:
     """Sends requests to endpoints, each over its own connection."""
@@ -45,7 +53,9 @@
         loop_delay: LoopDelayMonitor,
         crash_record: CrashRecord,
         crash_checks: CrashChecks,
+        evidence: AnswerEvidence,
     ) -> None:
+        self._evidence = evidence
         self._crash_record = crash_record
         self._crash_checks = crash_checks
         self._exchanges = exchanges
@@ -64,7 +74,9 @@
         self._metrics.on_attempt(outcome.split(":")[0])
         if is_answered:
             self._clear_crash_suspicion(request)
+            self._evidence.record_answer(request, attempt)
         else:
+            self._evidence.record_failure(request, attempt)
             logger.info(
                 "attempt failed",
                 request_id=request.metadata.request_id,
@@ -78,12 +90,7 @@
 
     def _clear_crash_suspicion(self, request: ForwardRequest) -> None:
         """Stop suspecting a request of causing crashes if it did not end in a server error."""
-        status = (
-            request.response.status
-            if request.response is not None
-            else request.response_writer.status
-        )
-        now_s = trio.current_time()
+        status, now_s = request.answered_status, trio.current_time()
         if status < MIN_SERVER_ERROR_STATUS and self._crash_record.has_any:
             self._crash_record.record_success(request.fingerprint, now_s)
         if status in _SUCCESS_STATUSES:
@@ -100,6 +107,7 @@
             return False, "overtaken"
         except ExchangeError as error:
             outcome = self._record_failure(request, attempt.endpoint, error)
+            attempt.failure = _FAILED_ANSWERS.get(error.failure)
             if error.failure in _POSSIBLE_CRASH:
                 await self._check_crash(request, attempt)
             return False, outcome
@@ -108,6 +116,7 @@
         except Withdrawn:
             return False, "withdrawn"
         except EventStreamError as error:
+            attempt.failure = FailureKind.UNREADABLE
             return False, f"unreadable: {error}"
 
     async def _check_crash(self, request: ForwardRequest, attempt: Attempt) -> None:
@@ -146,5 +155,5 @@
                 self._selector.avoid(endpoint.id, now_s + CONNECTION_LOST_AVOIDANCE_S)
                 self._stalls.report_stalled(endpoint.id, now_s)
             case ExchangeFailure.TRUNCATED | ExchangeFailure.INVALID_RESPONSE:
-                pass  # One response was wrong, which says nothing about other requests.
+                pass  # One response was wrong; many of them make the endpoint an outlier.
         return str(error)
--- a/yewloom/endpoint_choice.py
+++ b/yewloom/endpoint_choice.py
@@ -94,6 +94,7 @@
     def end_attempt(self, request: ForwardRequest, attempt: Attempt) -> None:
         """Record that an attempt has ended; a retry counts only if something was sent."""
         self._selector.end(attempt.endpoint.id)
+        self._selector.outliers.end(attempt.endpoint.id, attempt.began_s)
         request.record.end(attempt.endpoint.id)
         state = request.record.states[attempt.endpoint.id]
         if state is AttemptState.NOT_RUN:
@@ -176,8 +177,9 @@
                 return None
         self._availability.limits.take_token(endpoint, now_s)
         self._selector.begin(endpoint.id)
+        self._selector.outliers.begin(endpoint.id, now_s)
         request.record.begin(endpoint.id)
-        return Attempt(endpoint, retry)
+        return Attempt(endpoint, retry, began_s=now_s)
 
     def _was_quarantined(self, request: ForwardRequest) -> bool:
         """Return whether a request or a part of it was quarantined since its admission."""
--- a/yewloom/endpoint_exchanges.py
+++ b/yewloom/endpoint_exchanges.py
@@ -14,6 +14,7 @@
 from yewloom.attempts import AttemptState
 from yewloom.caller_headers import ForwardingMetadata, HeaderCodec, ResponseMetadata
 from yewloom.directory import Endpoint
+from yewloom.endpoint_answers import FailureKind
 from yewloom.endpoint_availability import EndpointAvailability
 from yewloom.endpoint_calls import (
     CONNECT_TIMEOUT_S,
@@ -169,6 +170,8 @@
             return False, f"not run: status {head.status}"
         self._check_request_id(request, response.metadata)
         body = await exchange.read_body()
+        if head.status >= MIN_SERVER_ERROR_STATUS:
+            attempt.failure = FailureKind.SERVER_ERROR
         if request.response_writer.is_started:
             return False, f"failed: status {head.status} in the middle of a stream"
         headers = self._codec.build_response_headers(head)
--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -17,6 +17,7 @@
 from yewloom.forward_parts import build_stall_detector
 from yewloom.ids import DataCentreId, EntryHostId, HostId
 from yewloom.isolation import Isolation
+from yewloom.outliers import OutlierDetector
 from yewloom.reachability import Reachability
 from yewloom.selection import Selector
 
@@ -24,7 +25,8 @@
 class EndpointParts:
     """The connected objects; ``on_change`` is called when peers should soon be sent a change.
 
-    ``loop_delay_s`` returns a value other than zero if the event loop was blocked just before.
+    ``loop_delay_s`` returns a value other than zero if the event loop was blocked just before;
+    ``on_outlier_step`` is called with the name of each step of an outlier.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         rng: random.Random,
         loop_delay_s: Callable[[], float],
         on_change: Callable[[], None],
+        on_outlier_step: Callable[[str], None] = lambda _step: None,
     ) -> None:
         self.directory = EndpointDirectory(departures.mark)
         intervals = EventIntervals()
@@ -59,6 +62,7 @@
             self.availability,
             intervals,
             self.ended,
+            OutlierDetector(on_outlier_step),
         )
         self.crash_detection = CrashDetection(
             host_id,
--- a/yewloom/forward_parts.py
+++ b/yewloom/forward_parts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from yewloom.answer_evidence import AnswerEvidence
 from yewloom.caller_headers import HeaderCodec
 from yewloom.concurrent_attempts import ConcurrentAttempts
 from yewloom.configuration import ConfigurationState
@@ -114,6 +115,12 @@
         components.loop_delay,
         components.crash_detection.record,
         components.crash_detection.checks,
+        AnswerEvidence(
+            components.selector,
+            components.crash_detection.record,
+            components.reachability,
+            components.loop_delay,
+        ),
     )
 
 
--- a/yewloom/forward_request.py
+++ b/yewloom/forward_request.py
@@ -11,6 +11,7 @@
 from yewloom.caller_messages import CallerRequest, ResponseWriter
 from yewloom.configuration import Configuration
 from yewloom.directory import Endpoint
+from yewloom.endpoint_answers import FailureKind
 from yewloom.endpoint_calls import Header
 from yewloom.event_stream import StreamCursor
 from yewloom.fingerprints import compute_fingerprint
@@ -50,8 +51,9 @@
     ``is_silent`` is whether it was called since the endpoint's last event, and ``is_held_back``
     whether no endpoint could be asked when this was last tried. ``responding_since_s`` is when the
     response began, if it has, and ``has_begun_well`` whether it went on long enough to show that
-    the request crashes no endpoint. ``exchange_scope`` is cancelled when another attempt answers
-    the request.
+    the request crashes no endpoint. ``began_s`` is when its endpoint was chosen, and ``failure``
+    how the endpoint's own answer failed, if it did. ``exchange_scope`` is cancelled when another
+    attempt answers the request.
     """
 
     endpoint: Endpoint
@@ -61,6 +63,8 @@
     is_held_back: bool = False
     responding_since_s: float | None = None
     has_begun_well: bool = False
+    began_s: float = 0.0
+    failure: FailureKind | None = None
     exchange_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -148,6 +152,11 @@
             )
         return self._fingerprint
 
+    @property
+    def answered_status(self) -> int:
+        """Return the status of the answer that an endpoint has given."""
+        return self.response.status if self.response is not None else self.response_writer.status
+
     def fall_back(self) -> None:
         """Use the response that reports a failure, if there is no better one."""
         failed = self.failed_response
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -12,6 +12,7 @@
 from yewloom.event_paces import EventIntervals
 from yewloom.ids import DataCentreId, HostId, ModelName, ServiceName
 from yewloom.load_uncertainty import LoadUncertainty, choose_by_score
+from yewloom.outliers import OutlierDetector
 from yewloom.reachability import Reachability
 from yewloom.routes import Route
 from yewloom.values import value_class
@@ -68,7 +69,9 @@
         availability: EndpointAvailability,
         event_intervals: EventIntervals,
         ended: EndedGroups,
+        outliers: OutlierDetector,
     ) -> None:
+        self.outliers = outliers
         self._availability = availability
         self._ended = ended
         self._directory = directory
@@ -114,7 +117,7 @@
             if self.is_avoided(endpoint, now_s):
                 penalty += AVOIDED_PENALTY
             endpoints.append(endpoint)
-            scores.append(penalty + self._load(endpoint, engine))
+            scores.append(penalty + self._load(endpoint, engine, now_s))
         if not endpoints:
             return None
         uncertainty = self._uncertainties[requirements]
@@ -229,12 +232,15 @@
         """Return whether an endpoint should get new requests only if there is no other one."""
         if self._avoid_until_s.get(endpoint.id, 0.0) > now_s:
             return True
+        if self.outliers.is_left(endpoint.id, now_s):
+            return True
         return self._reachability.is_avoided(endpoint)
 
     def forget(self, endpoint: HostId) -> None:
         """Drop the state of an endpoint that is no longer listed."""
         self._avoid_until_s.pop(endpoint, None)
         self.event_intervals.forget(endpoint)
+        self.outliers.forget(endpoint)
 
     def running_here(self) -> Mapping[HostId, int]:
         """Return how many requests this host has running at each endpoint."""
@@ -274,8 +280,9 @@
         is_leaving = any(member.is_leaving for member in members.values())
         return LEAVING_PENALTY if is_leaving else 0.0
 
-    def _load(self, endpoint: Endpoint, engine: EngineProfile | None) -> float:
+    def _load(self, endpoint: Endpoint, engine: EngineProfile | None, now_s: float) -> float:
         running = self._running.get(endpoint.id, 0) + self._peers.running(endpoint.id)
+        running += self.outliers.failed_load(endpoint.id, now_s)
         return running / _slots_of(engine)
 
 
--- a/yewloom/tests/entry_support.py
+++ b/yewloom/tests/entry_support.py
@@ -21,6 +21,7 @@
     RouteName,
     ServiceName,
 )
+from yewloom.outliers import OutlierDetector
 from yewloom.reachability import Reachability
 from yewloom.routes import Route, RouteKind, RouteTable, ServiceWeight
 from yewloom.selection import Selector
@@ -154,4 +155,5 @@
         ),
         EventIntervals(),
         ended or EndedGroups(),
+        OutlierDetector(),
     )
--- a/yewloom/tests/test_selection.py
+++ b/yewloom/tests/test_selection.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 
 from yewloom.directory import EndpointDirectory, MemberState
+from yewloom.endpoint_answers import Answer
 from yewloom.endpoint_pauses import EndpointPauses
 from yewloom.entry_states import PeerStates
-from yewloom.ids import DataCentreId, EntryHostId, HostId
+from yewloom.ids import CustomerId, DataCentreId, EntryHostId, HostId, RouteName
 from yewloom.schema.entry_pb2 import EndpointLoad, EntryState
 from yewloom.selection import EndpointRequirements
 from yewloom.tests.entry_support import (
@@ -101,6 +102,28 @@
         self.assertEqual(self.select(), "c")
         self.assertEqual(self.select("c"), "a")
 
+    def test_good_answers_change_no_choice(self) -> None:
+        """The same numbers are drawn as without them, and to the same effect."""
+        directory = EndpointDirectory()
+        for name in ("a", "b", "c", "d"):
+            directory.put(make_plain(name))
+        selectors = [make_selector(directory), make_selector(directory)]
+        requirements = EndpointRequirements(PLAIN, None)
+        for number in range(200):
+            now_s = number / 10
+            chosen = [each.select(requirements, CONFIGURATION, (), now_s) for each in selectors]
+            self.assertEqual(chosen[0], chosen[1])
+            assert chosen[0] is not None
+            for selector in selectors:
+                selector.begin(chosen[0].id)
+            selectors[0].outliers.begin(chosen[0].id, now_s)
+            route, customer = RouteName("r"), CustomerId(f"c{number % 3}")
+            answer = Answer(chosen[0].id, route, None, customer, now_s, now_s)
+            selectors[0].outliers.record(PLAIN, answer, lambda: ())
+            selectors[0].outliers.end(chosen[0].id, now_s)
+        states = [selector._rng.getstate() for selector in selectors]
+        self.assertEqual(states[0], states[1])
+
     def test_an_avoided_endpoint_is_selected_only_if_there_is_no_other(self) -> None:
         put_group(self.directory, "g1", SMALL, ["a", "b"])
         self.selector.avoid(HostId("a"), 5.0)
