Test what makes an endpoint an outlier in plays, and what does not

Plays on a mock clock: ten callers, four endpoints, three customers, 2 attempts, answers in 0.1 s; failures from 2 s on.

--- a/yewloom/tests/failing_endpoints.py
+++ b/yewloom/tests/failing_endpoints.py
@@ -22,7 +22,7 @@
 from yewloom.endpoint_calls import ExchangeError, ExchangeFailure, OutgoingRequest, ResponseHead
 from yewloom.event_stream import StreamCursor
 from yewloom.forward_request import ForwardRequest
-from yewloom.ids import CustomerId, RequestId
+from yewloom.ids import CustomerId, HostId, PromptPart, RequestId
 from yewloom.routes import RouteKind
 from yewloom.selection import EndpointRequirements
 from yewloom.tests.entry_support import PLAIN, make_configuration, make_plain, make_route
@@ -93,7 +93,8 @@
 
     ``arrivals`` holds time and endpoint of each request, ``ends`` time and status of each caller's
     request; 0 is one without an answer. The callers take turns as ``customers``; the body of a
-    request names its customer and its number, unless ``body`` returns another one.
+    request names its customer and its number, unless ``body`` returns another one. ``steps`` are
+    those of outliers. At ``at_s``, the endpoint ``remove`` is no longer listed.
     """
 
     script: Script
@@ -102,9 +103,11 @@
     duration_s: float = 10.0
     customers: Sequence[str] = ("hotel", "clinic", "school")
     body: Callable[[str, int], bytes] = lambda customer, number: f"{customer} {number}".encode()
-    prepare: Callable[[ForwarderFixture], None] = lambda _fixture: None
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     ends: list[tuple[float, int]] = field(default_factory=list)
+    steps: list[str] = field(default_factory=list)
+    at_s: float = math.inf
+    remove: str = ""
     _numbers: int = 0
 
     def run(self) -> "Play":
@@ -117,6 +120,11 @@
         counts = Counter(who for at_s, who in self.arrivals if from_s <= at_s < until_s)
         return counts[name] / counts.total()
 
+    def out(self) -> list[str]:
+        """Return the endpoints that are left out at the end."""
+        outliers = self.fixture.selector.outliers
+        return [each for each in self.fixture.directory.by_id if outliers._rests.is_out(each)]
+
     def failed_share(self, from_s: float = 0.0) -> float:
         """Return the share of the callers' requests that got no good answer."""
         statuses = [status for at_s, status in self.ends if at_s >= from_s]
@@ -125,17 +133,22 @@
     async def _run(self) -> None:
         self.fixture = fixture = ForwarderFixture()
         fixture.retries_left = 100.0
+        fixture.selector.outliers._on_step = self.steps.append
         self._began_s = trio.current_time()
         for number in range(self.endpoints):
             fixture.directory.put(make_plain(f"e{number}", f"e{number}:1"))
-        self.prepare(fixture)
         with mock.patch("yewloom.endpoint_exchanges.open_exchange", self._open_exchange):
             with trio.move_on_after(self.duration_s):
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._remove)
                     for number in range(self.callers):
                         customer = self.customers[number % len(self.customers)]
                         nursery.start_soon(self._call, customer, random.Random(number))
 
+    async def _remove(self) -> None:
+        await trio.sleep_until(self.at_s)
+        self.fixture.directory.remove(HostId(self.remove))
+
     @asynccontextmanager
     async def _open_exchange(
         self, address: str, connect_timeout_s: float
@@ -148,18 +161,24 @@
         while True:
             await trio.sleep(rng.uniform(0, 2 * PAUSE_S))
             self._numbers += 1
-            request = self._make_request(customer, self.body(customer, self._numbers))
+            request = self.make_request(customer, self.body(customer, self._numbers))
             await self.fixture.forwarder._try_endpoints(request)
             request.fall_back()
             status = request.response.status if request.response is not None else 0
             self.ends.append((trio.current_time(), status))
 
-    def _make_request(self, customer: str, body: bytes) -> ForwardRequest:
+    @staticmethod
+    def make_request(
+        customer: str, body: bytes, shared_parts: tuple[PromptPart, ...] = ()
+    ) -> ForwardRequest:
+        """Return a request of a customer that has just been read."""
         now_s = trio.current_time()
         return ForwardRequest(
             caller_request=CallerRequest(b"POST", b"/r/1", [], body, now_s, now_s, 1, None),
             response_writer=mock.Mock(is_started=False),
-            metadata=RequestMetadata(RequestId("r1"), "x.example", "k1", None, None, 0),
+            metadata=RequestMetadata(
+                RequestId("r1"), "x.example", "k1", None, None, 0, shared_parts
+            ),
             configuration=make_configuration(ROUTE),
             route=ROUTE,
             requirements=EndpointRequirements(PLAIN, None),
