--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -16,6 +16,7 @@
 import mutations_groups
 import mutations_lateness
 import mutations_limits
+import mutations_outliers
 import mutations_pauses
 import mutations_relays
 import mutations_returns
@@ -35,6 +36,7 @@
     *mutations_lateness.MUTATIONS,
     *mutations_crashes.MUTATIONS,
     *mutations_limits.MUTATIONS,
+    *mutations_outliers.MUTATIONS,
     *mutations_pauses.MUTATIONS,
     *mutations_relays.MUTATIONS,
     *mutations_returns.MUTATIONS,
--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -39,7 +39,7 @@
         rng: random.Random,
         loop_delay_s: Callable[[], float],
         on_change: Callable[[], None],
-        on_outlier_step: Callable[[str], None] = lambda _step: None,
+        on_outlier_step: Callable[[str], None],
     ) -> None:
         self.directory = EndpointDirectory(departures.mark)
         intervals = EventIntervals()
--- a/yewloom/forward_metrics.py
+++ b/yewloom/forward_metrics.py
@@ -55,6 +55,16 @@
             "1 while this host reaches no endpoint although a peer does, else 0.",
             registry=self.registry,
         )
+        self._outlier_steps = self._counter(
+            "yewloom_outlier_steps",
+            "Endpoints that fail far more often than others: ejected, tried again or returned.",
+            "step",
+        )
+        self._ejected_endpoints = Gauge(
+            "yewloom_ejected_endpoints",
+            "Endpoints that this host has ejected and not taken back yet.",
+            registry=self.registry,
+        )
         self._endpoints_age_ms = Gauge(
             "yewloom_endpoints_age_ms",
             "Age of what this host knows of the endpoints; 1e9 if it lacks a change.",
@@ -95,6 +105,14 @@
         """Read whether this host is isolated from the endpoints at each scrape."""
         self._is_isolated.set_function(lambda: float(is_isolated()))
 
+    def on_outlier_step(self, step: str) -> None:
+        """Count a step of an endpoint that fails far more often than others."""
+        self._outlier_steps.labels(step).inc()
+
+    def read_ejected(self, count: Callable[[], int]) -> None:
+        """Read the number of ejected endpoints at each scrape."""
+        self._ejected_endpoints.set_function(count)
+
     def read_endpoints_age(self, age_ms: Callable[[], int]) -> None:
         """Read the age of what this host knows of the endpoints at each scrape."""
         self._endpoints_age_ms.set_function(age_ms)
--- a/yewloom/tests/test_answer_evidence.py
+++ b/yewloom/tests/test_answer_evidence.py
@@ -44,9 +44,14 @@
         now_s, process = trio.current_time(), EndpointProcess(HostId(name), STARTED_UNIX_MS)
         self.fixture.crashes.record.record_crash(process, [LostRequest(fingerprint)], now_s, now_s)
 
-    def fail(self, request: ForwardRequest, kind: FailureKind = FailureKind.SERVER_ERROR) -> None:
-        """Let the first endpoint fail a request."""
-        self.evidence.record_failure(request, self._attempt(FAILING, kind))
+    def fail(
+        self,
+        request: ForwardRequest,
+        kind: FailureKind = FailureKind.SERVER_ERROR,
+        endpoint: HostId = FAILING,
+    ) -> None:
+        """Let an endpoint, the first one if none is given, fail a request."""
+        self.evidence.record_failure(request, self._attempt(endpoint, kind))
 
     def answer(self, name: str, request: ForwardRequest, status: int = 200) -> None:
         """Let an endpoint answer a request."""
@@ -57,9 +62,9 @@
         listed = self.fixture.directory.by_id[endpoint]
         return Attempt(listed, began_s=trio.current_time(), failure=failure)
 
-    async def play(self, fail: Callable[[ForwardRequest], None]) -> bool:
-        """Let the first endpoint fail requests, as ``fail`` does it; return whether it is out."""
-        for number in range(60):
+    async def play(self, fail: Callable[[ForwardRequest], None], rounds: int = 60) -> bool:
+        """Let endpoints fail requests, as ``fail`` does it; return whether any is out."""
+        for number in range(rounds):
             await trio.sleep(0.1)
             customer = CUSTOMERS[number % len(CUSTOMERS)]
             request = Play.make_request(customer, b"%d" % number, (PART,))
@@ -128,13 +133,23 @@
             await trio.sleep(CRASH_NOTICED_S - 0.1)
             world.record_crash(Fingerprint(1), FAILING)
             await trio.sleep(0.2)
-            self.assertFalse(await world.play(world.fail))
+            self.assertFalse(await world.play(world.fail, 10))
+            other = HostId("e1")
+            await world.play(lambda r: world.fail(r, endpoint=other), 30)
+            self.assertTrue(world.outliers._rests.is_out(other))
+            self.assertFalse(world.outliers._rests.is_out(FAILING))
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
     def test_failures_while_this_host_was_delayed_are_none(self) -> None:
-        with mock.patch("yewloom.loop_lateness.LoopDelayMonitor.delay_s", return_value=0.2):
-            self.assertFalse(self.is_out(lambda world: world.fail))
+        def prepare(world: World) -> Callable[[ForwardRequest], None]:
+            def fail(request: ForwardRequest) -> None:
+                with mock.patch.object(world.fixture.loop_delay, "delay_s", return_value=0.2):
+                    world.fail(request)
+
+            return fail
+
+        self.assertFalse(self.is_out(prepare))
 
     def test_failures_while_this_host_reaches_no_endpoint_are_none(self) -> None:
         def prepare(world: World) -> Callable[[ForwardRequest], None]:
@@ -152,7 +167,8 @@
 
         def prepare_mixed(world: World) -> Callable[[ForwardRequest], None]:
             def fail(request: ForwardRequest) -> None:
-                world.answer("e0", Play.make_request("hotel", b"wrong"), 400)
+                for _ in range(9):
+                    world.answer("e0", Play.make_request("hotel", b"wrong"), 400)
                 world.fail(request)
 
             return fail
--- a/yewloom/tests/test_outliers.py
+++ b/yewloom/tests/test_outliers.py
@@ -1,6 +1,7 @@
 """Tests of the rests of outliers, their trials and return, and the bound on their number."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +15,7 @@
     EndpointRests,
     Step,
 )
+from yewloom.forward_metrics import ForwardMetrics
 from yewloom.ids import CustomerId, Fingerprint, HostId, RouteName, ServiceName
 from yewloom.outliers import FAILURE_LOAD_S, OutlierDetector
 
@@ -180,6 +182,35 @@
         self.assertEqual(self.detector.failed_load(A, self.now_s + FAILURE_LOAD_S + 0.01), 0)
         self.assertEqual(self.detector.failed_load(HostId("b"), self.now_s), 0)
 
+    def test_metrics_count_steps_and_endpoints_that_are_out(self) -> None:
+        metrics = ForwardMetrics()
+        self.detector = OutlierDetector(metrics.on_outlier_step)
+        metrics.read_ejected(self.detector.count_out)
+        read = metrics.registry.get_sample_value
+        self.assertEqual(read("yewloom_ejected_endpoints"), 0.0)
+        self.play("a")
+        self.assertEqual(read("yewloom_ejected_endpoints"), 1.0)
+        self.assertEqual(read("yewloom_outlier_steps_total", {"step": "ejected"}), 1.0)
+        self.now_s += MAX_REST_S
+        self.play("", RETURN_STEPS)
+        self.assertEqual(read("yewloom_ejected_endpoints"), 0.0)
+        self.assertEqual(read("yewloom_outlier_steps_total", {"step": "returned"}), 1.0)
+
+    def test_the_log_names_the_rates_that_decided(self) -> None:
+        with mock.patch("yewloom.outliers.logger") as logger:
+            self.play("a")
+            self.now_s += MAX_REST_S
+            self.play("", RETURN_STEPS)
+        [ejected] = logger.warning.call_args_list
+        self.assertEqual(ejected.args, ("endpoint ejected",))
+        fields = ejected.kwargs
+        self.assertEqual((fields["endpoint"], fields["mostly"]), ("a", "server_error"))
+        self.assertEqual(fields["failures"], fields["answers"])
+        self.assertLess(fields["others_share"], 0.1)
+        tried, returned = logger.info.call_args_list[-2:]
+        self.assertEqual(tried, mock.call("endpoint tried", endpoint="a", outcome="answered"))
+        self.assertEqual(returned, mock.call("endpoint returned", endpoint="a"))
+
     def test_an_endpoint_that_restarts_is_as_new(self) -> None:
         self.play("a")
         self.detector.forget(A)
