Count only listed endpoints as ejected, and forget failures by themselves

A host that reads a whole listing removes endpoints without a word to the selector, so the gauge could have counted one that is gone for good, and the times of failures that arrive after a removal would have stayed in memory. The gauge now counts listed endpoints, and failed requests drop out of one queue after 0.5 s, whatever becomes of their endpoint. Found by reading.

--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -72,6 +72,10 @@
             self.reachability.last_connected_in_s,
         )
 
+    def count_ejected(self) -> int:
+        """Return how many listed endpoints are left out because they fail."""
+        return self.selector.outliers.count_out(self.directory.by_id)
+
     def forget(self, endpoint_id: HostId) -> None:
         """Discard the state recorded for an earlier process of an endpoint."""
         self.stalls.forget(endpoint_id)
--- a/yewloom/endpoint_rests.py
+++ b/yewloom/endpoint_rests.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Container
 from dataclasses import dataclass
 from enum import Enum
 
@@ -72,10 +72,9 @@
         rest = self._rests.get(endpoint)
         return rest is not None and rest.returned_s == math.inf
 
-    def count_out(self, endpoints: Collection[HostId] | None = None) -> int:
-        """Return how many endpoints, or of the given ones, rest or have not returned yet."""
-        among = self._rests if endpoints is None else endpoints
-        return sum(self.is_out(endpoint) for endpoint in among) if self._rests else 0
+    def count_out(self, among: Container[HostId]) -> int:
+        """Return how many of some endpoints rest or have not returned yet."""
+        return sum(endpoint in among and self.is_out(endpoint) for endpoint in self._rests)
 
     def begin(self, endpoint: HostId, now_s: float) -> None:
         """Count a request that is sent to an endpoint."""
--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -88,7 +88,7 @@
         parts.departures.on_departure = self._on_departure
         self._endpoints = self._build_endpoints(rng)
         metrics.read_isolation(lambda: self._endpoints.isolation.is_isolated)
-        metrics.read_ejected(self._endpoints.selector.outliers.count_out)
+        metrics.read_ejected(self._endpoints.count_ejected)
         self._quarantine_store = self._endpoints.crash_detection.build_store(parts)
         self._followed_endpoints = FollowedPosition()
         metrics.read_endpoints_age(
--- a/yewloom/outliers.py
+++ b/yewloom/outliers.py
@@ -6,8 +6,8 @@
 """
 
 import math
-from collections import defaultdict, deque
-from collections.abc import Callable, Collection
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Collection, Container
 
 import structlog
 
@@ -29,6 +29,34 @@
 """Least time between two judgements of a service, each of which takes a millisecond or two."""
 
 
+class _FailedRequests:
+    """The failed requests that count as if they still ran, by endpoint."""
+
+    def __init__(self) -> None:
+        self._failed: deque[tuple[float, HostId]] = deque()
+        self._counts: Counter[HostId] = Counter()
+
+    def add(self, endpoint: HostId, now_s: float) -> None:
+        """Add a request that has just failed."""
+        self._drop_expired(now_s)
+        self._failed.append((now_s, endpoint))
+        self._counts[endpoint] += 1
+
+    def count(self, endpoint: HostId, now_s: float) -> int:
+        """Return the number of an endpoint's requests."""
+        if not self._failed:
+            return 0
+        self._drop_expired(now_s)
+        return self._counts.get(endpoint, 0)
+
+    def _drop_expired(self, now_s: float) -> None:
+        while self._failed and self._failed[0][0] <= now_s - FAILURE_LOAD_S:
+            _, endpoint = self._failed.popleft()
+            self._counts[endpoint] -= 1
+            if not self._counts[endpoint]:
+                del self._counts[endpoint]
+
+
 class OutlierDetector:
     """Judges the answers of endpoints; ``on_step`` is called with the name of each step."""
 
@@ -37,7 +65,7 @@
         self._recent: defaultdict[ServiceName, RecentAnswers] = defaultdict(RecentAnswers)
         self._judged_s: dict[ServiceName, float] = {}
         self._rests = EndpointRests()
-        self._failed_s: dict[HostId, deque[float]] = {}
+        self._failed = _FailedRequests()
 
     def record(
         self, service: ServiceName, answer: Answer, judgeable: Callable[[], Collection[HostId]]
@@ -48,7 +76,7 @@
         """
         now_s = answer.ended_s
         if answer.failure is not None:
-            self._failed_s.setdefault(answer.endpoint, deque()).append(now_s)
+            self._failed.add(answer.endpoint, now_s)
         if self._rests.is_out(answer.endpoint):
             self._follow_trial(answer)
             return
@@ -63,14 +91,7 @@
 
     def failed_load(self, endpoint: HostId, now_s: float) -> int:
         """Return the number of failed requests that count as if they still ran."""
-        failed_s = self._failed_s.get(endpoint)
-        if failed_s is None:
-            return 0
-        while failed_s and failed_s[0] <= now_s - FAILURE_LOAD_S:
-            failed_s.popleft()
-        if not failed_s:
-            del self._failed_s[endpoint]
-        return len(failed_s)
+        return self._failed.count(endpoint, now_s)
 
     def begin(self, endpoint: HostId, now_s: float) -> None:
         """Count a request that is sent to an endpoint, which may be a trial."""
@@ -83,13 +104,12 @@
     def forget(self, endpoint: HostId) -> None:
         """Forget an endpoint that is no longer listed or has restarted."""
         self._rests.forget(endpoint)
-        self._failed_s.pop(endpoint, None)
         for recent in self._recent.values():
             recent.drop(endpoint)
 
-    def count_out(self) -> int:
-        """Return the number of endpoints that rest or have not returned yet."""
-        return self._rests.count_out()
+    def count_out(self, among: Container[HostId]) -> int:
+        """Return how many of some endpoints rest or have not returned yet."""
+        return self._rests.count_out(among)
 
     def _judge(
         self,
--- a/yewloom/tests/test_outliers.py
+++ b/yewloom/tests/test_outliers.py
@@ -76,7 +76,7 @@
             step = self.rests.record(A, 1.0, False, 1.0)
         self.assertIs(step, Step.RETURNED)
         self.assertFalse(self.rests.is_out(A))
-        self.assertEqual(self.rests.count_out(), 0)
+        self.assertEqual(self.rests.count_out({A}), 0)
 
     def test_a_failure_on_the_way_back_starts_the_steps_anew(self) -> None:
         self.rests.begin_rest(A, 0.0)
@@ -152,7 +152,8 @@
 
     def test_at_most_half_of_the_listed_endpoints_are_left_out(self) -> None:
         self.assertEqual(self.play("ab"), ["a", "b"])
-        self.assertEqual(self.detector.count_out(), 2)
+        self.assertEqual(self.detector.count_out(self.listed), 2)
+        self.assertEqual(self.detector.count_out({A}), 1)
         self.assertEqual(len(self.play("abc", 40)), 2)
 
     def test_the_last_endpoint_is_never_left_out(self) -> None:
@@ -185,7 +186,7 @@
     def test_metrics_count_steps_and_endpoints_that_are_out(self) -> None:
         metrics = ForwardMetrics()
         self.detector = OutlierDetector(metrics.on_outlier_step)
-        metrics.read_ejected(self.detector.count_out)
+        metrics.read_ejected(lambda: self.detector.count_out(self.listed))
         read = metrics.registry.get_sample_value
         self.assertEqual(read("yewloom_ejected_endpoints"), 0.0)
         self.play("a")
@@ -215,4 +216,4 @@
         self.play("a")
         self.detector.forget(A)
         self.assertFalse(self.detector.is_left(A, self.now_s))
-        self.assertEqual(self.detector.count_out(), 0)
+        self.assertEqual(self.detector.count_out(self.listed), 0)
