End no group for a member that is silent for about a second

What callers saw: their streams cut off, or 503, beside silences of sound endpoints of 1.0 s to 1.3 s.

Cause: when a group had stalled and one member gave no report within 0.4 s while others did, the member was suspected and its group ended (LeaveGroup), about 0.9 s after the silence began. The order reached a member that had just woken up, and the group's streams were cut off there. Ruled out: the hosts' own time limits, and the case that all members are silent, for which a second, longer query was there already.

Change: a member of a stalled group is asked a second time, for 0.8 s more, in each case. The silence that is outlasted is 0.45 s + 0.4 s + 0.8 s. A member that is gone is suspected 0.8 s later.

--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -28,6 +28,10 @@
 answered. It is long because an engine that answers slowly can still serve, and just shorter than
 ``PROBE_INTERVAL_S``, after which the next probe may start."""
 
+SILENT_REPORT_TIMEOUT_S = 0.8
+"""Longest wait for the second report of a member of a stalled group. With the wait for the first
+one and the time until the group counted as stalled, it outlasts a silence of 1.6 s."""
+
 UNLISTED_PROBE_INTERVAL_S = 0.8
 """Pause between two probes of a member that the store no longer lists."""
 
@@ -52,6 +56,11 @@
         """Return whether the group has several members and none has answered."""
         return self.members > 1 and not self.has_answer
 
+    @property
+    def retry_timeout_s(self) -> float:
+        """Return the longest wait for the second report of a member."""
+        return SUSPECT_REPORT_TIMEOUT_S if self.is_unanswered else SILENT_REPORT_TIMEOUT_S
+
 
 @value_class
 class _MemberProbe:
@@ -198,8 +207,8 @@
     async def _query_report(self, probe: _MemberProbe) -> EngineReport | None:
         """Query a member's report, a second time if needed; return None if there is no answer.
 
-        If no member of a group answers, abandoning the group would free no usable host soon, and
-        all members may just be slow. The second query therefore has a longer time-out.
+        A sound member may be silent for a moment. If no member of a group answers, abandoning the
+        group would free no usable host soon, and all may just be slow, so the wait is longer still.
         """
         report = await self._engine_orders.read_report(probe.address, probe.timeout_s)
         group_probe = probe.group_probe
@@ -207,8 +216,8 @@
             if group_probe is not None:
                 group_probe.has_answer = True
             return report
-        if group_probe is not None and group_probe.is_unanswered:
-            return await self._engine_orders.read_report(probe.address, SUSPECT_REPORT_TIMEOUT_S)
+        if group_probe is not None:
+            return await self._engine_orders.read_report(probe.address, group_probe.retry_timeout_s)
         if self._loop_delay_s():
             # The answer may have arrived while the event loop was blocked.
             return await self._engine_orders.read_report(probe.address, probe.timeout_s)
