--- a/yewloom/caller_connection.py
+++ b/yewloom/caller_connection.py
@@ -184,7 +184,8 @@
 
     def _idle_left_s(self, idle_since_s: float) -> float:
         """Return how much longer a connection that is idle since then may stay open."""
-        return idle_since_s + self._limits().idle_timeout_ms / 1000 - trio.current_time()
+        idle_until_s = idle_since_s + self._limits().idle_timeout_ms / 1000
+        return max(0.0, idle_until_s - trio.current_time())
 
     def _read_pending(self) -> bytes:
         """Read data that arrived after the wait timed out, while other connections were handled.
