--- a/yewloom/endpoint_exchanges.py
+++ b/yewloom/endpoint_exchanges.py
@@ -204,12 +204,13 @@
         check = self._silence_check(request, attempt)
 
         async def read_chunk() -> bytes | None:
-            return await self._run_beside_others(request, attempt, exchange.read_chunk)
+            chunk = await self._run_beside_others(request, attempt, exchange.read_chunk)
+            if attempt.is_overtaken:
+                raise Overtaken
+            return chunk
 
         def on_chunk(has_new_event: bool) -> None:
             nonlocal last_event_s
-            if attempt.is_overtaken:
-                raise Overtaken
             if not has_new_event:
                 check()
                 return
