Let a test of long interim responses need the bound of their bytes

Found in review: without that bound it passed, since their number or the bound of framing ended the attempt. It counts what was sent now, and fails without the bound.

--- a/yewloom/tests/test_interim_responses.py
+++ b/yewloom/tests/test_interim_responses.py
@@ -1,6 +1,7 @@
 """Tests of interim responses (status 1xx), which an endpoint may send before its response."""
 
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -33,12 +34,14 @@
 Script = Callable[[ScriptedEndpoint, h11.Request], Awaitable[None]]
 
 
-def _repeat(interim: bytes, pause_s: float) -> Script:
-    """Return a script that sends interim responses until the connection ends."""
+def _repeat(interim: bytes, pause_s: float, sent: Counter[str] | None = None) -> Script:
+    """Return a script that sends interim responses until the connection ends, and counts them."""
 
     async def script(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
         while True:
             await endpoint.send_raw(interim)
+            if sent is not None:
+                sent["interim"] += 1
             await trio.sleep(pause_s)
 
     return script
@@ -82,7 +85,10 @@
 
     def test_few_but_long_ones_end_the_attempt(self) -> None:
         self.assertLess(2 * len(LONG_INTERIM), MAX_RESPONSE_HEAD_BYTES)
-        self.assertEqual(self._statuses(_repeat(LONG_INTERIM, 0.1), "/u/1"), [502])
+        sent = Counter[str]()
+        script = _repeat(LONG_INTERIM, 0.1, sent)
+        self.assertEqual(self._statuses(script, "/u/1"), [502])
+        self.assertLessEqual(sent["interim"], 2 * MAX_RESPONSE_HEAD_BYTES // len(LONG_INTERIM))
 
     def test_another_endpoint_is_asked_where_the_route_allows_it(self) -> None:
         self.assertEqual(self._statuses(_repeat(INTERIM, 0.0), "/r/1", 6), [200] * 6)
