Refuse a request at a stopping host whatever fails on it, and mark only sent responses as started

Found in review: an unforeseen error in Forwarder.reject still closed the connection without an answer (its test failed before); a head that can't be built marked its response as started (by reading).

--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -131,10 +131,11 @@
         await self._write(self._connection.send(h11.EndOfMessage()) or b"")
 
     def _head(self, status: int, headers: Sequence[Header]) -> bytes:
-        self.status = status
         close = [(b"connection", b"close")] if self._should_close() else []
         response = h11.Response(status_code=status, headers=[*headers, *close])
-        return self._connection.send(response) or b""
+        data = self._connection.send(response) or b""
+        self.status = status  # Only a response that could be built has started.
+        return data
 
     async def _write(self, data: bytes) -> None:
         """Send bytes; if sending is interrupted, the response can't be continued."""
--- a/yewloom/forwarding.py
+++ b/yewloom/forwarding.py
@@ -128,6 +128,9 @@
             metadata = self._admission.decode_metadata(caller_request)
         except Refusal as refusal:
             outcome = f"{STOPPING}; {refusal.reason}"
+        except Exception:
+            logger.exception("request failed", reason=UNEXPECTED_ERROR)
+            outcome = f"{STOPPING}; {UNEXPECTED_ERROR}"
         await self._send_refusal(response_writer, Refusal(503, STOPPING, STOPPING_RETRY_AFTER_S))
         self._record_outcome(caller_request, metadata, None, response_writer, outcome)
 
--- a/yewloom/tests/test_unforeseen_errors.py
+++ b/yewloom/tests/test_unforeseen_errors.py
@@ -47,12 +47,20 @@
 
         run(test)
 
-    def _request_with_error(self, owner: type, method: str) -> CallerResponse:
+    def test_a_request_to_a_stopping_host_is_refused(self) -> None:
+        response = self._request_with_error(RequestAdmission, "decode_metadata", is_stopping=True)
+        self.assertEqual((response.status, response.is_complete), (503, True))
+
+    def _request_with_error(
+        self, owner: type, method: str, is_stopping: bool = False
+    ) -> CallerResponse:
         """Return the response to a request while a method of the host's parts raises an error."""
         responses: list[CallerResponse] = []
 
         async def test(fixture: ForwarderFixture) -> None:
             await fixture.add_plain("p", ScriptedEndpoint(respond_ok))
+            if is_stopping:
+                fixture.server.activity.stop_accepting()
             with mock.patch.object(owner, method, side_effect=KeyError("unforeseen")):
                 responses.append(await fixture.request("/u/1"))
 
