Test that a stop waits until refused callers may have read their refusal

Callers would see a reset in place of a 503 if the process ended while their connections are closed after a refusal: unread bytes make the system discard what was sent.

The test has a refused caller that closes after half that time, and one that doesn't; the stop waits for each.

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -152,6 +152,13 @@
         "            pass",
         "test_caller_server",
     ),
+    Mutation(
+        "planned stop: refusals are read before the process ends",
+        "caller_activity",
+        "while self.open_requests or self._reading_scopes or self._closing_connections:",
+        "while self.open_requests or self._reading_scopes:",
+        "test_caller_connection",
+    ),
     Mutation(
         "planned stop: a request that would be cut off is not started",
         "endpoint_choice",
--- a/yewloom/tests/test_caller_connection.py
+++ b/yewloom/tests/test_caller_connection.py
@@ -9,7 +9,7 @@
 
 from yewloom import caller_connection
 from yewloom.caller_activity import FINAL_READ_S, CallerActivity
-from yewloom.caller_connection import CallerConnection
+from yewloom.caller_connection import LINGER_S, CallerConnection
 from yewloom.caller_messages import (
     SEND_TIMEOUT_S,
     CallerDisconnectedError,
@@ -289,6 +289,32 @@
             with self.subTest(head):
                 run(test)
 
+    def test_the_stop_waits_for_connections_that_are_closed_after_a_refusal(self) -> None:
+        """Guards against a process that ends, and so resets a refusal, before its caller reads it.
+
+        It waits for the callers' close, but not without end.
+        """
+        for closes in (True, False):
+
+            async def test(server: Server, closes: bool = closes) -> None:
+                caller = server.open()
+                await server.begin_stop()
+                await caller.send(PLAIN)
+                server.stop_accepting()
+                self.assertIn(b" 503 ", await caller.stream.receive_some(65536))
+                began_s = trio.current_time()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.activity.wait_until_idle)
+                    await trio.sleep(LINGER_S / 2)
+                    self.assertEqual(len(nursery.child_tasks), 1)
+                    if closes:
+                        await caller.stream.aclose()
+                waited_s = LINGER_S / 2 if closes else LINGER_S
+                self.assertAlmostEqual(trio.current_time() - began_s, waited_s)
+
+            with self.subTest(closes=closes):
+                run(test)
+
     def test_no_100_continue_is_sent_once_requests_are_rejected(self) -> None:
         async def test(server: Server) -> None:
             caller = server.open()
