Refuse waiting callers in a slow start once a stop is 2.6 s old

Callers would see a reset: a request sent to a process that starts slowly, and got SIGTERM meanwhile, waits in its accept queue until the process ends, and gets neither an answer nor a refusal.

Cause: while the program is imported, the early listener refuses only what has waited for a third of its timeout. It did not know of the stop, which the signal handler has recorded, and the planned stop begins only after the imports, when nothing or some milliseconds of the grace are left.

From 2.6 s after the stop was requested, as a running host does, each complete request is refused at the next alarm (0.1 s). Requests that are incomplete, chunked or longer than 64 KB still wait for the program.

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -138,7 +138,7 @@
     Removal(
         "callers may connect before the program has started",
         "platform/__main__",
-        "listener = open_early_listener(settings, DEADLINE_HEADER)",
+        "listener = open_early_listener(settings, DEADLINE_HEADER, lambda: signals.requested_s)",
         "listener = None",
     ),
     Removal(
--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -31,6 +31,13 @@
         "",
         "test_early_listener",
     ),
+    Mutation(
+        "start: no caller waits for a host that is told to stop meanwhile",
+        "early_listener",
+        "        if self._is_late_in_stop():\n            return True\n",
+        "",
+        "test_early_listener",
+    ),
     Mutation(
         "start: connections that were accepted early are served",
         "caller_server",
--- a/yewloom/early_listener.py
+++ b/yewloom/early_listener.py
@@ -7,7 +7,8 @@
 On a busy or slow system the start takes many times as long, and a caller that waited for it would
 use up its whole timeout here. Therefore a system timer interrupts the start repeatedly, and a
 request that has waited for a certain share of its timeout is rejected with 503 and Retry-After, so
-that its caller can try another host.
+that its caller can try another host. So is each request once a stop was requested and a running
+host would accept no more: the process may end before the program can answer.
 """
 
 import configparser
@@ -21,6 +22,7 @@
 from yewloom.addresses import split_address
 from yewloom.boot_time import boot_s
 from yewloom.ini_files import new_parser
+from yewloom.planned_stop import DEREGISTRATION_DELAY_S
 from yewloom.socket_ages import received_ago_s
 
 LISTEN_BACKLOG = 512
@@ -58,7 +60,8 @@
 class EarlyListener:
     """The callers' listening socket until the program takes it over; for the main thread only.
 
-    ``deadline_header`` is the lower-case name of the header with the caller's timeout.
+    ``deadline_header`` is the lower-case name of the header with the caller's timeout, and
+    ``stop_requested_s`` returns when a stop was requested, in seconds since boot, if it was.
     ``rejected_count`` is the number of rejected requests, and ``errors`` holds errors; the program
     logs both.
     """
@@ -68,6 +71,7 @@
         listener: socket.socket,
         deadline_header: bytes,
         waited_s: Callable[[socket.socket], float] = received_ago_s,
+        stop_requested_s: Callable[[], float | None] = lambda: None,
     ) -> None:
         self._listener = listener
         self._listener.setblocking(False)
@@ -75,6 +79,7 @@
             _TIMEOUT_PATTERN % re.escape(deadline_header), re.IGNORECASE
         )
         self._waited_s = waited_s
+        self._stop_requested_s = stop_requested_s
         self._accepted_s: dict[socket.socket, float] = {}  # When each connection was accepted.
         self._has_timer = False
         self._is_checking = False
@@ -155,9 +160,11 @@
         return True
 
     def _is_overdue(self, connection: socket.socket, data: bytes) -> bool:
-        """Return whether a complete request has waited for its share of its timeout."""
+        """Return whether a complete request has waited long enough, or comes late in a stop."""
         if not _is_complete(data):
             return False
+        if self._is_late_in_stop():
+            return True
         timeout_match = self._timeout_pattern.search(data)
         limit_s = (
             int(timeout_match[1]) / 1000 * MAX_WAIT_SHARE
@@ -167,8 +174,15 @@
         accepted_ago_s = boot_s() - self._accepted_s[connection]
         return max(self._waited_s(connection), accepted_ago_s) >= limit_s
 
+    def _is_late_in_stop(self) -> bool:
+        """Return whether a stop was requested so long ago that a host accepts no more requests."""
+        requested_s = self._stop_requested_s()
+        return requested_s is not None and boot_s() - requested_s >= DEREGISTRATION_DELAY_S
 
-def open_early_listener(settings: Path, deadline_header: bytes) -> EarlyListener | None:
+
+def open_early_listener(
+    settings: Path, deadline_header: bytes, stop_requested_s: Callable[[], float | None]
+) -> EarlyListener | None:
     """Listen at the callers' address in a settings file; return None if that fails.
 
     The program reads and validates the settings later, and opens the socket itself if this failed.
@@ -177,7 +191,7 @@
     if address is None:
         return None
     try:
-        return EarlyListener(listen(address), deadline_header)
+        return EarlyListener(listen(address), deadline_header, stop_requested_s=stop_requested_s)
     except (OSError, ValueError):
         return None  # The program tries again and reports the error.
 
--- a/yewloom/platform/__main__.py
+++ b/yewloom/platform/__main__.py
@@ -26,7 +26,7 @@
     from yewloom.platform.names import DEADLINE_HEADER
 
     settings = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    listener = open_early_listener(settings, DEADLINE_HEADER)
+    listener = open_early_listener(settings, DEADLINE_HEADER, lambda: signals.requested_s)
     if listener is not None:
         listener.start()
     from yewloom.platform.program import main
--- a/yewloom/tests/test_early_listener.py
+++ b/yewloom/tests/test_early_listener.py
@@ -9,7 +9,9 @@
 from unittest import mock
 
 from yewloom.addresses import split_address
+from yewloom.boot_time import boot_s
 from yewloom.early_listener import DEFAULT_MAX_WAIT_S, EarlyListener, listen
+from yewloom.planned_stop import DEREGISTRATION_DELAY_S
 from yewloom.tests.free_ports import allocate_address
 
 HEAD = b"POST /x HTTP/1.1\r\nhost: x.example\r\nContent-Length: 4\r\n"
@@ -26,7 +28,13 @@
         address = allocate_address()
         self.address = split_address(address)
         self.waited_s = 10.0
-        self.early = EarlyListener(listen(address), b"x-time-ms", lambda connection: self.waited_s)
+        self.stop_requested_s: float | None = None
+        self.early = EarlyListener(
+            listen(address),
+            b"x-time-ms",
+            lambda connection: self.waited_s,
+            lambda: self.stop_requested_s,
+        )
         self.addCleanup(self._close)
 
     def _close(self) -> None:
@@ -132,6 +140,20 @@
                 self.assertEqual(self.early.rejected_count, before + 1)
                 self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
 
+    # Guards against resets of all waiting callers when a slow start is stopped before its end.
+    def test_no_request_waits_for_a_host_that_was_told_to_stop_and_would_have_closed(self) -> None:
+        self.waited_s = 0.0
+        timed = HEAD + b"X-Time-Ms: 6000\r\n\r\nbody"
+        with self._caller(timed) as caller, self._caller(HEAD):
+            self.early.reject_overdue()
+            self.stop_requested_s = boot_s()
+            self.early.reject_overdue()
+            self.assertEqual(self.early.rejected_count, 0)
+            self.stop_requested_s = boot_s() - DEREGISTRATION_DELAY_S
+            self.early.reject_overdue()
+            self.assertTrue(self._read_all(caller).startswith(b"HTTP/1.1 503 "))
+        self.assertEqual((self.early.rejected_count, self.early.errors), (1, []))
+
     def test_a_disconnected_caller_is_dropped(self) -> None:
         with self._caller(b""):
             pass
