--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -33,6 +33,18 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Maximum total length of the status line and headers of an endpoint's response."""
 
+MAX_INTERIM_RESPONSES = 16
+"""Maximum number of interim responses (status 1xx) before a response. Endpoints send one or two;
+their headers together may be as long as those of one response."""
+
+FREE_FRAMING_BYTES = 4 * MAX_RESPONSE_HEAD_BYTES
+"""Length of a response that need not be body: its heads, its trailers and what waits to be parsed.
+"""
+
+MAX_FRAMING_RATIO = 16
+"""Maximum number of further bytes around each byte of body: chunks of one byte have 5, and a few
+may have an extension."""
+
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
 """Maximum length of a response body that is buffered. Responses of plain services have a few
 kilobytes."""
@@ -104,6 +116,9 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._pieces = 0  # Taken since other tasks ran.
+        self._interim_count, self._interim_bytes = 0, 0
+        self._received_bytes, self._body_bytes = 0, 0
+        self._early: ResponseHead | ExchangeError | None = None
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -128,12 +143,19 @@
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the response."""
+        early, self._early = self._early, None
+        if isinstance(early, ExchangeError):
+            raise early
+        return early or await self._read_head()
+
+    async def _read_head(self) -> ResponseHead:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError(ExchangeFailure.CONNECTION_LOST, True, "no answer")
+            self._count_interim(event)
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or None if the response is complete.
@@ -142,6 +164,7 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -158,6 +181,23 @@
                 )
         return bytes(body)
 
+    def _count_interim(self, interim: h11.InformationalResponse) -> None:
+        """Count an interim response; raise ExchangeError if there are too many."""
+        self._interim_count += 1
+        self._interim_bytes += sum(len(name) + len(value) for name, value in interim.headers)
+        if (
+            self._interim_count > MAX_INTERIM_RESPONSES
+            or self._interim_bytes > MAX_RESPONSE_HEAD_BYTES
+        ):
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too many interim answers")
+
+    def _count_received(self, count: int) -> None:
+        """Count received bytes; raise ExchangeError if too few of those before were body."""
+        framing_bytes = self._received_bytes - self._body_bytes
+        self._received_bytes += count
+        if framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too little body")
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
@@ -167,11 +207,11 @@
             return
 
     async def _stop_on_early_response(self, scope: trio.CancelScope) -> None:
+        """Stop sending when the response starts; interim ones say nothing about the request."""
         try:
-            data = await self._stream.receive_some(READ_BYTES)
-        except trio.BrokenResourceError:
-            data = b""
-        self._connection.receive_data(data)
+            self._early = await self._read_head()
+        except ExchangeError as error:
+            self._early = error
         scope.cancel()
 
     async def _next_event(self) -> object:
@@ -190,6 +230,7 @@
                     raise ExchangeError(
                         ExchangeFailure.CONNECTION_LOST, True, "closed before its answer"
                     )
+                self._count_received(len(data))
                 self._connection.receive_data(data)
             except h11.RemoteProtocolError as error:
                 # trailing_data[1] says whether h11 has been told of the end of the stream.
