Compare answers of plain services whatever model their callers name

Callers may send a model to a plain service, where it means nothing. Answers are compared by route and model, so requests that name ever new ones would have had nothing to be compared with, and the endpoint that fails them would have stayed: the new test of it fails without the change. The bound on the number of ejected endpoints is tested for any order of faults.

--- a/yewloom/answer_evidence.py
+++ b/yewloom/answer_evidence.py
@@ -57,10 +57,12 @@
     def _record(
         self, request: ForwardRequest, attempt: Attempt, failure: FailureKind | None
     ) -> None:
+        # A plain service has no models, whatever its callers name.
+        is_engine = attempt.endpoint.membership is not None
         answer = Answer(
             attempt.endpoint.id,
             request.route.name,
-            request.requirements.model,
+            request.requirements.model if is_engine else None,
             request.customer,
             attempt.began_s,
             trio.current_time(),
--- a/yewloom/tests/test_answer_evidence.py
+++ b/yewloom/tests/test_answer_evidence.py
@@ -12,8 +12,9 @@
 from yewloom.crash_reports import EndpointProcess, LostRequest
 from yewloom.endpoint_answers import CRASH_NOTICED_S, FailureKind
 from yewloom.forward_request import Attempt, BufferedResponse, ForwardRequest
-from yewloom.ids import Fingerprint, HostId, PromptPart
-from yewloom.tests.entry_support import make_plain
+from yewloom.ids import Fingerprint, HostId, ModelName, PromptPart
+from yewloom.selection import EndpointRequirements
+from yewloom.tests.entry_support import PLAIN, make_plain
 from yewloom.tests.failing_endpoints import Play
 from yewloom.tests.forwarding_support import ForwarderFixture
 
@@ -97,6 +98,17 @@
 
                 self.assertTrue(self.is_out(prepare))
 
+    def test_callers_of_a_plain_service_can_name_any_model(self) -> None:
+        def prepare(world: World) -> Callable[[ForwardRequest], None]:
+            def fail(request: ForwardRequest) -> None:
+                model = ModelName(request.caller_request.body.decode())
+                request.requirements = EndpointRequirements(PLAIN, model)
+                world.fail(request)
+
+            return fail
+
+        self.assertTrue(self.is_out(prepare))
+
     def test_requests_during_which_endpoints_crashed_are_none(self) -> None:
         def prepare(world: World) -> Callable[[ForwardRequest], None]:
             def fail(request: ForwardRequest) -> None:
--- a/yewloom/tests/test_outliers.py
+++ b/yewloom/tests/test_outliers.py
@@ -156,6 +156,14 @@
         self.assertEqual(self.detector.count_out({A}), 1)
         self.assertEqual(len(self.play("abc", 40)), 2)
 
+    @given(st.lists(st.tuples(st.sets(st.sampled_from("abcd")), st.integers(1, 30)), max_size=6))
+    def test_the_bound_holds_whoever_fails_and_for_how_long(
+        self, phases: list[tuple[set[str], int]]
+    ) -> None:
+        self.setUp()
+        for failing, rounds in phases:
+            self.assertLessEqual(len(self.play("".join(failing), rounds)), 2)
+
     def test_the_last_endpoint_is_never_left_out(self) -> None:
         self.listed = {A}
         self.assertEqual(self.play("a"), [])
