Wait for the equal shares, not for their sum, before a host is killed in a test

It waited until the shares of e1 and e2 add up to 50 and then killed e2. They add up before e1 has a share of its own, as a loan adds to one host what it takes from the other.

Trace, e1 held up until e2 had been granted all 50: e1 serves with a loan 0.2 s after its start (e1, e2: 0, 50; then 2, 48), and has its own share 0.6 s after that (2, 23; 27, 23; 27, 25; 25, 25). e2 killed at (2, 48): the loan runs out, and e1 has 0 until e2 is unlisted, then 50. That is what the limits promise: a dead host keeps its share until it is unlisted. Ruled out: a share that expires (it does not), a takeover by another coordinator.

The test now waits for 25 at each host, which is stricter than the sum; what it asserts is unchanged.

--- a/yewloom/tests/test_processes.py
+++ b/yewloom/tests/test_processes.py
@@ -322,7 +322,8 @@
 
     def test_a_dead_hosts_share_is_reassigned_only_once_it_is_unlisted(self) -> None:
         fleet, total_share = self.fleet, 50
-        wait_for(lambda: self._share("e1") + self._share("e2") == total_share, "the granted shares")
+        equal = (total_share // 2, total_share // 2)
+        wait_for(lambda: (self._share("e1"), self._share("e2")) == equal, "the equal shares")
         fleet.kill("e2")
         wait_for(lambda: self._members("e1") == {"e1", "e3"}, "membership")
         self.assertEqual(self._share("e1"), total_share // 2)
