--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -345,8 +345,8 @@
     Mutation(
         "streams: a run goes on beside the one that was asked for",
         "endpoint_exchanges",
-        "                self._record_silence(request, attempt, asked)\n",
-        "                raise Overtaken\n",
+        "            self._record_silence(request, attempt, asked)\n",
+        "            raise Overtaken\n",
         "test_concurrent_attempts",
     ),
     Mutation(
--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -158,10 +158,17 @@
         "test_slow_engines",
     ),
     Mutation(
-        "delays: a group whose members all do not answer is asked again",
+        "delays: a group whose members all do not answer is given longer",
         "stalled_groups",
-        "if group_probe is not None and group_probe.is_unanswered:",
-        "if False:",
+        "return SUSPECT_REPORT_TIMEOUT_S if self.is_unanswered else SILENT_REPORT_TIMEOUT_S",
+        "return SILENT_REPORT_TIMEOUT_S",
+        "test_slow_engines",
+    ),
+    Mutation(
+        "delays: a member that is silent for a moment is asked again",
+        "stalled_groups",
+        "        if group_probe is not None:\n            return await",
+        "        if False:\n            return await",
         "test_slow_engines",
     ),
     Mutation(
