Know a blocked period for as long as a stop may ask whether its signal arrived in it

Callers would see: a host that was suspended, or got no processor, while SIGTERM came accepts requests for its whole notice period after it wakes, some 6 s after SIGTERM, when the balancer has long counted it out.

Cause: the deregistration delay counts from the start of the blocked period in which the signal may have arrived (unnoticed_ms). Each read of a caller's bytes forgets periods that ended more than 0.25 s ago. If the pass after a suspension takes longer, as it does with many waiting requests on a busy machine, the period is forgotten before the task that begins the stop runs, and unnoticed_ms is 0.

Periods are kept for 10 s, or until the loop has caught up; how old data may be is still asked only of those that ended up to 0.25 s ago.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -80,6 +80,13 @@
         "return 0.0",
         "test_loop_lateness",
     ),
+    Mutation(
+        "delays: a blocked period is known until a signal that arrived in it is asked about",
+        "loop_lateness",
+        "KEPT_S = 10.0",
+        "KEPT_S = 0.25",
+        "test_loop_lateness",
+    ),
     Mutation(
         "delays: time spent waiting for the caller does not count towards a route's time-out",
         "request_admission",
--- a/yewloom/loop_lateness.py
+++ b/yewloom/loop_lateness.py
@@ -22,6 +22,10 @@
 CATCH_UP_S = 0.25
 """Maximum time after a blocked period for which data that is read may have been queued."""
 
+KEPT_S = 10.0
+"""Time for which a blocked period is kept: a signal that arrived in it is asked about once the loop
+has come to that, and until then every pass may be long."""
+
 MIN_IDLE_WAIT_S = 0.001
 """An event wait of at least this length shows that the loop has caught up: nothing was left to
 read."""
@@ -60,7 +64,7 @@
         worked_s = self._wait_began_s - self._pass_began_s
         late_s = worked_s + max(0.0, waited_s - timeout)
         if late_s >= MIN_BLOCKED_S:
-            self._blocked_periods.append(_BlockedPeriod(self._pass_began_s, now_s))
+            self._add_blocked(_BlockedPeriod(self._pass_began_s, now_s))
             logger.info("event loop blocked", late_ms=_ms(late_s), worked_ms=_ms(worked_s))
         elif waited_s >= MIN_IDLE_WAIT_S:
             self._blocked_periods.clear()
@@ -68,10 +72,18 @@
 
     def delay_s(self) -> float:
         """Return how old data that is read now may be; 0 unless the loop was blocked."""
-        now_s = self._clock_s()
-        while self._blocked_periods and now_s - self._blocked_periods[0].ended_s > CATCH_UP_S:
+        now_s, delay_s = self._clock_s(), 0.0
+        for period in reversed(self._blocked_periods):
+            if now_s - period.ended_s > CATCH_UP_S:
+                break
+            delay_s = now_s - period.began_s
+        return delay_s
+
+    def _add_blocked(self, period: _BlockedPeriod) -> None:
+        """Record a blocked period, and forget those that ended long before."""
+        while self._blocked_periods and period.ended_s - self._blocked_periods[0].ended_s > KEPT_S:
             self._blocked_periods.popleft()
-        return now_s - self._blocked_periods[0].began_s if self._blocked_periods else 0.0
+        self._blocked_periods.append(period)
 
     def unnoticed_s(self, noticed_ago_s: float) -> float:
         """Return how long an event noticed some time ago may have gone unnoticed before."""
--- a/yewloom/tests/test_loop_lateness.py
+++ b/yewloom/tests/test_loop_lateness.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from yewloom.loop_lateness import CATCH_UP_S, MIN_BLOCKED_S, LoopDelayMonitor
+from yewloom.loop_lateness import CATCH_UP_S, KEPT_S, MIN_BLOCKED_S, LoopDelayMonitor
 
 BLOCKED_S = 3.0
 SHORT_S = MIN_BLOCKED_S / 2
@@ -75,6 +75,20 @@
         self.assertEqual(self.loop_delay.unnoticed_s(noticed_ago_s=SHORT_S / 2), 0.0)
         self.assertEqual(self.loop_delay.unnoticed_s(noticed_ago_s=BLOCKED_S + 1.0), 0.0)
 
+    # Guards against a stop that counts from the end of a suspension in which it was requested.
+    def test_a_blocked_period_is_known_until_a_long_pass_after_it_has_ended(self) -> None:
+        self._wait(0.2, BLOCKED_S)
+        self._compute(2 * CATCH_UP_S)
+        self.assertAlmostEqual(self.loop_delay.delay_s(), 2 * CATCH_UP_S)
+        self.assertAlmostEqual(self.loop_delay.unnoticed_s(2 * CATCH_UP_S), BLOCKED_S)
+
+    def test_a_blocked_period_is_forgotten_in_the_end(self) -> None:
+        for _ in range(100):
+            self._compute(BLOCKED_S)
+        self.assertLessEqual(len(self.loop_delay._blocked_periods), KEPT_S / BLOCKED_S + 1)
+        self._wait(1.0, 1.0)
+        self.assertEqual(self.loop_delay.unnoticed_s(1.0), 0.0)
+
     def test_short_work_causes_no_delay(self) -> None:
         self._compute(SHORT_S)
         self.assertEqual(self.loop_delay.delay_s(), 0.0)
