Give the watch for a silent endpoint a module of its own

AttemptSilence keeps that state for one attempt; no behaviour changes. The mutations of the moved text are noticed by the same tests.

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -119,7 +119,7 @@
     ),
     Removal(
         "full endpoints are avoided",
-        "endpoint_exchanges",
+        "selection",
         "FULL_AVOIDANCE_S = 0.15",
         "FULL_AVOIDANCE_S = 0.0",
     ),
--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -344,9 +344,9 @@
     ),
     Mutation(
         "streams: a run goes on beside the one that was asked for",
-        "endpoint_exchanges",
-        "            self._record_silence(request, attempt, asked)\n",
-        "            raise Overtaken\n",
+        "attempt_silence",
+        "            self._record_silence(asked)\n",
+        "            self._attempt.exchange_scope.cancel()\n",
         "test_concurrent_attempts",
     ),
     Mutation(
--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -145,7 +145,7 @@
     ),
     Mutation(
         "delays: a delayed host checks a seemingly stalled group twice",
-        "endpoint_exchanges",
+        "attempt_silence",
         "if is_stalled and not was_delayed and self._loop_delay.delay_s():",
         "if False:",
         "test_forwarding",
--- a/yewloom/endpoint_exchanges.py
+++ b/yewloom/endpoint_exchanges.py
@@ -1,16 +1,14 @@
 """Exchange a request and its response with one endpoint, and pass on what arrives.
 
-An endpoint whose group has fallen silent is not left: another one is asked beside it, and whichever
-has what the caller needs next goes on.
+An endpoint whose group has fallen silent is not left: another one is asked beside it
+(``attempt_silence``), and whichever has what the caller needs next goes on.
 """
 
-from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import TypeVar
 
-import structlog
 import trio
 
+from yewloom.attempt_silence import AttemptSilence
 from yewloom.attempts import AttemptState
 from yewloom.caller_headers import ForwardingMetadata, HeaderCodec, ResponseMetadata
 from yewloom.directory import Endpoint
@@ -33,25 +31,16 @@
     FailedResponse,
     ForwardRequest,
 )
-from yewloom.ids import HostId
 from yewloom.loop_lateness import LoopDelayMonitor
 from yewloom.part_record import BEGINNING_S, PartRecord
 from yewloom.reachability import Reachability
-from yewloom.selection import Selector
-from yewloom.stalls import CHECK_INTERVAL_S, STALLED_AVOIDANCE_S, StallDetector
+from yewloom.selection import FULL_AVOIDANCE_S, Selector
+from yewloom.stalls import StallDetector
 from yewloom.values import value_class
 
-logger = structlog.get_logger(__name__)
-
-FULL_AVOIDANCE_S = 0.15
-"""Time for which an endpoint that reported itself full, or that has just woken up, gets no new
-requests: it processes a few batches in this time."""
-
 MISDIRECTED_STATUS = 421
 """Status by which an endpoint reports that a request was meant for another one."""
 
-T = TypeVar("T")
-
 
 class Overtaken(Exception):  # noqa: N818 - ends an attempt
     """Another attempt answers the request."""
@@ -108,15 +97,20 @@
                 return await self._forward_buffered(request, attempt, exchange, response)
             self._stalls.on_stream_start(endpoint.id, trio.current_time())
             try:
-                read = partial(self._read_response_head, attempt, exchange)
-                response = await self._run_beside_others(request, attempt, read)
+                silence = self._watch_for_silence(request, attempt)
+                response = await silence.run(partial(self._read_response_head, attempt, exchange))
                 if response.head.status != 200:
                     return await self._forward_buffered(request, attempt, exchange, response)
                 self._check_request_id(request, response.metadata)
-                return await self._forward_events(request, attempt, exchange, response.head)
+                return await self._forward_events(
+                    request, attempt, exchange, response.head, silence
+                )
             finally:
                 self._stalls.on_stream_end(endpoint.id)
 
+    def _watch_for_silence(self, request: ForwardRequest, attempt: Attempt) -> AttemptSilence:
+        return AttemptSilence(request, attempt, self._stalls, self._selector, self._loop_delay)
+
     async def _read_response_head(self, attempt: Attempt, exchange: Exchange) -> _Response:
         """Wait for the head of a response, and record what the endpoint says of itself."""
         head = await exchange.read_head()
@@ -198,13 +192,13 @@
         attempt: Attempt,
         exchange: Exchange,
         head: ResponseHead,
+        silence: AttemptSilence,
     ) -> tuple[bool, str]:
         """Forward events as they arrive, and record their intervals."""
         last_event_s: float | None = None
-        check = self._silence_check(request, attempt)
 
         async def read_chunk() -> bytes | None:
-            chunk = await self._run_beside_others(request, attempt, exchange.read_chunk)
+            chunk = await silence.run(exchange.read_chunk)
             if attempt.is_overtaken:
                 raise Overtaken
             return chunk
@@ -212,10 +206,10 @@
         def on_chunk(has_new_event: bool) -> None:
             nonlocal last_event_s
             if not has_new_event:
-                check()
+                silence.on_other_bytes()
                 return
             now_s, delay_s = trio.current_time(), self._loop_delay.delay_s()
-            self._record_activity(attempt, now_s, delay_s)
+            silence.on_event(now_s, delay_s)
             # If this host's event loop was delayed, the interval says nothing about the endpoint.
             if last_event_s is not None and not delay_s:
                 self._selector.event_intervals.record(
@@ -232,13 +226,6 @@
         await request.response_writer.finish()
         return True, "answered"
 
-    def _record_activity(self, attempt: Attempt, now_s: float, delay_s: float) -> None:
-        """Record that an endpoint has sent something, which ends its silence."""
-        self._stalls.on_event(attempt.endpoint.id, now_s, delay_s)
-        if attempt.is_silent:
-            attempt.is_silent = False
-            self._selector.shorten_avoidance(attempt.endpoint.id, now_s + FULL_AVOIDANCE_S)
-
     def _record_progress(self, request: ForwardRequest, attempt: Attempt, now_s: float) -> None:
         """Record when the response begins; a while later its endpoint has not crashed on it."""
         if attempt.responding_since_s is None:
@@ -247,64 +234,6 @@
             attempt.has_begun_well = True
             self._crash_parts.record_answer(request.metadata.shared_parts, now_s)
 
-    async def _run_beside_others(
-        self, request: ForwardRequest, attempt: Attempt, step: Callable[[], Awaitable[T]]
-    ) -> T:
-        """Run a step that may be cancelled and restarted, and ask others if its group has stalled.
-
-        If this host's event loop was delayed, checks a second time before that: events that arrived
-        during the delay may not have been read yet.
-        """
-        if not request.route.is_resumable:
-            return await step()
-        was_delayed, leader = False, attempt.endpoint.id
-        while True:
-            check_s = self._stalls.next_check_s(leader, trio.current_time())
-            with trio.move_on_at(check_s):
-                return await step()
-            is_stalled = self._stalls.is_stalled(leader, trio.current_time())
-            if is_stalled and not was_delayed and self._loop_delay.delay_s():
-                was_delayed = True
-            elif is_stalled:
-                self._ask_another(request, attempt)
-
-    def _silence_check(self, request: ForwardRequest, attempt: Attempt) -> Callable[[], None]:
-        """Return a check to run after bytes without a new event, as they end each wait for one."""
-        next_check_s = trio.current_time() + CHECK_INTERVAL_S
-
-        def check() -> None:
-            nonlocal next_check_s
-            now_s = trio.current_time()
-            if not request.route.is_resumable or now_s < next_check_s:
-                return
-            next_check_s = now_s + CHECK_INTERVAL_S
-            if (
-                self._stalls.is_stalled(attempt.endpoint.id, now_s)
-                and not self._loop_delay.delay_s()
-            ):
-                self._ask_another(request, attempt)
-
-        return check
-
-    def _ask_another(self, request: ForwardRequest, attempt: Attempt) -> None:
-        """Ask another endpoint beside a silent one, if there is one."""
-        if (asked := attempt.ask_another()) is not None:
-            self._record_silence(request, attempt, asked)
-
-    def _record_silence(self, request: ForwardRequest, attempt: Attempt, asked: HostId) -> None:
-        """Avoid and report an endpoint beside which another one was asked."""
-        now_s, endpoint = trio.current_time(), attempt.endpoint.id
-        attempt.is_silent = True
-        self._selector.avoid(endpoint, now_s + STALLED_AVOIDANCE_S)
-        self._stalls.report_stalled(endpoint, now_s)
-        logger.info(
-            "endpoint silent",
-            request_id=request.metadata.request_id,
-            endpoint=endpoint,
-            asked=asked,
-            last_event_id=request.cursor.last_event_id,
-        )
-
 
 def _claim(request: ForwardRequest, attempt: Attempt) -> None:
     """Let an attempt answer the request; raise Overtaken if another one does."""
--- a/yewloom/selection.py
+++ b/yewloom/selection.py
@@ -37,6 +37,10 @@
 """Added for an endpoint that is avoided temporarily. It is selected only if all are avoided: a
 request that is sent may still be answered, whereas a refused one is not."""
 
+FULL_AVOIDANCE_S = 0.15
+"""Time for which an endpoint that reported itself full, or that has just woken up, gets no new
+requests: it processes a few batches in this time."""
+
 MISDIRECTED_AVOIDANCE_S = 2.0
 """Time for which an endpoint that answered as another one gets no new requests; its entry in the
 listing changes soon."""
