--- a/yewloom/followed_position.py
+++ b/yewloom/followed_position.py
@@ -32,7 +32,6 @@
         self._missing_position = 0
         self._behind_since_s = float("inf")
         self._forgotten_position: int | None = None
-        self._latest_era, self._era_began_s = 0, float("-inf")
 
     @property
     def last_position(self) -> int | None:
@@ -44,15 +43,6 @@
         self._forgotten_position = self.last_position
         self.position = None
 
-    def hear_of(self, position: int, now_s: float) -> float:
-        """Record that this host or a peer knows a position.
-
-        Return when the latest era was first heard of.
-        """
-        if era_of(position) > self._latest_era:
-            self._latest_era, self._era_began_s = era_of(position), now_s
-        return self._era_began_s
-
     def record_listing(self, position: int, confirmed_s: float) -> None:
         """Record a full listing as of a position, current at ``confirmed_s``.
 
@@ -86,7 +76,6 @@
         """
         if self.position is not None and era_of(report.position) < era_of(self.position):
             return
-        self.hear_of(report.position, now_s)
         if self.position is None or report.changed_at > self.position:
             self._missing_position = max(self._missing_position, report.changed_at)
             self._behind_since_s = min(self._behind_since_s, now_s)
--- a/yewloom/intake.py
+++ b/yewloom/intake.py
@@ -70,9 +70,8 @@
         """Apply a full listing; one from an older copy of the store is believed in part only."""
         now_s, known = trio.current_time(), self._directory.by_id
         is_older_copy = self._is_in_later_era(update.listing.position)
-        returned_s = self._followed.hear_of(update.listing.position, now_s)
         if is_older_copy:
-            self._returned.hold_back(listed, known, returned_s)
+            self._returned.hold_back(listed, known, now_s)
         endpoints = self._returned.believed(listed, known)
         differences = None if is_older_copy else self._differences(update, endpoints)
         self._remove_invalid(invalid)
@@ -81,11 +80,8 @@
         for endpoint_id in known.keys() - {endpoint.id for endpoint in endpoints}:
             self._returned.record_removal(endpoint_id)
         keeps_missing = update.after_outage or is_older_copy
-        missing_since_s = returned_s if is_older_copy else now_s
-        self._directory.replace_all(endpoints, missing_since_s, keeps_missing)
+        self._directory.replace_all(endpoints, now_s, keeps_missing)
         logger.info("endpoints listed", count=len(endpoints), is_older_copy=is_older_copy)
-        if is_older_copy:
-            self._send_changes(_word_of_return(update.listing.position))
         if differences is not None:
             self._record_differences(differences, update.confirmed_s)
 
@@ -127,8 +123,6 @@
 
     def apply_peer_changes(self, changes: ChangedEndpoints) -> None:
         """Apply changes received from a peer, unless earlier ones are missing here."""
-        if self._is_in_later_era(changes.position):
-            self._followed.hear_of(changes.position, trio.current_time())
         if self._followed.can_apply(changes.base, changes.position, changes.unchanged_until):
             self._apply(changes)
             self._followed.record_changes(changes.position, True, float("-inf"))
@@ -227,8 +221,3 @@
             return  # There are hundreds at a start, and the coordinator logs new endpoints.
         event = "endpoint leaving" if endpoint.is_leaving else "endpoint no longer leaving"
         logger.info(event, endpoint=endpoint.id, service=endpoint.service)
-
-
-def _word_of_return(position: int) -> ChangedEndpoints:
-    """Return changes of nothing, from which peers hear of the store's return."""
-    return ChangedEndpoints(position, position, [], [])
--- a/yewloom/returned_entries.py
+++ b/yewloom/returned_entries.py
@@ -62,18 +62,15 @@
         self._removed.pop(endpoint, None)
 
     def hold_back(
-        self, listed: Iterable[Endpoint], known: Mapping[HostId, Endpoint], returned_s: float
+        self, listed: Iterable[Endpoint], known: Mapping[HostId, Endpoint], now_s: float
     ) -> None:
-        """Hold back the entries of the first listing after the return that look outdated.
-
-        ``returned_s`` is when this host first heard of the return, which may be seconds before.
-        """
+        """Hold back the entries of the first listing after the return that look outdated."""
         self._held.clear()
         for endpoint in listed:
             if endpoint.id in known and _looks_older(endpoint, known[endpoint.id]):
-                self._held[endpoint.id] = _HeldEntry(endpoint, returned_s + REWRITE_S)
+                self._held[endpoint.id] = _HeldEntry(endpoint, now_s + REWRITE_S)
             elif endpoint.id in self._removed:
-                self._held[endpoint.id] = _HeldEntry(endpoint, returned_s + EXPIRY_S)
+                self._held[endpoint.id] = _HeldEntry(endpoint, now_s + EXPIRY_S)
 
     def believed(
         self, listed: Iterable[Endpoint], known: Mapping[HostId, Endpoint]
