Refuse late requests at a host that was blocked when it was told to stop

Found in review. What callers would see: a request sent 3.5 s or 6.5 s after SIGTERM is taken, with little of the grace left. Cause: the time at which requests are no longer accepted counted only once the stop had begun. A host that is held up from before SIGTERM reads what has arrived in its first pass, while the task that begins the stop runs passes later.

The signal handler has recorded the time; the server asks it, with how long the signal may have gone unnoticed. The test of a whole host fails without the wiring. Not played with a whole host's process.

--- a/tools/mutations_lateness.py
+++ b/tools/mutations_lateness.py
@@ -69,10 +69,17 @@
     Mutation(
         "delays: the notice period counts from when the signal may have arrived",
         "planned_stop",
-        "self.stops_accepting_s = requested_s - unnoticed_s + deregistration_s",
-        "self.stops_accepting_s = requested_s + deregistration_s",
+        "self.stops_accepting_s = requested_s - unnoticed_s + self._notice_s",
+        "self.stops_accepting_s = requested_s + self._notice_s",
         "test_planned_stop",
     ),
+    Mutation(
+        "delays: a host that has not begun its stop refuses requests that come late in it",
+        "caller_activity",
+        "return self._phase is Phase.SERVING and not self.is_notice_over()",
+        "return self._phase is Phase.SERVING",
+        "test_entry_host",
+    ),
     Mutation(
         "delays: a signal may have arrived while the event loop was blocked",
         "loop_lateness",
--- a/yewloom/caller_activity.py
+++ b/yewloom/caller_activity.py
@@ -1,7 +1,7 @@
 """Tracks the connections of one server and the phase of its planned stop."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import trio
@@ -29,6 +29,9 @@
         self._closing_connections = 0
         self._has_changed = trio.Event()
         self.open_requests = 0
+        self.is_notice_over: Callable[[], bool] = lambda: False
+        """Whether a stop was requested so long ago that no requests are accepted, although its
+        first step may not have run yet."""
 
     @property
     def is_stopping(self) -> bool:
@@ -44,7 +47,7 @@
         """
         if self._phase is Phase.LEAVING:
             return trio.current_time() < self._stops_accepting_s
-        return self._phase is Phase.SERVING
+        return self._phase is Phase.SERVING and not self.is_notice_over()
 
     @property
     def is_closed(self) -> bool:
--- a/yewloom/planned_stop.py
+++ b/yewloom/planned_stop.py
@@ -59,6 +59,18 @@
         """Return whether the stop has begun."""
         return self.finish_by_s < math.inf
 
+    @property
+    def _notice_s(self) -> float:
+        """Return how long requests are still accepted after a stop was requested."""
+        return min(DEREGISTRATION_DELAY_S, self._grace_s * MAX_DEREGISTRATION_SHARE)
+
+    def is_notice_over(self, requested_ago_s: float, unnoticed_s: float = 0.0) -> bool:
+        """Return whether a stop that was requested some time ago accepts no more requests.
+
+        It may not have begun yet: the host may have been blocked since.
+        """
+        return requested_ago_s + unnoticed_s >= self._notice_s
+
     def begin(self, requested_s: float, unnoticed_s: float = 0.0) -> None:
         """Compute the times from when the stop was requested; only the first request counts.
 
@@ -69,8 +81,7 @@
         if self.has_begun:
             return
         self._requested_s = requested_s
-        deregistration_s = min(DEREGISTRATION_DELAY_S, self._grace_s * MAX_DEREGISTRATION_SHARE)
-        self.stops_accepting_s = requested_s - unnoticed_s + deregistration_s
+        self.stops_accepting_s = requested_s - unnoticed_s + self._notice_s
         self._reserve_for_exit(EXIT_MARGIN_S)
 
     def add_delay(self, delay_s: float) -> None:
--- a/yewloom/process_signals.py
+++ b/yewloom/process_signals.py
@@ -28,6 +28,11 @@
         for number in (*STOP_SIGNALS, signal.SIGHUP):
             signal.signal(number, self._on_signal)
 
+    def requested_ago_s(self) -> float | None:
+        """Return how long ago a stop was requested, or None if none was."""
+        requested_s = self._early.requested_s
+        return None if requested_s is None else boot_s() - requested_s
+
     async def wait_for_stop(self, reload: Callable[[], None]) -> float:
         """Return when a stop was requested, on trio's clock; until then SIGHUP calls ``reload``."""
         self._trio_token = trio.lowlevel.current_trio_token()
--- a/yewloom/tests/test_entry_host.py
+++ b/yewloom/tests/test_entry_host.py
@@ -3,12 +3,14 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 
 from yewloom.fingerprints import format_fingerprint
 from yewloom.ids import Fingerprint
 from yewloom.platform.standin_engine import DEFAULT_EVENT_COUNT
+from yewloom.process_signals import ProcessSignals
 from yewloom.quarantine_store import STORE_KEY
 from yewloom.replica_lifecycle import UNLISTED_GRACE_S
 from yewloom.tests.deployment_support import MODEL, Deployment, configuration, run
@@ -29,6 +31,16 @@
 
         run(test)
 
+    def test_a_host_that_has_not_begun_its_stop_refuses_requests_that_come_late_in_it(self) -> None:
+        """Guards against late requests at a host that was blocked when it was told to stop."""
+
+        async def test(deployment: Deployment) -> None:
+            for ago_s, status in ((1.0, 200), (6.0, 503)):
+                with mock.patch.object(ProcessSignals, "requested_ago_s", return_value=ago_s):
+                    self.assertEqual((await deployment.send_request())[0], status)
+
+        run(test)
+
     def test_a_revoked_key_is_rejected_at_every_host(self) -> None:
         async def test(deployment: Deployment) -> None:
             deployment.store.put("config", "main", configuration(4, ["k2"]))
--- a/yewloom/tests/test_planned_stop.py
+++ b/yewloom/tests/test_planned_stop.py
@@ -61,6 +61,13 @@
         self.assertEqual(stop.stops_accepting_s, 8.5 + DEREGISTRATION_DELAY_S)
         self.assertEqual(stop.finish_by_s, 18.0 - STOP_MARGIN_S)
 
+    def test_the_notice_is_over_by_the_time_that_a_begun_stop_would_have(self) -> None:
+        for grace_s, notice_s in ((8.0, DEREGISTRATION_DELAY_S), (2.0, 0.8)):
+            plan = PlannedStop(grace_s)
+            self.assertFalse(plan.is_notice_over(notice_s - 0.1))
+            self.assertTrue(plan.is_notice_over(notice_s))
+            self.assertTrue(plan.is_notice_over(notice_s - 0.1, unnoticed_s=0.1))
+
     def test_many_open_requests_are_cut_off_earlier(self) -> None:
         stop = PlannedStop(grace_s=8.0)
         stop.begin(0.0)
--- a/yewloom/tests/test_process_signals.py
+++ b/yewloom/tests/test_process_signals.py
@@ -48,6 +48,12 @@
 
         self.assertGreaterEqual(self._run(act), BLOCKED_S)
 
+    def test_a_stop_is_known_before_the_loop_has_noticed_it(self) -> None:
+        self.assertIsNone(self.signals.requested_ago_s())
+        signal.raise_signal(signal.SIGTERM)
+        time.sleep(BLOCKED_S)
+        self.assertGreaterEqual(self.signals.requested_ago_s() or 0.0, BLOCKED_S)
+
     def test_a_stop_requested_before_the_loop_started_counts(self) -> None:
         signal.raise_signal(signal.SIGTERM)
         time.sleep(BLOCKED_S)
