--- a/yewloom/entry_host.py
+++ b/yewloom/entry_host.py
@@ -46,6 +46,7 @@
 from yewloom.schema.entry_pb2 import EntrySettings
 from yewloom.shutdown import Shutdown
 from yewloom.socket_ages import ReadAges
+from yewloom.stop_notice import StopNotice
 from yewloom.store_retries import StoreBackoff
 
 logger = structlog.get_logger(__name__)
@@ -288,7 +289,8 @@
         """
         self._started_s = trio.current_time()
         self._loop_delay.start()
-        self._caller_server.activity.is_notice_over = lambda: self._is_notice_over(signals)
+        notice = StopNotice(signals, self._stop_plan, self._loop_delay)
+        self._caller_server.activity.is_notice_over = notice.is_over
         async with trio.open_nursery() as nursery:
             await self._start(nursery)
             logger.info("started", data_centre=self._settings.host.data_centre)
@@ -296,17 +298,6 @@
             await self._stop(requested_s, end_process)
             nursery.cancel_scope.cancel()
 
-    def _is_notice_over(self, signals: ProcessSignals) -> bool:
-        """Return whether a stop was requested so long ago that this host accepts no requests.
-
-        A host that was blocked reads what has arrived before the task that begins the stop runs.
-        """
-        requested_ago_s = signals.requested_ago_s()
-        if requested_ago_s is None:
-            return False
-        unnoticed_s = self._loop_delay.unnoticed_s(requested_ago_s)
-        return self._stop_plan.is_notice_over(requested_ago_s, unnoticed_s)
-
     async def _stop(self, requested_s: float, end_process: Callable[[], None]) -> None:
         """Perform the planned stop; a blocked event loop does not delay its end."""
 
