--- a/yewloom/stalled_groups.py
+++ b/yewloom/stalled_groups.py
@@ -38,9 +38,13 @@
 
 @value_class
 class _ProbeKey:
-    """Key of a member's probe among the background tasks, distinct from the key of its orders."""
+    """Key of a member's probe among the background tasks, distinct from the key of its orders.
+
+    A probe of a member that is not listed does not keep its group's members from being probed.
+    """
 
     member: HostId
+    is_unlisted: bool = False
 
 
 @dataclass
@@ -144,7 +148,8 @@
             if host in self._directory.by_id:
                 self._state.unlisted_since_s.pop(host, None)
             elif self._is_probe_due(host, now_s, UNLISTED_PROBE_INTERVAL_S):
-                tasks.start(_ProbeKey(host), partial(self._probe_unlisted_member, member))
+                key = _ProbeKey(host, is_unlisted=True)
+                tasks.start(key, partial(self._probe_unlisted_member, member))
 
     async def _probe_unlisted_member(self, member: GroupMember) -> None:
         """Probe a member; an answer counts only if it is from the process in the group."""
--- a/yewloom/tests/test_slow_engines.py
+++ b/yewloom/tests/test_slow_engines.py
@@ -338,6 +338,24 @@
 
         _run(test)
 
+    def test_a_probe_of_an_unlisted_member_does_not_delay_that_of_its_group(self) -> None:
+        """Guards against a member that is gone for seconds longer since it is not listed."""
+
+        async def test(tasks: BackgroundTasks) -> None:
+            engines, state, stalls = FakeEngines(), PlanState(), StallDetector()
+            group = Group(id="g", generation=1, intent=GroupIntent.ACTIVE.value)
+            for name in ("a", "dead"):
+                group.members.add(host_id=name, address=name)
+            groups = StalledGroups(EndpointDirectory(), stalls, engines, state)
+            groups.start_probes([group], tasks)
+            await trio.sleep(REPORT_TIMEOUT_S / 2)
+            stalls.report_stalled(HostId("a"), trio.current_time())
+            groups.start_probes([group], tasks)
+            await trio.sleep(UNRESPONSIVE_S + 0.1)
+            self.assertEqual(state.suspects, {"dead"})
+
+        _run(test)
+
     def test_a_member_that_is_silent_for_more_than_a_second_is_not_suspected(self) -> None:
         """Guards against ending a sound group, with its streams, for a silence that passes."""
 
