Judge an endpoint that hardly answers any customer but one by that customer's answers elsewhere

With fewer than three answers to others there, the same customer's answers at the other endpoints confirm it; if its requests fail there too, it is no evidence.

--- a/yewloom/outlier_evidence.py
+++ b/yewloom/outlier_evidence.py
@@ -6,7 +6,7 @@
 
 A request that is sent again and again counts once for an endpoint. Where several customers use the
 routes, the failures of one alone are no evidence: it must also hold, less strictly, without the
-customer with the most failures.
+customer with the most failures, or for that customer alone if the endpoint hardly answers others.
 """
 
 import itertools
@@ -38,6 +38,9 @@
 MIN_CONFIRMATION = 3.0
 """Evidence without the customer with the most failures: a chance of one in twenty."""
 
+MIN_CONFIRMING_ANSWERS = 3
+"""Minimum number of the endpoint's answers to other customers: fewer give no such evidence."""
+
 Kind = tuple[RouteName, ModelName | None]
 """What requests must have in common to be compared."""
 
@@ -172,7 +175,7 @@
 
 
 def _is_confirmed(endpoint: HostId, answers: Sequence[Answer]) -> bool:
-    """Return whether the failures are not those of a single customer among several."""
+    """Return whether the failures are not due to the requests of a single customer."""
     own = [answer for answer in answers if answer.endpoint == endpoint]
     kinds = {(answer.route, answer.model) for answer in own}
     customers = {a.customer for a in answers if (a.route, a.model) in kinds}
@@ -180,8 +183,10 @@
         return True
     failed: Counter[CustomerId | None] = Counter(a.customer for a in own if a.failure is not None)
     [(worst, _)] = failed.most_common(1)
-    without = _count(answer for answer in answers if answer.customer != worst)
-    return _compare(endpoint, without).evidence >= MIN_CONFIRMATION
+    has_others = sum(answer.customer != worst for answer in own) >= MIN_CONFIRMING_ANSWERS
+    # Without enough answers to others here, the same customer's answers elsewhere must confirm it.
+    compared = _count(answer for answer in answers if (answer.customer != worst) is has_others)
+    return _compare(endpoint, compared).evidence >= MIN_CONFIRMATION
 
 
 def _divergence(share: float, expected: float) -> float:
