Count no rest that nobody has tried to end for long

Found in review: two remote endpoints that were ejected once, and then not chosen for their distance, held the bound of half for ever: an hour later a local one failed 2,000 of 2,000 requests and was not ejected.

--- a/yewloom/endpoint_parts.py
+++ b/yewloom/endpoint_parts.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import trio
+
 from yewloom.configuration import ConfigurationState
 from yewloom.crash_parts import CrashDetection
 from yewloom.departures import Departures
@@ -74,7 +76,7 @@
 
     def count_ejected(self) -> int:
         """Return how many listed endpoints are left out because they fail."""
-        return self.selector.outliers.count_out(self.directory.by_id)
+        return self.selector.outliers.count_out(self.directory.by_id, trio.current_time())
 
     def forget(self, endpoint_id: HostId) -> None:
         """Discard the state recorded for an earlier process of an endpoint."""
--- a/yewloom/endpoint_rests.py
+++ b/yewloom/endpoint_rests.py
@@ -36,14 +36,23 @@
 
 @dataclass
 class _Rest:
-    """A rest until ``until_s``; what follows it counts the good answers and running requests."""
+    """A rest until ``until_s``; what follows it counts the good answers and running requests.
+
+    ``tried_s`` is when a request was last sent to the endpoint after it.
+    """
 
     until_s: float
     duration_s: float
     answered: int = 0
     running: int = 0
+    tried_s: float = -math.inf
     returned_s: float = math.inf
 
+    @property
+    def last_used_s(self) -> float:
+        """Return when the rest ended, or when a request was last sent after it."""
+        return max(self.until_s, self.tried_s)
+
 
 class EndpointRests:
     """Keeps which endpoints rest or return."""
@@ -72,15 +81,22 @@
         rest = self._rests.get(endpoint)
         return rest is not None and rest.returned_s == math.inf
 
-    def count_out(self, among: Container[HostId]) -> int:
-        """Return how many of some endpoints rest or have not returned yet."""
-        return sum(endpoint in among and self.is_out(endpoint) for endpoint in self._rests)
+    def count_out(self, among: Container[HostId], now_s: float) -> int:
+        """Return how many of some endpoints rest or are on their way back.
+
+        One that nobody has tried for long is left out by other reasons.
+        """
+        return sum(
+            endpoint in among and self.is_out(endpoint) and rest.last_used_s + RELAPSE_S > now_s
+            for endpoint, rest in self._rests.items()
+        )
 
     def begin(self, endpoint: HostId, now_s: float) -> None:
         """Count a request that is sent to an endpoint."""
         rest = self._rests.get(endpoint)
         if rest is not None and now_s >= rest.until_s:
             rest.running += 1
+            rest.tried_s = now_s
 
     def end(self, endpoint: HostId, began_s: float) -> None:
         """Count a request that began at a given time as ended."""
--- a/yewloom/outliers.py
+++ b/yewloom/outliers.py
@@ -107,9 +107,9 @@
         for recent in self._recent.values():
             recent.drop(endpoint)
 
-    def count_out(self, among: Container[HostId]) -> int:
+    def count_out(self, among: Container[HostId], now_s: float) -> int:
         """Return how many of some endpoints rest or have not returned yet."""
-        return self._rests.count_out(among)
+        return self._rests.count_out(among, now_s)
 
     def _judge(
         self,
@@ -124,7 +124,7 @@
             return
         self._judged_s[service] = now_s
         among = judgeable()
-        free = int(len(among) * MAX_OUT_SHARE) - self._rests.count_out(among)
+        free = int(len(among) * MAX_OUT_SHARE) - self._rests.count_out(among, now_s)
         if free <= 0:
             return
         outliers = find_outliers(recent.newest_first(now_s))
--- a/yewloom/tests/test_answer_evidence.py
+++ b/yewloom/tests/test_answer_evidence.py
@@ -72,7 +72,7 @@
             for name in ("e1", "e2", "e3"):
                 self.answer(name, Play.make_request(customer, b"fine"))
             fail(request)
-        return self.outliers.count_out(self.fixture.directory.by_id) > 0
+        return self.outliers.count_out(self.fixture.directory.by_id, 0.0) > 0
 
 
 class TestAnswerEvidence(unittest.TestCase):
--- a/yewloom/tests/test_outliers.py
+++ b/yewloom/tests/test_outliers.py
@@ -76,7 +76,16 @@
             step = self.rests.record(A, 1.0, False, 1.0)
         self.assertIs(step, Step.RETURNED)
         self.assertFalse(self.rests.is_out(A))
-        self.assertEqual(self.rests.count_out({A}), 0)
+        self.assertEqual(self.rests.count_out({A}, 0.0), 0)
+
+    def test_a_rest_that_nobody_ends_by_a_trial_does_not_count_for_ever(self) -> None:
+        """Guards against a faulty endpoint that is kept for the sake of one nobody would choose."""
+        self.rests.begin_rest(A, 0.0)
+        tried_s = FIRST_REST_S + RELAPSE_S - 1.0
+        self.assertEqual(self.rests.count_out({A}, tried_s), 1)
+        self.rests.begin(A, tried_s)
+        self.assertEqual(self.rests.count_out({A}, tried_s + RELAPSE_S - 1.0), 1)
+        self.assertEqual(self.rests.count_out({A}, tried_s + RELAPSE_S), 0)
 
     def test_a_failure_on_the_way_back_starts_the_steps_anew(self) -> None:
         self.rests.begin_rest(A, 0.0)
@@ -152,8 +161,8 @@
 
     def test_at_most_half_of_the_listed_endpoints_are_left_out(self) -> None:
         self.assertEqual(self.play("ab"), ["a", "b"])
-        self.assertEqual(self.detector.count_out(self.listed), 2)
-        self.assertEqual(self.detector.count_out({A}), 1)
+        self.assertEqual(self.detector.count_out(self.listed, 0.0), 2)
+        self.assertEqual(self.detector.count_out({A}, 0.0), 1)
         self.assertEqual(len(self.play("abc", 40)), 2)
 
     @given(st.lists(st.tuples(st.sets(st.sampled_from("abcd")), st.integers(1, 30)), max_size=6))
@@ -194,7 +203,7 @@
     def test_metrics_count_steps_and_endpoints_that_are_out(self) -> None:
         metrics = ForwardMetrics()
         self.detector = OutlierDetector(metrics.on_outlier_step)
-        metrics.read_ejected(lambda: self.detector.count_out(self.listed))
+        metrics.read_ejected(lambda: self.detector.count_out(self.listed, 0.0))
         read = metrics.registry.get_sample_value
         self.assertEqual(read("yewloom_ejected_endpoints"), 0.0)
         self.play("a")
@@ -224,4 +233,4 @@
         self.play("a")
         self.detector.forget(A)
         self.assertFalse(self.detector.is_left(A, self.now_s))
-        self.assertEqual(self.detector.count_out(self.listed), 0)
+        self.assertEqual(self.detector.count_out(self.listed, 0.0), 0)
