Test that connections accepted during a start are refused by a stop that comes before the server runs

Callers that connected during the imports would see a reset if the host is stopped before it serves them. The server refuses them, but without that no test of the callers' connections failed (those in the queue had one).

--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -159,6 +159,13 @@
         "while self.open_requests or self._reading_scopes:",
         "test_caller_connection",
     ),
+    Mutation(
+        "planned stop: connections that were accepted early are refused, too",
+        "caller_server",
+        "        yield from self._take_early_connections()\n        if self._listener is None",
+        "        if self._listener is None",
+        "test_caller_server",
+    ),
     Mutation(
         "planned stop: a request that would be cut off is not started",
         "endpoint_choice",
--- a/yewloom/tests/test_caller_server.py
+++ b/yewloom/tests/test_caller_server.py
@@ -148,6 +148,26 @@
                 self.assertEqual((await exchange.read_head()).status, 200)
             nursery.cancel_scope.cancel()
 
+    # Guards against resets of callers that connected during a start, if the host stops in it.
+    def test_connections_accepted_before_a_server_that_is_stopped_first_are_rejected(self) -> None:
+        trio.run(self._stop_before_accepted_connections_are_served)
+
+    async def _stop_before_accepted_connections_are_served(self) -> None:
+        async def handle(request: CallerRequest, response: ResponseWriter) -> None:
+            self.fail("a request was started")
+
+        server, address = CallerServer(Handlers(handle), CallerLimits), allocate_address()
+        listener = listen(address)
+        async with trio.open_nursery() as nursery, open_exchange(address, 1.0) as exchange:
+            accepted, _ = listener.accept()
+            await nursery.start(server.serve, listener, trio.sleep_forever, [accepted])
+            await exchange.send(REQUEST)
+            server.stop_accepting()
+            with trio.fail_after(2.0):
+                await server.activity.wait_until_idle()
+                self.assertEqual((await exchange.read_head()).status, 503)
+            nursery.cancel_scope.cancel()
+
     def test_connections_in_the_accept_queue_are_rejected_not_reset(self) -> None:
         """Guards against resets when a host is stopped while it starts, with requests sent."""
         trio.run(self._stop_before_anything_is_accepted)
