Test a stream of comments without end beside the other endless responses

A caller received comments until its deadline as if they were its stream, and then a cut: on the test of this case fails (status 200, not complete, and 2.0 MB read of at most 1 MiB; no answer by the other endpoint in 2 of 4 requests). It passes since the bound on what a stream sends without a new event.

--- a/yewloom/tests/test_endless_responses.py
+++ b/yewloom/tests/test_endless_responses.py
@@ -95,6 +95,7 @@
     "a line of an event": _endless(_chunk(b"data: "), _chunk(b"x" * PIECE)),
     "lines of an event": _endless(b"", _chunk(b"data: a\n" * LINES)),
     "comment lines": _endless(b"", _chunk(b": more\n" * LINES)),
+    "comments": _endless(b"", _chunk(b": more\n\n" * LINES)),
     "zeros as events": _endless(b"", _chunk(b"\0" * PIECE)),
 }
 
