--- a/tools/mutations_entry.py
+++ b/tools/mutations_entry.py
@@ -117,6 +117,13 @@
         "self._handlers.accept",
         "test_planned_stop",
     ),
+    Mutation(
+        "planned stop: no request is accepted after the notice period if the closing is late",
+        "shutdown",
+        "self._activity.begin_stop(self._plan.stops_accepting_s)",
+        "self._activity.begin_stop()",
+        "test_late_requests",
+    ),
     Mutation(
         "planned stop: a connection that becomes idle after the notice period is closed",
         "caller_activity",
@@ -141,10 +148,17 @@
     Mutation(
         "planned stop: queued connections are refused before the socket is closed",
         "caller_server",
-        "            if not self.activity.accepts_requests:\n                self._reject_queued()",
+        "            if self.activity.is_closed:\n                self._reject_queued()",
         "            pass",
         "test_caller_server",
     ),
+    Mutation(
+        "planned stop: refusals are read before the process ends",
+        "caller_activity",
+        "while self.open_requests or self._reading_scopes or self._closing_connections:",
+        "while self.open_requests or self._reading_scopes:",
+        "test_caller_connection",
+    ),
     Mutation(
         "planned stop: a request that would be cut off is not started",
         "endpoint_choice",
--- a/yewloom/event_stream.py
+++ b/yewloom/event_stream.py
@@ -5,11 +5,13 @@
 """
 
 import re
+from collections.abc import Iterable
 
 from yewloom.values import value_class
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?:\n|$)")
+_DATA_LINE = re.compile(rb"(?:^|\n)data[:\r\n]")
 
 _BLANK_LINE_BYTES = 4
 """Greatest length of a blank line with the line end before it."""
@@ -18,6 +20,10 @@
 """Maximum length of an event that is buffered. Endpoints' events have a few hundred bytes, and a
 host may hold one for each of its streams."""
 
+MAX_IDLE_BYTES = 1 << 16
+"""Maximum length of comments and repeated events before a new one: as much as of an event that is
+buffered. A comment a second takes hours for it."""
+
 
 class EventStreamError(Exception):
     """An event of a stream is missing or too long."""
@@ -30,6 +36,11 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def is_keep_alive(self) -> bool:
+        """Return whether this is no event for its reader, like a comment by itself."""
+        return self.event_id is None and _DATA_LINE.search(self.data) is None
+
 
 class EventSplitter:
     """Splits the body of one endpoint's response into events."""
@@ -84,6 +95,42 @@
         raise EventStreamError(f"an event's id has {len(digits)} digits") from error
 
 
+class ResponseProgress:
+    """Tells which events of one response show that its endpoint goes on with it.
+
+    A front before an engine that hangs may still send comments, or an event again.
+    """
+
+    def __init__(self) -> None:
+        self._last_id = -1
+        self._idle_bytes = 0  # Since the last new event.
+
+    def advance(self, events: Iterable[StreamEvent]) -> bool:
+        """Return whether any of the next events is new in this response.
+
+        Raises EventStreamError if the events before the next new one are too long.
+        """
+        has_new = False
+        for event in events:
+            if self._is_new(event):
+                has_new, self._idle_bytes = True, 0
+            else:
+                self._add_idle(len(event.data))
+        return has_new
+
+    def _add_idle(self, count: int) -> None:
+        self._idle_bytes += count
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise EventStreamError(f"no new event in {MAX_IDLE_BYTES} bytes")
+
+    def _is_new(self, event: StreamEvent) -> bool:
+        if event.event_id is None:
+            return not event.is_keep_alive
+        is_new = event.event_id > self._last_id
+        self._last_id = max(self._last_id, event.event_id)
+        return is_new
+
+
 class StreamCursor:
     """Tracks the position in one stream that several endpoints deliver in turn.
 
