--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -32,11 +33,26 @@
 """Objects on one page of a listing."""
 
 
+FIRST_PORT, LAST_PORT = 20000, 32000
+"""Ports to choose from: below those that the system gives to outgoing connections."""
+
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port of the loopback address that nothing uses now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback address that nothing uses now, and not the same one twice."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Record:
