Do not take the end that is read behind a reset for the end of an answer

What callers saw: an endpoint answered a long upload at once with 200 and neither a length nor chunks, sent a part of the body, or none of it, and reset the connection while the upload was still being sent. The caller got that part as a whole answer; of a stream it got the first events as all of them, and a stream that may be resumed was not continued elsewhere.

Cause: Linux reports a reset once, to the first call that meets it. While an upload is sent that call is the send; its error was dropped, since an endpoint may answer before it has read everything. What is received behind it is the part and then no bytes, exactly as after an orderly end, and without a length such an end is all that ends an answer.

Ruled out: the early answer itself (it is read by the same code, and with a reset 2 ms after the part the read meets the error); h11, which is told of an end and can't know more; purging of received bytes by the reset (they are all delivered).

Evidence, played with bare sockets: after a reset the first send fails with ECONNRESET and receiving then gives "part", "", not an error; without a send it gives "part", ECONNRESET. If the peer had ended its direction before the reset, the first send fails with EPIPE. So the error of the first failed send tells the two apart, whether the peer resets or closes with bytes unread.

Change: a failed send whose cause is not EPIPE makes the exchange treat an end that is read later as the reset that it may be. Answers that need no end go on: those with a length or chunks, a status without a body, and a refusal, whose head alone says that the request did not run. So does an answer that was ended before the reset. Where neither is shown the answer counts as broken: a part that looks whole is worse for a caller than a 502.

Such a reset counts as one that a read meets, also for answers with a length, where it counted as a reset or as truncated depending on which call came first.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -14,6 +14,7 @@
 import trio
 
 from yewloom.addresses import split_address
+from yewloom.connection_ends import shows_end
 from yewloom.nurseries import open_nursery
 from yewloom.values import value_class
 
@@ -119,6 +120,7 @@
         self._interim_count, self._interim_bytes = 0, 0
         self._received_bytes, self._body_bytes = 0, 0
         self._early: ResponseHead | ExchangeError | None = None
+        self._may_be_reset = False  # A failed send may have taken the report of a reset.
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -198,13 +200,20 @@
         if framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
             raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, "too little body")
 
+    def _check_end(self) -> None:
+        """Raise ExchangeError if the end of the connection can't be the end of a response."""
+        if self._connection.their_state is h11.SEND_RESPONSE:
+            raise ExchangeError(ExchangeFailure.CONNECTION_LOST, True, "closed before its answer")
+        if self._may_be_reset:
+            raise ExchangeError(ExchangeFailure.CONNECTION_LOST, True, "reset inside its answer")
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             # The endpoint may have responded and closed before it read everything. Whether it did
             # turns out when the response is read.
-            return
+            self._may_be_reset = self._may_be_reset or not shows_end(error)
 
     async def _stop_on_early_response(self, scope: trio.CancelScope) -> None:
         """Stop sending when the response starts; interim ones say nothing about the request."""
@@ -226,10 +235,8 @@
                     return event
                 data = await self._stream.receive_some(READ_BYTES)
                 self._pieces = 0
-                if not data and self._connection.their_state is h11.SEND_RESPONSE:
-                    raise ExchangeError(
-                        ExchangeFailure.CONNECTION_LOST, True, "closed before its answer"
-                    )
+                if not data:
+                    self._check_end()
                 self._count_received(len(data))
                 self._connection.receive_data(data)
             except h11.RemoteProtocolError as error:
--- /dev/null
+++ b/yewloom/tests/early_endpoint.py
@@ -0,0 +1,101 @@
+"""An endpoint that answers in raw bytes before it has read a request's body."""
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import h11
+import trio
+
+from yewloom.tests.forwarding_support import ScriptedEndpoint
+
+UPLOAD = b"x" * (8 << 20)
+"""A body that the socket buffers of host and endpoint can't hold."""
+
+STAMP = b"stamp"
+
+Script = Callable[[ScriptedEndpoint, h11.Request], Awaitable[None]]
+
+
+class Ending(Enum):
+    """How an endpoint ends the connection behind its answer.
+
+    ``RESET``: by a reset. ``CLOSED_UNREAD``: it closes although it has not read the body, for which
+    the operating system sends a reset. ``ENDED_UNREAD``: it ends its answer, and then closes in
+    that way. ``READ``: it reads the body and closes.
+    """
+
+    RESET = "reset"
+    CLOSED_UNREAD = "closed unread"
+    ENDED_UNREAD = "ended, then closed unread"
+    READ = "read, then closed"
+
+
+BREAKS = (Ending.RESET, Ending.CLOSED_UNREAD)
+"""Endings that leave open whether the answer is whole."""
+
+
+class EarlyEndpoint(ScriptedEndpoint):
+    """An endpoint whose script runs as soon as the head of a request has been read."""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Read the head of one request and run the script."""
+        connection = h11.Connection(h11.SERVER)
+        while (request := connection.next_event()) is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65536))
+        if not isinstance(request, h11.Request):
+            return  # A probe.
+        self.stream = stream
+        self.requests.append(request)
+        await self.before_script()
+        await self._script(self, request)
+        await trio.aclose_forcefully(stream)
+
+
+def head(
+    request: h11.Request, *lines: bytes, status: bytes = b"200 OK", version: bytes = b"1.1"
+) -> bytes:
+    """Return the head of an answer to a request, without its length, with further lines."""
+    request_id = dict(request.headers)[b"yewloom-request-id"]
+    own = (b"yewloom-request-id: " + request_id, b"yewloom-server-stamp: " + STAMP)
+    return b"\r\n".join([b"HTTP/" + version + b" " + status, *own, *lines, b"", b""])
+
+
+def answering(
+    body: bytes,
+    ending: Ending,
+    *lines: bytes,
+    status: bytes = b"200 OK",
+    version: bytes = b"1.1",
+) -> Script:
+    """Return a script that answers with these bytes and ends the connection."""
+
+    async def script(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+        assert endpoint.stream is not None
+        if ending is Ending.READ:
+            await _read_body(endpoint.stream)
+        answer = head(request, *lines, status=status, version=version) + body
+        await send_and_end(endpoint.stream, answer, ending)
+
+    return script
+
+
+async def send_and_end(stream: trio.SocketStream, data: bytes, ending: Ending) -> None:
+    """Send bytes and end the connection before the host can do anything."""
+    with socket.fromfd(stream.socket.fileno(), socket.AF_INET, socket.SOCK_STREAM) as connection:
+        connection.sendall(data)
+        if ending is Ending.RESET:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        elif ending is Ending.ENDED_UNREAD:
+            connection.shutdown(socket.SHUT_WR)
+    await trio.aclose_forcefully(stream)
+
+
+async def _read_body(stream: trio.SocketStream) -> None:
+    """Read until nothing more arrives for a moment; the rest of the body came with the head."""
+    while True:
+        with trio.move_on_after(0.2):
+            await stream.receive_some(1 << 20)
+            continue
+        return
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -54,6 +54,8 @@
 """Interval at which the configuration is confirmed as current. The watches of a real host, which
 confirm it when they end, end as often."""
 
+SHORT_BODY = b"abc"
+
 LONG_BODY = b"x" * (15 << 20)
 """More bytes than the socket buffers of a caller that does not read can hold."""
 
@@ -174,7 +176,10 @@
     """The forwarding of an entry host, with scripted endpoints, on localhost."""
 
     def __init__(
-        self, configuration: Configuration | None = None, host_id: EntryHostId = OWN_HOST
+        self,
+        configuration: Configuration | None = None,
+        host_id: EntryHostId = OWN_HOST,
+        limits: CallerLimits = LIMITS,
     ) -> None:
         self.host_id = host_id
         self.configuration_state = ConfigurationState()
@@ -233,14 +238,14 @@
         )
         self.chooser = self.forwarder._chooser
         handlers = Handlers(self.forwarder.handle, self.forwarder.reject)
-        self.server = CallerServer(handlers, lambda: LIMITS)
+        self.server = CallerServer(handlers, lambda: limits)
         relay_server = RelayServer(
             self.forwarder.handle,
             self.forwarder.reject,
             self.server.activity,
             respond_unavailable,
         )
-        self.peer_server = CallerServer(Handlers(relay_server.handle), lambda: peer_limits(LIMITS))
+        self.peer_server = CallerServer(Handlers(relay_server.handle), lambda: peer_limits(limits))
         self.configuration = configuration or make_configuration(*ROUTES)
         self._nursery: trio.Nursery | None = None
         self.address = ("127.0.0.1", 0)
@@ -320,10 +325,11 @@
         second_address = await self._listen(ScriptedEndpoint(respond_ok))
         self.directory.put(replace(second, address=second_address))
 
-    async def request(self, path: str, **headers: str) -> CallerResponse:
-        """Send a request with a body as a caller, and read the response."""
+    async def request(self, path: str, body: bytes = SHORT_BODY, **headers: str) -> CallerResponse:
+        """Send a request as a caller, and read the response."""
         stream = await trio.open_tcp_stream(*self.address)
-        connection = await self.send(stream, path, **headers)
+        connection, data = self._build_request(path, headers, body)
+        await stream.send_all(data)
         return await self.read(stream, connection)
 
     async def open_slow_reader(self) -> trio.SocketStream:
@@ -352,7 +358,9 @@
             trio.SocketStream(trio.socket.from_stdlib_socket(caller)), connection
         )
 
-    def _build_request(self, path: str, headers: dict[str, str]) -> tuple[h11.Connection, bytes]:
+    def _build_request(
+        self, path: str, headers: dict[str, str], body: bytes = SHORT_BODY
+    ) -> tuple[h11.Connection, bytes]:
         """Return the bytes of a request, and the h11 connection that parses the response."""
         connection = h11.Connection(h11.CLIENT)
         sent = {
@@ -360,11 +368,11 @@
             "yewloom-request-id": "r1",
             "authorization": "Token k1",
             "yewloom-model": SMALL,
-            "content-length": "3",
+            "content-length": str(len(body)),
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         request = h11.Request(method="POST", target=path, headers=list(sent.items()))
         data = connection.send(request) or b""
-        data += connection.send(h11.Data(data=b"abc")) or b""
+        data += connection.send(h11.Data(data=body)) or b""
         return connection, data + (connection.send(h11.EndOfMessage()) or b"")
 
     async def read(self, stream: trio.SocketStream, connection: h11.Connection) -> CallerResponse:
@@ -436,12 +444,14 @@
 
 
 def run(
-    test: Callable[[ForwarderFixture], Awaitable[None]], routes: tuple[Route, ...] = ROUTES
+    test: Callable[[ForwarderFixture], Awaitable[None]],
+    routes: tuple[Route, ...] = ROUTES,
+    limits: CallerLimits = LIMITS,
 ) -> None:
     """Run a test with a fixture that serves callers."""
 
     async def main() -> None:
-        fixture = ForwarderFixture(make_configuration(*routes))
+        fixture = ForwarderFixture(make_configuration(*routes), limits=limits)
         async with trio.open_nursery() as nursery:
             await fixture.start(nursery)
             with trio.fail_after(20):
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -15,6 +15,7 @@
     "attempts",
     "claims",
     "configuration",
+    "connection_ends",
     "crash_messages",
     "crash_record",
     "crash_reports",
