Let pooled calls see the reset that a failed send has hidden

What callers saw: nothing that we know of; found by reading, as the same cause acts wherever answers are read. A call to the store, to an engine or, by yewloomd, to a plain service that was answered during a long upload without a length, and was reset, had the part that came as its whole response: a listing, a 404, a service's answer that goes to the caller.

Cause: httpcore drops the error of a failed send, as a server may answer before it has read everything, and reads on.

Change: connections are opened by a network backend that remembers a failed send and, unless the peer had ended its direction before, turns the end that is read later into httpcore's own ReadError. httpcore then ends the call, and does not keep the connection. It never kept one after a failed send.

A plain service's refusal says by its head alone that the call did not run, so its broken body must not make an unsafe call one that may have run: the error of a call whose body breaks off carries the head, and yewloomd reads the refusal from it. The stores' clients take such an answer as ambiguous, which is safe.

Ruled out: yewloomd's streams from engines, which end by a marked last chunk; gRPC among hosts, which frames its messages.

--- a/yewloom/endpoints.py
+++ b/yewloom/endpoints.py
@@ -192,11 +192,10 @@
                 max_bytes=MAX_BUFFERED_RESPONSE_BYTES,
             )
         except HttpCallError as error:
-            raise _endpoint_error(error) from error
-        if (
-            response.status in REFUSAL_STATUSES
-            and response.headers.get(_OUTCOME_HEADER) == _NOT_RUN
-        ):
+            if error.head is None or not _is_refusal(error.head):
+                raise _endpoint_error(error) from error
+            response = error.head  # That of a refusal says all.
+        if _is_refusal(response):
             raise _status_error(response.status, response.headers)
         return response
 
@@ -278,6 +277,12 @@
     return decode_pause(status, headers.get(_RETRY_AFTER_HEADER))
 
 
+def _is_refusal(response: HttpResponse) -> bool:
+    """Return whether the head of a plain service's response says that the call did not run."""
+    is_not_run = response.headers.get(_OUTCOME_HEADER) == _NOT_RUN
+    return is_not_run and response.status in REFUSAL_STATUSES
+
+
 def _status_error(status: int, headers: Mapping[str, str]) -> EndpointError:
     is_refused = status in REFUSAL_STATUSES
     failure = CallFailure.REFUSED if is_refused else CallFailure.ENDPOINT_ERROR
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -10,6 +10,7 @@
 import httpcore
 import trio
 
+from yewloom.http_network import CheckedNetwork
 from yewloom.http_pools import HttpPools, PoolOptions
 from yewloom.values import value_class
 
@@ -45,14 +46,6 @@
     TIMED_OUT = "timed_out"
 
 
-class HttpCallError(Exception):
-    """A call got no complete response."""
-
-    def __init__(self, failure: HttpFailure, detail: str) -> None:
-        super().__init__(f"{failure.value}: {detail}")
-        self.failure = failure
-
-
 @value_class
 class HttpResponse:
     """A complete response; header names are in lower case."""
@@ -66,6 +59,18 @@
         return json.loads(self.body)
 
 
+class HttpCallError(Exception):
+    """A call got no complete response.
+
+    ``head`` is the response without its body, if that broke off.
+    """
+
+    def __init__(self, failure: HttpFailure, detail: str, head: HttpResponse | None = None) -> None:
+        super().__init__(f"{failure.value}: {detail}")
+        self.failure = failure
+        self.head = head
+
+
 @value_class
 class HttpStream:
     """A response whose body is read as it arrives; header names are in lower case."""
@@ -110,7 +115,8 @@
     ) -> None:
         """Use ``network`` instead of the operating system's sockets, if given."""
         self._connect_timeout_s = connect_timeout_s
-        self._options = PoolOptions(keep_alive_s, MAX_CONNECTIONS, tls, network)
+        checked = CheckedNetwork(network)
+        self._options = PoolOptions(keep_alive_s, MAX_CONNECTIONS, checked, tls)
         self._pools = HttpPools(self._options)
 
     async def call(
@@ -237,13 +243,17 @@
 
 
 async def _read_response(response: httpcore.Response, max_bytes: int) -> HttpResponse:
-    """Read a body to its end; raise HttpCallError if it is too long."""
-    body = bytearray()
-    async for chunk in response.aiter_stream():
-        body += chunk
-        if len(body) > max_bytes:
-            raise HttpCallError(HttpFailure.MAYBE_SENT, f"more than {max_bytes} bytes of body")
-    return HttpResponse(response.status, _header_dict(response), bytes(body))
+    """Read a body to its end; raise HttpCallError if it breaks off or is too long."""
+    headers, body = _header_dict(response), bytearray()
+    try:
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > max_bytes:
+                raise HttpCallError(HttpFailure.MAYBE_SENT, f"more than {max_bytes} bytes of body")
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        head = HttpResponse(response.status, headers, b"")
+        raise HttpCallError(HttpFailure.MAYBE_SENT, _error_detail(error), head) from error
+    return HttpResponse(response.status, headers, bytes(body))
 
 
 def _header_dict(response: httpcore.Response) -> dict[str, str]:
--- a/yewloom/http_pools.py
+++ b/yewloom/http_pools.py
@@ -23,12 +23,12 @@
 
 @value_class
 class PoolOptions:
-    """Connection options; ``network`` replaces the operating system's sockets, if given."""
+    """Connection options; ``network`` opens the connections."""
 
     keep_alive_s: float
     max_connections: int
+    network: httpcore.AsyncNetworkBackend
     tls: ssl.SSLContext | None = None
-    network: httpcore.AsyncNetworkBackend | None = None
 
 
 class _Pool:
--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -2,8 +2,10 @@
 
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from enum import Enum
+from functools import partial
 
 import h11
 import trio
@@ -36,6 +38,16 @@
 """Endings that leave open whether the answer is whole."""
 
 
+@asynccontextmanager
+async def serving(endpoint: ScriptedEndpoint) -> AsyncIterator[str]:
+    """Serve connections to an endpoint on localhost; yield its address."""
+    async with trio.open_nursery() as nursery:
+        serve = partial(trio.serve_tcp, endpoint.serve, 0, host="127.0.0.1")
+        [listener] = await nursery.start(serve)
+        yield "{}:{}".format(*listener.socket.getsockname())
+        nursery.cancel_scope.cancel()
+
+
 class EarlyEndpoint(ScriptedEndpoint):
     """An endpoint whose script runs as soon as the head of a request has been read."""
 
@@ -57,7 +69,7 @@
     request: h11.Request, *lines: bytes, status: bytes = b"200 OK", version: bytes = b"1.1"
 ) -> bytes:
     """Return the head of an answer to a request, without its length, with further lines."""
-    request_id = dict(request.headers)[b"yewloom-request-id"]
+    request_id = dict(request.headers).get(b"yewloom-request-id", b"")
     own = (b"yewloom-request-id: " + request_id, b"yewloom-server-stamp: " + STAMP)
     return b"\r\n".join([b"HTTP/" + version + b" " + status, *own, *lines, b"", b""])
 
--- a/yewloom/tests/test_answers_during_uploads.py
+++ b/yewloom/tests/test_answers_during_uploads.py
@@ -1,7 +1,6 @@
 """Tests of answers that arrive while a long request is still being sent."""
 
 import unittest
-from functools import partial
 
 import trio
 
@@ -21,6 +20,7 @@
     Ending,
     Script,
     answering,
+    serving,
 )
 from yewloom.tests.forwarding_support import (
     ROUTES,
@@ -96,19 +96,16 @@
         """Return how an exchange fails."""
 
         async def main() -> ExchangeError:
-            async with trio.open_nursery() as nursery:
-                endpoint = EarlyEndpoint(script)
-                serve = partial(trio.serve_tcp, endpoint.serve, 0, host="127.0.0.1")
-                [listener] = await nursery.start(serve)
-                host, port = listener.socket.getsockname()
-                headers = [(b"host", b"h"), (b"yewloom-request-id", b"r1")]
-                headers.append((b"content-length", b"%d" % len(UPLOAD)))
-                async with open_exchange(f"{host}:{port}", CONNECT_TIMEOUT_S) as exchange:
-                    await exchange.send(OutgoingRequest(b"POST", b"/", headers, UPLOAD))
-                    await exchange.read_head()
-                    with self.assertRaises(ExchangeError) as caught:
-                        await exchange.read_body()
-                nursery.cancel_scope.cancel()
+            headers = [(b"host", b"h"), (b"content-length", b"%d" % len(UPLOAD))]
+            request = OutgoingRequest(b"POST", b"/", headers, UPLOAD)
+            async with (
+                serving(EarlyEndpoint(script)) as address,
+                open_exchange(address, CONNECT_TIMEOUT_S) as exchange,
+            ):
+                await exchange.send(request)
+                await exchange.read_head()
+                with self.assertRaises(ExchangeError) as caught:
+                    await exchange.read_body()
             return caught.exception
 
         return trio.run(main)
