Take a status above 599 for none

What callers saw: an endpoint's answer with a status of 600, 700 or 999 was passed on as its answer; yewloomd passed it on from plain services too.

Cause: h11 checks that a status has three digits and is at least 200. RFC 9110 (section 15) ends at 599 and tells a client to take others like a server error of unknown kind. A caller's library may know less, and the body belongs to an answer that nobody can place.

Change: a head with such a status is an invalid response, as one that h11 refuses: 502, or another endpoint where the route allows it; evidence about the endpoint; and no promise, whatever else the head says. Pooled calls, which yewloomd uses too, fail in the same way as those without a whole response.

Ruled out: passing it on as 502 with the endpoint's body, as its stamp would stand on an answer that the endpoint did not give.

Measured: test_response_heads without the change: 4 checks fail ((600, b'all of it') for (502, b''), the same for 700 and 999, and 503 for 502), passes with it. 200, 299, 404, 499, 500 and 599 are passed on with and without it.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -16,6 +16,7 @@
 from yewloom.addresses import split_address
 from yewloom.connection_ends import shows_end
 from yewloom.nurseries import open_nursery
+from yewloom.response_heads import ResponseHeadError, check_status
 from yewloom.values import value_class
 
 Header = tuple[bytes, bytes]
@@ -154,7 +155,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                return _checked_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError(ExchangeFailure.CONNECTION_LOST, True, "no answer")
             self._count_interim(event)
@@ -252,6 +253,15 @@
                 ) from error
 
 
+def _checked_head(response: h11.Response) -> ResponseHead:
+    """Return the head of a response; raise ExchangeError if it violates HTTP."""
+    try:
+        check_status(response.status_code)
+    except ResponseHeadError as error:
+        raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, str(error)) from error
+    return ResponseHead(response.status_code, list(response.headers))
+
+
 @asynccontextmanager
 async def open_exchange(address: str, connect_timeout_s: float) -> AsyncIterator[Exchange]:
     """Connect to an endpoint; raise ExchangeError with ``is_sent`` False if that fails.
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -12,6 +12,7 @@
 
 from yewloom.http_network import CheckedNetwork
 from yewloom.http_pools import HttpPools, PoolOptions
+from yewloom.response_heads import ResponseHeadError, check_status
 from yewloom.values import value_class
 
 MAX_CONNECTIONS = 2048
@@ -174,9 +175,8 @@
                         if response is None:
                             detail = f"no head of a response in {head_timeout_s:g} s"
                             raise HttpCallError(HttpFailure.TIMED_OUT, detail)
-                        yield HttpStream(
-                            response.status, _header_dict(response), response.aiter_stream()
-                        )
+                        head = _checked_head(response)
+                        yield HttpStream(head.status, head.headers, response.aiter_stream())
         except HttpCallError as error:
             if error.failure is HttpFailure.TIMED_OUT:
                 await self._pools.retire(url)
@@ -244,16 +244,24 @@
 
 async def _read_response(response: httpcore.Response, max_bytes: int) -> HttpResponse:
     """Read a body to its end; raise HttpCallError if it breaks off or is too long."""
-    headers, body = _header_dict(response), bytearray()
+    head, body = _checked_head(response), bytearray()
     try:
         async for chunk in response.aiter_stream():
             body += chunk
             if len(body) > max_bytes:
                 raise HttpCallError(HttpFailure.MAYBE_SENT, f"more than {max_bytes} bytes of body")
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-        head = HttpResponse(response.status, headers, b"")
         raise HttpCallError(HttpFailure.MAYBE_SENT, _error_detail(error), head) from error
-    return HttpResponse(response.status, headers, bytes(body))
+    return HttpResponse(head.status, head.headers, bytes(body))
+
+
+def _checked_head(response: httpcore.Response) -> HttpResponse:
+    """Return a response without its body; raise HttpCallError if its head violates HTTP."""
+    try:
+        check_status(response.status)
+    except ResponseHeadError as error:
+        raise HttpCallError(HttpFailure.MAYBE_SENT, str(error)) from error
+    return HttpResponse(response.status, _header_dict(response), b"")
 
 
 def _header_dict(response: httpcore.Response) -> dict[str, str]:
--- a/yewloom/tests/test_layers.py
+++ b/yewloom/tests/test_layers.py
@@ -71,6 +71,7 @@
     "replica_lifecycle",
     "replica_plan",
     "replica_supply",
+    "response_heads",
     "returned_entries",
     "retries",
     "retry_after",
--- /dev/null
+++ b/yewloom/tests/test_response_heads.py
@@ -0,0 +1,102 @@
+"""Tests of responses whose head violates HTTP: none of them is an answer."""
+
+import unittest
+
+import trio
+
+from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure
+from yewloom.tests.early_endpoint import STAMP, EarlyEndpoint, Ending, Script, answering, serving
+from yewloom.tests.forwarding_support import (
+    CallerResponse,
+    ForwarderFixture,
+    ScriptedEndpoint,
+    respond_ok,
+    run,
+)
+
+BODY = b"all of it"
+LENGTH = b"content-length: %d" % len(BODY)
+UNSAFE, REPEATABLE = "/u/1", "/r/1"
+TIMEOUT_S = 5.0
+
+
+def _answer(*lines: bytes, status: bytes = b"200 OK", body: bytes = BODY) -> Script:
+    """Return a script that answers with these header lines after the endpoint's own ones."""
+    return answering(body, Ending.ENDED_UNREAD, *lines, status=status)
+
+
+def _ask(script: Script, path: str = UNSAFE, *, beside_sound: bool = False) -> CallerResponse:
+    """Return the answer to a request at an endpoint, and at a sound one if the first one fails."""
+    responses = []
+
+    async def test(fixture: ForwarderFixture) -> None:
+        await fixture.add_plain("p", EarlyEndpoint(script))
+        if beside_sound:
+            await fixture.add_plain("q", ScriptedEndpoint(respond_ok))
+        responses.append(await fixture.request(path))
+
+    run(test)
+    return responses[0]
+
+
+def _call(script: Script, *, is_stream: bool = False) -> int | HttpFailure:
+    """Return the status of a pooled call to an endpoint, or how the call fails."""
+
+    async def main() -> int | HttpFailure:
+        client = HttpClient(TIMEOUT_S)
+        async with serving(EarlyEndpoint(script)) as address:
+            url = f"http://{address}/"
+            try:
+                if not is_stream:
+                    return (await client.call("GET", url, TIMEOUT_S)).status
+                async with client.stream("GET", url, b"", TIMEOUT_S) as response:
+                    return response.status
+            except HttpCallError as error:
+                return error.failure
+            finally:
+                await client.close()
+
+    return trio.run(main)
+
+
+class HeadTestCase(unittest.TestCase):
+    """Checks of what callers and pooled calls get."""
+
+    def check_is_invalid(self, script: Script) -> None:
+        """Check that an answer reaches no caller, and that another endpoint is asked."""
+        response = _ask(script)
+        self.assertEqual((response.status, response.body), (502, b""))
+        self.assertNotIn(b"yewloom-server-stamp", response.headers)
+        self.assertEqual(_ask(script, REPEATABLE, beside_sound=True).body, b"fine")
+
+    def check_is_passed_on(self, script: Script, status: int = 200) -> None:
+        """Check that a caller gets an answer."""
+        response = _ask(script)
+        self.assertEqual((response.status, response.body), (status, BODY))
+        self.assertEqual(response.headers[b"yewloom-server-stamp"], STAMP)
+
+    def check_call_fails(self, script: Script) -> None:
+        """Check that a pooled call, and a stream, take an answer for none."""
+        self.assertIs(_call(script), HttpFailure.MAYBE_SENT)
+        self.assertIs(_call(script, is_stream=True), HttpFailure.MAYBE_SENT)
+
+
+class TestStatus(HeadTestCase):
+    """Statuses from 200 to 599 are final."""
+
+    def test_a_status_above_those_of_http_is_none(self) -> None:
+        """Guards against a status that a caller's library may not know, with an endpoint's body."""
+        for status in (b"600 ", b"700 No", b"999 No"):
+            with self.subTest(status):
+                self.check_is_invalid(_answer(LENGTH, status=status))
+                self.check_call_fails(_answer(LENGTH, status=status))
+
+    def test_a_refusal_with_such_a_status_promises_nothing(self) -> None:
+        refusal = _answer(LENGTH, b"yewloom-not-executed: 1", status=b"600 Full")
+        self.assertEqual(_ask(refusal, beside_sound=False).status, 502)
+
+    def test_statuses_of_http_are_passed_on(self) -> None:
+        for status in (b"200", b"299 Fine", b"404 None", b"499 Odd", b"500 Error", b"599 Odd"):
+            with self.subTest(status):
+                self.check_is_passed_on(_answer(LENGTH, status=status), int(status[:3]))
+                self.assertEqual(_call(_answer(LENGTH, status=status)), int(status[:3]))
