Take a head with a control byte in a value for none

What callers saw: an answer in whose head a value held 01, or another control byte, was passed on with that byte. (A name with one, or NUL, 0B, 0C or CR in a value: nothing, h11 refuses them; tests follow.)

Cause: h11 excludes NUL and white space from values, and lets 01 to 08, 0E to 1F and 7F through. RFC 9110 (section 5.5) calls them invalid; a recipient may keep them only where no other HTTP parser reads them, which passing on is not.

Change: such a head is an invalid response, like the others that can't be read. Empty values, tabs, blanks and bytes above 7F go on as before.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -16,7 +16,7 @@
 from yewloom.addresses import split_address
 from yewloom.connection_ends import shows_end
 from yewloom.nurseries import open_nursery
-from yewloom.response_heads import ResponseHeadError, check_status
+from yewloom.response_heads import ResponseHeadError, check_head
 from yewloom.values import value_class
 
 Header = tuple[bytes, bytes]
@@ -256,7 +256,7 @@
 def _checked_head(response: h11.Response) -> ResponseHead:
     """Return the head of a response; raise ExchangeError if it violates HTTP."""
     try:
-        check_status(response.status_code)
+        check_head(response.status_code, response.headers)
     except ResponseHeadError as error:
         raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, str(error)) from error
     return ResponseHead(response.status_code, list(response.headers))
--- a/yewloom/http_calls.py
+++ b/yewloom/http_calls.py
@@ -12,7 +12,7 @@
 
 from yewloom.http_network import CheckedNetwork
 from yewloom.http_pools import HttpPools, PoolOptions
-from yewloom.response_heads import ResponseHeadError, check_status
+from yewloom.response_heads import ResponseHeadError, check_head
 from yewloom.values import value_class
 
 MAX_CONNECTIONS = 2048
@@ -258,7 +258,7 @@
 def _checked_head(response: httpcore.Response) -> HttpResponse:
     """Return a response without its body; raise HttpCallError if its head violates HTTP."""
     try:
-        check_status(response.status)
+        check_head(response.status, response.headers)
     except ResponseHeadError as error:
         raise HttpCallError(HttpFailure.MAYBE_SENT, str(error)) from error
     return HttpResponse(response.status, _header_dict(response), b"")
--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -100,3 +100,22 @@
             with self.subTest(status):
                 self.check_is_passed_on(_answer(LENGTH, status=status), int(status[:3]))
                 self.assertEqual(_call(_answer(LENGTH, status=status)), int(status[:3]))
+
+
+class TestValues(HeadTestCase):
+    """Values of fields hold no control byte but the tab."""
+
+    def test_a_value_with_a_control_byte_is_none(self) -> None:
+        """Guards against bytes that are passed on to a caller whose library may reject them."""
+        for byte in (*range(0x09), *range(0x0B, 0x0D), *range(0x0E, 0x20), 0x7F):
+            with self.subTest(byte):
+                self.check_is_invalid(_answer(LENGTH, b"x-a: 1%c2" % byte))
+                self.check_call_fails(_answer(LENGTH, b"x-a: 1%c2" % byte))
+
+    def test_other_values_are_passed_on_as_they_are(self) -> None:
+        for value in (b"", b"1\t2", b"1 2", b"\x80\xff", b'"(,;)"'):
+            with self.subTest(value):
+                response = _ask(_answer(LENGTH, b"x-a: " + value))
+                self.assertEqual((response.status, response.body), (200, BODY))
+                self.assertEqual(response.headers[b"x-a"], value)
+                self.assertEqual(_call(_answer(LENGTH, b"x-a: " + value)), 200)
