Take a head with a folded line for none

What callers saw: a line that begins with a blank or a tab, as of a field whose name begins with one, was passed on as part of the value before it: an endpoint's stamp became "stamp X-A: 1". Where the line was a length, the body had none and ended with the connection.

Cause: h11 joins folded lines to the value before them, as RFC 9112 (section 5.2) allows, and shows only the result. The RFC lets a gateway reject such a response instead, with 502. Here the joined value may decide: an id, a stamp, a promise, a store's era, the type of the body.

Ruled out: replacing the line by blanks, which is what h11 does and what was seen; looking at the values, as a joined one looks like any other.

Change: FoldedLineCheck reads along until the end of the final head and rejects a head with such a line, at exchanges with endpoints and peers and, in the network backend, at pooled calls. Interim heads are read too. Bodies are not looked at, nor trailers, which are not passed on and decide nothing.

One earlier run had an error of the stand-in, whose host had closed its connection before the stand-in ended it; the stand-in allows that now.

--- a/yewloom/endpoint_calls.py
+++ b/yewloom/endpoint_calls.py
@@ -16,7 +16,7 @@
 from yewloom.addresses import split_address
 from yewloom.connection_ends import shows_end
 from yewloom.nurseries import open_nursery
-from yewloom.response_heads import ResponseHeadError, check_head
+from yewloom.response_heads import FoldedLineCheck, ResponseHeadError, check_head
 from yewloom.values import value_class
 
 Header = tuple[bytes, bytes]
@@ -121,6 +121,7 @@
         self._interim_count, self._interim_bytes = 0, 0
         self._received_bytes, self._body_bytes = 0, 0
         self._early: ResponseHead | ExchangeError | None = None
+        self._folded_lines = FoldedLineCheck()
         self._may_be_reset = False  # A failed send may have taken the report of a reset.
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
@@ -239,7 +240,10 @@
                 if not data:
                     self._check_end()
                 self._count_received(len(data))
+                self._folded_lines.feed(data)
                 self._connection.receive_data(data)
+            except ResponseHeadError as error:
+                raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, True, str(error)) from error
             except h11.RemoteProtocolError as error:
                 # trailing_data[1] says whether h11 has been told of the end of the stream.
                 has_ended = self._connection.trailing_data[1]
--- a/yewloom/http_network.py
+++ b/yewloom/http_network.py
@@ -1,8 +1,8 @@
-"""Connections of HTTP calls that report a reset which a failed send has hidden.
+"""Connections of HTTP calls that report what ``httpcore`` does not show.
 
-``httpcore`` drops the error of a failed send and reads the response, as a server may respond before
-it has read everything. What is read last need not be the end of the response then
-(``connection_ends``).
+It drops the error of a failed send and reads the response, as a server may respond before it has
+read everything. What is read last need not be the end of the response then (``connection_ends``).
+And it shows the lines of a head only as h11 has joined them (``response_heads``).
 """
 
 import ssl
@@ -12,6 +12,7 @@
 import httpcore
 
 from yewloom.connection_ends import shows_end
+from yewloom.response_heads import FoldedLineCheck, ResponseHeadError
 
 
 class CheckedNetwork(httpcore.AsyncNetworkBackend):
@@ -38,21 +39,34 @@
 
 
 class _CheckedStream(httpcore.AsyncNetworkStream):
-    """A connection whose end is an error after a failed send, unless the peer had ended it."""
+    """A connection whose end is an error after a failed send, unless the peer had ended it.
+
+    One request follows another: what is read behind what was sent last is the response to it.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._may_be_reset = False
+        self._folded_lines = FoldedLineCheck()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return received bytes, or none at the end; raises httpcore.ReadError after a reset."""
+        """Return received bytes, or none at the end.
+
+        Raises httpcore.ReadError after a reset, and httpcore.RemoteProtocolError if the head of a
+        response has a folded line.
+        """
         data = await self._stream.read(max_bytes, timeout)
         if not data and self._may_be_reset:
             raise httpcore.ReadError("reset while the request was sent")
+        try:
+            self._folded_lines.feed(data)
+        except ResponseHeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send bytes."""
+        """Send bytes of the next request."""
+        self._folded_lines = FoldedLineCheck()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -3,7 +3,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from enum import Enum
 from functools import partial
 
@@ -94,8 +94,14 @@
 
 
 async def send_and_end(stream: trio.SocketStream, data: bytes, ending: Ending) -> None:
-    """Send bytes and end the connection before the host can do anything."""
-    with socket.fromfd(stream.socket.fileno(), socket.AF_INET, socket.SOCK_STREAM) as connection:
+    """Send bytes and end the connection before the host can do anything.
+
+    Does nothing if the host has closed the connection.
+    """
+    with (
+        socket.fromfd(stream.socket.fileno(), socket.AF_INET, socket.SOCK_STREAM) as connection,
+        suppress(OSError),
+    ):
         connection.sendall(data)
         if ending is Ending.RESET:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -2,9 +2,13 @@
 
 import unittest
 
+import h11
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure
+from yewloom.response_heads import FoldedLineCheck, ResponseHeadError
 from yewloom.tests.early_endpoint import STAMP, EarlyEndpoint, Ending, Script, answering, serving
 from yewloom.tests.forwarding_support import (
     CallerResponse,
@@ -119,3 +123,64 @@
                 self.assertEqual((response.status, response.body), (200, BODY))
                 self.assertEqual(response.headers[b"x-a"], value)
                 self.assertEqual(_call(_answer(LENGTH, b"x-a: " + value)), 200)
+
+
+class TestFoldedLines(HeadTestCase):
+    """A line that begins with a blank or a tab belongs to the value before it, so to none."""
+
+    def test_a_folded_line_behind_any_field_makes_a_head_invalid(self) -> None:
+        """Guards against a line that becomes part of a stamp, an id or another deciding value."""
+        fields = (b"x-a: 1", b"content-type: text/plain", b"yewloom-weight-versions: 7")
+        for field in fields:
+            for line in (b" x-b: 1", b"\tx-b: 1", b" content-length: 20", b" "):
+                with self.subTest(field, line=line):
+                    self.check_is_invalid(_answer(LENGTH, field, line))
+                    self.check_call_fails(_answer(LENGTH, field, line))
+
+    def test_a_folded_line_behind_the_stamp_makes_a_head_invalid(self) -> None:
+        self.check_is_invalid(_answer(b" x-a: 1", LENGTH))
+
+    def test_a_folded_line_in_an_interim_head_makes_it_invalid(self) -> None:
+        async def hint(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.send_raw(b"HTTP/1.1 103 Hints\r\nlink: a\r\n b\r\n\r\n")
+            await _answer(LENGTH)(endpoint, request)
+
+        self.check_is_invalid(hint)
+
+    def test_such_lines_in_a_body_are_passed_on(self) -> None:
+        body = b"a\n b\n\tc\r\n\r\n d"
+        answer = _answer(b"content-length: %d" % len(body), body=body)
+        self.assertEqual(_ask(answer).body, body)
+        self.assertEqual(_call(answer), 200)
+
+
+class TestFoldedLineCheck(unittest.TestCase):
+    """The check sees the same, however a response arrives."""
+
+    HINT = b"HTTP/1.1 103 Hints\r\nlink: a\r\n\r\n"
+    BODY = b"a\n b\r\n\r\n c"
+
+    def _accepts(self, data: bytes, cuts: list[int]) -> bool:
+        """Return whether the check accepts a response that arrives in parts."""
+        check = FoldedLineCheck()
+        positions = [0, *sorted(cut % len(data) for cut in cuts), len(data)]
+        try:
+            for start, stop in zip(positions, positions[1:], strict=False):
+                check.feed(data[start:stop])
+        except ResponseHeadError:
+            return False
+        return True
+
+    @given(
+        hints=st.integers(0, 3),
+        line_end=st.sampled_from([b"\r\n", b"\n"]),
+        cuts=st.lists(st.integers(0, 1 << 16), max_size=8),
+    )
+    def test_a_folded_line_is_found_in_parts_of_any_length(
+        self, hints: int, line_end: bytes, cuts: list[int]
+    ) -> None:
+        for status_line in (b"HTTP/1.1 200 OK", b"HTTP/1.0 503", b"HTTP/1.1 204 No"):
+            for line, is_sound in ((b"b: 2", True), (b" b: 2", False), (b"\tb: 2", False)):
+                lines = line_end.join([status_line, b"a: 1", line, b"", b""])
+                data = self.HINT * hints + lines + self.BODY
+                self.assertEqual(self._accepts(data, cuts), is_sound)
