Add tests of broken heads that h11 refuses

Nothing is changed: these reach no caller, and another endpoint is asked where the route allows it. Statuses 000, 001, 099, 101, 199 as final ones, of two or four digits, with signs or letters, also 000 without a length; names with a blank, a tab, a control byte, 80, or none, blanks before the colon, also at a length and a coding, in interim heads and in trailers; a folded line behind the status; two lengths, lists, signs, other codings, a length beside chunks. All signs that a name may hold are passed on.

--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -184,3 +184,70 @@
                 lines = line_end.join([status_line, b"a: 1", line, b"", b""])
                 data = self.HINT * hints + lines + self.BODY
                 self.assertEqual(self._accepts(data, cuts), is_sound)
+
+
+class TestLibrary(HeadTestCase):
+    """What h11 refuses, so that nothing else has to."""
+
+    def test_statuses_that_are_none(self) -> None:
+        for status in (b"000", b"001", b"099", b"20", b"-20", b"1000", b"2e2", b"0x1", b"", b"abc"):
+            with self.subTest(status):
+                self.check_is_invalid(_answer(LENGTH, status=status + b" No"))
+                self.check_call_fails(_answer(LENGTH, status=status + b" No"))
+
+    def test_a_final_status_of_an_interim_response_is_none(self) -> None:
+        for status in (b"101 Switching", b"199 Odd"):
+            with self.subTest(status):
+                self.check_is_invalid(_answer(LENGTH, status=status))
+
+    def test_a_status_that_is_none_and_a_body_without_a_length(self) -> None:
+        self.check_is_invalid(_answer(status=b"000 No"))
+        self.check_is_invalid(_answer(status=b"000 No", body=b""))
+
+    def test_names_that_are_none(self) -> None:
+        names = [b"x%cb" % byte for byte in (*b" \t", *range(0x09), 0x0B, 0x0C, 0x0D, 0x7F, 0x80)]
+        names += [b"", b"x-b ", b"x-b\t", b"content-length ", b"transfer-encoding\t"]
+        for name in names:
+            with self.subTest(name):
+                self.check_is_invalid(_answer(LENGTH, name + b": 9"))
+                self.check_call_fails(_answer(LENGTH, name + b": 9"))
+
+    def test_names_that_are_none_in_an_interim_head_and_in_a_trailer(self) -> None:
+        for name in (b"x b", b"x\x01b", b"x-b "):
+            interim = b"HTTP/1.1 103 Hints\r\n" + name + b": 1\r\n\r\n"
+            chunks = b"9\r\n%s\r\n0\r\n%s: 1\r\n\r\n" % (BODY, name)
+
+            async def hint(
+                endpoint: ScriptedEndpoint, request: h11.Request, interim: bytes = interim
+            ) -> None:
+                await endpoint.send_raw(interim)
+                await _answer(LENGTH)(endpoint, request)
+
+            with self.subTest(name):
+                self.check_is_invalid(hint)
+                self.check_is_invalid(_answer(b"transfer-encoding: chunked", body=chunks))
+
+    def test_all_signs_that_a_name_may_hold_are_passed_on(self) -> None:
+        response = _ask(_answer(LENGTH, b"!#$%&'*+-.^_`|~09azAZ: 1"))
+        self.assertEqual((response.status, response.body), (200, BODY))
+        self.assertEqual(response.headers[b"!#$%&'*+-.^_`|~09azaz"], b"1")
+
+    def test_a_folded_line_behind_the_status_is_none(self) -> None:
+        async def fold(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+            await endpoint.send_raw(b"HTTP/1.1 200 OK\r\n x-a: 1\r\n" + LENGTH + b"\r\n\r\n" + BODY)
+
+        self.check_is_invalid(fold)
+
+    def test_lengths_that_leave_open_where_the_body_ends(self) -> None:
+        for lines in (
+            (LENGTH, b"content-length: 8"),
+            (b"content-length: +9",),
+            (b"content-length: 9, 8",),
+            (b"transfer-encoding: chunked, chunked",),
+            (b"transfer-encoding: gzip",),
+        ):
+            with self.subTest(lines):
+                self.check_is_invalid(_answer(*lines))
+
+    def test_a_length_beside_chunks(self) -> None:
+        self.check_is_invalid(_answer(LENGTH, b"transfer-encoding: chunked"))
