Add a test of callers' names that h11 refuses

Nothing is changed: a request in whose head a name holds a blank, a tab, NUL, 01, 7F, 80, nothing, or a blank before the colon gets 400 and reaches no endpoint.

--- a/yewloom/tests/test_unusable_headers.py
+++ b/yewloom/tests/test_unusable_headers.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import trio
+
 from yewloom.tests.forwarding_support import ForwarderFixture, ScriptedEndpoint, respond_ok, run
 
 
@@ -28,3 +30,20 @@
             self.assertEqual(response.status, 200)
 
         run(test)
+
+    def test_a_name_that_is_none_gets_an_answer_and_reaches_no_endpoint(self) -> None:
+        """h11 refuses such requests, so that no endpoint gets the line."""
+
+        async def test(fixture: ForwarderFixture) -> None:
+            endpoint = ScriptedEndpoint(respond_ok)
+            await fixture.add_plain("a", endpoint)
+            for name in (b"x b", b"x\tb", b"x\0b", b"x\x01b", b"x\x7fb", b"x-b ", b"", b"\x80"):
+                with self.subTest(name):
+                    async with await trio.open_tcp_stream(*fixture.address) as stream:
+                        lines = b"host: x.example\r\n" + name + b": 1\r\n"
+                        await stream.send_all(b"GET /open/1 HTTP/1.1\r\n" + lines + b"\r\n")
+                        head = await stream.receive_some(1000)
+                    self.assertEqual(head.split()[1], b"400")
+            self.assertEqual(endpoint.requests, [])
+
+        run(test)
