Reset the connection of an unfinished response that would look whole

What callers saw: nothing that was reported; found by the question what a caller's connection sees when the host gives up in the middle of an answer. A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. When the stream broke off, the host closed that connection in the usual way, and the caller had the first events as all of them.

Cause: chunks tell a caller of HTTP/1.1 that an answer is cut; for older callers only the way in which the connection ends does, and closing was always orderly.

Change: while a response that ends with its connection is not finished, closing the connection resets it (SO_LINGER with no time). finish() turns that off. It is set when the response starts, so that the end of the process is covered too.

Ruled out: responses of endpoints that are buffered, which go with a length; resetting for callers of HTTP/1.1, which could take received events from them.

A process killed with SIGKILL, played with bare sockets: without the option its peer reads the part and an end, with it the part and ECONNRESET.

--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -1,5 +1,7 @@
 """A complete request of a caller, and the response to it."""
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
@@ -42,6 +44,9 @@
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
 
+_FIRST_VERSION_WITH_CHUNKS = b"1.1"
+
+
 class CallerDisconnectedError(Exception):
     """The caller has disconnected."""
 
@@ -75,7 +80,10 @@
     """Sends the response to one request; nothing is sent before ``start`` or ``send_complete``.
 
     If ``start`` or ``send_complete`` is cancelled before it sends anything, the response remains
-    unstarted.
+    unstarted. A response without a length goes in chunks, or ends with the connection if the caller
+    knows no chunks. Such a caller can't tell the end of its connection from the end of the
+    response, so the connection is reset if it closes before ``finish``, even by the end of the
+    process.
     """
 
     def __init__(
@@ -120,6 +128,8 @@
         """Send the status, the headers and the first part of the body."""
         await trio.lowlevel.checkpoint_if_cancelled()
         data = self._head(status, headers)
+        if self._ends_with_connection:
+            _set_reset_on_close(self._stream, True)
         await self._write(data + (self._connection.send(h11.Data(data=first)) or b""))
 
     async def send(self, data: bytes) -> None:
@@ -129,6 +139,14 @@
     async def finish(self) -> None:
         """End the body."""
         await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+        if self._ends_with_connection:
+            _set_reset_on_close(self._stream, False)
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Return whether the end of the connection ends a response without a length."""
+        version = self._connection.their_http_version
+        return version is not None and version < _FIRST_VERSION_WITH_CHUNKS
 
     def _head(self, status: int, headers: Sequence[Header]) -> bytes:
         close = [(b"connection", b"close")] if self._should_close() else []
@@ -150,6 +168,14 @@
         self._is_uninterrupted = True
 
 
+def _set_reset_on_close(stream: trio.abc.Stream, is_on: bool) -> None:
+    """Choose whether closing a connection resets it; streams without a socket stay as they are."""
+    connection = getattr(stream, "socket", None)
+    if connection is not None:
+        linger = struct.pack("ii", is_on, 0)  # Whether to discard what is not sent, and a time.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 Handler = Callable[[CallerRequest, ResponseWriter], Awaitable[None]]
 """Handles one request; a response that it does not finish is cut off."""
 
