Play broken answers to uploads with a real entry host, and through a peer

Nothing of the product is changed. One entry host as a process, three plain endpoints, 24 uploads of 3 MB one after the other, on a route that may be repeated and one that may not; and an upload that a host relays to a peer.

The stand-in waits for unread bytes now.

--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -23,9 +23,9 @@
 class Ending(Enum):
     """How an endpoint ends the connection behind its answer.
 
-    ``RESET``: by a reset. ``CLOSED_UNREAD``: it closes although it has not read the body, for which
-    the operating system sends a reset. ``ENDED_UNREAD``: it ends its answer, and then closes in
-    that way. ``READ``: it reads the body and closes.
+    ``RESET``: by a reset. ``CLOSED_UNREAD``: it closes while bytes of the body wait unread, for
+    which the operating system sends a reset. ``ENDED_UNREAD``: it ends its answer, and then closes
+    in that way. ``READ``: it reads the body and closes.
     """
 
     RESET = "reset"
@@ -87,6 +87,8 @@
         assert endpoint.stream is not None
         if ending is Ending.READ:
             await _read_body(endpoint.stream)
+        elif ending is Ending.CLOSED_UNREAD:
+            await trio.lowlevel.wait_readable(endpoint.stream.socket)
         answer = head(request, *lines, status=status, version=version) + body
         await send_and_end(endpoint.stream, answer, ending)
 
--- a/yewloom/tests/test_answers_during_uploads.py
+++ b/yewloom/tests/test_answers_during_uploads.py
@@ -12,6 +12,7 @@
     OutgoingRequest,
     open_exchange,
 )
+from yewloom.ids import EntryHostId
 from yewloom.tests.early_endpoint import (
     BREAKS,
     STAMP,
@@ -194,3 +195,36 @@
 
     def test_a_stream_that_ended_before_a_reset_is_whole(self) -> None:
         self.assertEqual(self._stream(Ending.ENDED_UNREAD), ([1, 2], True))
+
+
+class TestRelays(unittest.TestCase):
+    """Uploads that a host which reaches no endpoint relays to a peer."""
+
+    def _ask(self, script: Script) -> CallerResponse:
+        """Return the answer to an upload that an endpoint of the peer gets."""
+
+        async def main() -> CallerResponse:
+            isolated = ForwarderFixture(limits=LIMITS)
+            peer = ForwarderFixture(host_id=EntryHostId("peer"), limits=LIMITS)
+            async with trio.open_nursery() as nursery:
+                await isolated.start(nursery)
+                await peer.start(nursery)
+                isolated.add_unreachable("p", "q")
+                isolated.add_peer(peer)
+                await peer.add_plain("p", EarlyEndpoint(script))
+                with trio.fail_after(20):
+                    response = await isolated.request(UNSAFE, UPLOAD)
+                nursery.cancel_scope.cancel()
+            return response
+
+        return trio.run(main)
+
+    def test_a_part_is_not_passed_on_through_a_peer(self) -> None:
+        for ending in BREAKS:
+            with self.subTest(ending):
+                response = self._ask(answering(PART, ending))
+                self.assertEqual((response.status, response.body), (502, b""))
+
+    def test_a_whole_answer_is_passed_on_through_a_peer(self) -> None:
+        response = self._ask(answering(WHOLE, Ending.ENDED_UNREAD))
+        self.assertEqual((response.status, response.body), (200, WHOLE))
