Add mutations of what tells a whole answer, and two tests that they asked for

Two removals went unnoticed at first: that a finished response without chunks ends in order (a caller that reads late loses what the host still holds), and that the second and later responses of a kept connection are checked for folded lines.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -10,6 +10,7 @@
 import tempfile
 from pathlib import Path
 
+import mutations_answers
 import mutations_contact
 import mutations_crashes
 import mutations_departures
@@ -29,6 +30,7 @@
 TIMEOUT_S = 240
 
 MUTATIONS = (
+    *mutations_answers.MUTATIONS,
     *mutations_yewloomd.MUTATIONS,
     *mutations_groups.MUTATIONS,
     *mutations_departures.MUTATIONS,
--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager, suppress
 from enum import Enum
 from functools import partial
+from typing import Protocol
 
 import h11
 import trio
@@ -38,8 +39,16 @@
 """Endings that leave open whether the answer is whole."""
 
 
+class Endpoint(Protocol):
+    """What serves the connections to one address."""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        ...
+
+
 @asynccontextmanager
-async def serving(endpoint: ScriptedEndpoint) -> AsyncIterator[str]:
+async def serving(endpoint: Endpoint) -> AsyncIterator[str]:
     """Serve connections to an endpoint on localhost; yield its address."""
     async with trio.open_nursery() as nursery:
         serve = partial(trio.serve_tcp, endpoint.serve, 0, host="127.0.0.1")
--- a/yewloom/tests/test_callers_without_chunks.py
+++ b/yewloom/tests/test_callers_without_chunks.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from yewloom.caller_connection import LINGER_S
 from yewloom.tests.forwarding_support import (
     LONG_BODY,
     ForwarderFixture,
@@ -19,6 +20,11 @@
     b"authorization: Token k1\r\nyewloom-model: small\r\ncontent-length: 3\r\n\r\nabc"
 )
 EVENTS = event(1) + event(2)
+LONG_EVENTS = b"".join(event(number) for number in range(1, 1000))
+"""More than the receive buffer of a slow caller holds, less than the host's socket takes."""
+
+PAUSE_S = 2 * LINGER_S
+"""Time after which a slow caller begins to read: the host has closed the connection by then."""
 
 
 async def _read(stream: trio.SocketStream) -> tuple[bytes, bool]:
@@ -42,6 +48,12 @@
     await endpoint.send(EVENTS)
 
 
+async def _send_long(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
+    await endpoint.start(200)
+    await endpoint.send(LONG_EVENTS)
+    await endpoint.finish()
+
+
 async def _finish(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
     """Send two events and end the chunks."""
     await _break_off(endpoint, request)
@@ -77,5 +89,19 @@
     def test_a_whole_stream_ends_with_the_connection(self) -> None:
         self.assertEqual(self._ask(_finish, b"/once/1"), (EVENTS, True))
 
+    def test_a_caller_that_reads_late_gets_all_of_a_whole_stream(self) -> None:
+        """Guards against a reset that discards what the caller has not received yet."""
+        seen = []
+
+        async def test(fixture: ForwarderFixture) -> None:
+            await fixture.add_engine("e", ScriptedEndpoint(_send_long))
+            async with await fixture.open_slow_reader() as stream:
+                await stream.send_all(REQUEST % b"/once/1")
+                await trio.sleep(PAUSE_S)
+                seen.append(await _read(stream))
+
+        run(test)
+        self.assertEqual(seen, [(LONG_EVENTS, True)])
+
     def test_a_response_with_a_length_ends_with_the_connection(self) -> None:
         self.assertEqual(self._ask(answer_with_long_body, b"/u/1"), (LONG_BODY, True))
--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -43,26 +43,46 @@
     return responses[0]
 
 
+async def _call_once(client: HttpClient, url: str, *, is_stream: bool = False) -> int | HttpFailure:
+    """Return the status of a pooled call, or how the call fails."""
+    try:
+        if not is_stream:
+            return (await client.call("GET", url, TIMEOUT_S)).status
+        async with client.stream("GET", url, b"", TIMEOUT_S) as response:
+            return response.status
+    except HttpCallError as error:
+        return error.failure
+
+
 def _call(script: Script, *, is_stream: bool = False) -> int | HttpFailure:
     """Return the status of a pooled call to an endpoint, or how the call fails."""
 
     async def main() -> int | HttpFailure:
         client = HttpClient(TIMEOUT_S)
         async with serving(EarlyEndpoint(script)) as address:
-            url = f"http://{address}/"
-            try:
-                if not is_stream:
-                    return (await client.call("GET", url, TIMEOUT_S)).status
-                async with client.stream("GET", url, b"", TIMEOUT_S) as response:
-                    return response.status
-            except HttpCallError as error:
-                return error.failure
-            finally:
-                await client.close()
+            status = await _call_once(client, f"http://{address}/", is_stream=is_stream)
+            await client.close()
+        return status
 
     return trio.run(main)
 
 
+class _KeptConnection:
+    """An endpoint that gives its responses one after the other on each connection."""
+
+    def __init__(self, *responses: bytes) -> None:
+        self._responses = responses
+        self.connections = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection; each read brings a request."""
+        self.connections += 1
+        for response in self._responses:
+            if not await stream.receive_some(65536):
+                return
+            await stream.send_all(response)
+
+
 class HeadTestCase(unittest.TestCase):
     """Checks of what callers and pooled calls get."""
 
@@ -153,6 +173,20 @@
         self.assertEqual(_ask(answer).body, body)
         self.assertEqual(_call(answer), 200)
 
+    def test_each_response_of_a_kept_connection_is_checked(self) -> None:
+        sound = b"HTTP/1.1 200 OK\r\nx-b: 1\r\nx-a: 1\r\n" + LENGTH + b"\r\n\r\n" + BODY
+        endpoint = _KeptConnection(sound, sound, sound.replace(b"x-a", b" x-a"))
+
+        async def main() -> list[int | HttpFailure]:
+            client = HttpClient(TIMEOUT_S)
+            async with serving(endpoint) as address:
+                calls = [await _call_once(client, f"http://{address}/") for _ in range(3)]
+                await client.close()
+            return calls
+
+        self.assertEqual(trio.run(main), [200, 200, HttpFailure.MAYBE_SENT])
+        self.assertEqual(endpoint.connections, 1)
+
 
 class TestFoldedLineCheck(unittest.TestCase):
     """The check sees the same, however a response arrives."""
