Name invalid heads as such, and test half a head behind an upload

Read through as a newcomer: "is none" in names of tests is now "is invalid", the check of folded lines leaves early, a constant stands with the others. Half a head behind an upload was handled; it has a test.

--- a/tools/mutations_answers.py
+++ b/tools/mutations_answers.py
@@ -39,7 +39,7 @@
         "test_http_calls",
     ),
     Mutation(
-        "answers: a status above those of HTTP is none",
+        "answers: a status above those of HTTP is invalid",
         "response_heads",
         "    if status > MAX_STATUS:\n",
         "    if False:\n",
@@ -53,14 +53,14 @@
         "test_response_heads",
     ),
     Mutation(
-        "answers: a folded line is none, towards endpoints",
+        "answers: a folded line makes a head invalid, at endpoints",
         "endpoint_calls",
         "                self._folded_lines.feed(data)\n",
         "",
         "test_response_heads",
     ),
     Mutation(
-        "answers: a folded line is none, in pooled calls",
+        "answers: a folded line makes a head invalid, in pooled calls",
         "http_network",
         "            self._folded_lines.feed(data)\n",
         "            pass\n",
@@ -77,8 +77,8 @@
     Mutation(
         "answers: heads behind interim ones are checked for folded lines",
         "response_heads",
-        "            self._is_over = _INTERIM_STATUS.match(self._head) is None\n",
-        "            self._is_over = True\n",
+        "            if not _INTERIM_STATUS.match(self._head):\n",
+        "            if True:\n",
         "test_response_heads",
     ),
     Mutation(
--- a/yewloom/caller_messages.py
+++ b/yewloom/caller_messages.py
@@ -16,6 +16,9 @@
 longer than usual deadlines, so that a slow caller can use all of its time. A streamed response is
 limited by the deadline of its request instead."""
 
+_FIRST_VERSION_WITH_CHUNKS = b"1.1"
+"""HTTP version from which on a caller can read a body in chunks."""
+
 
 @value_class
 class CallerRequest:
@@ -44,9 +47,6 @@
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
 
-_FIRST_VERSION_WITH_CHUNKS = b"1.1"
-
-
 class CallerDisconnectedError(Exception):
     """The caller has disconnected."""
 
--- a/yewloom/response_heads.py
+++ b/yewloom/response_heads.py
@@ -8,8 +8,7 @@
 from collections.abc import Iterable
 
 MAX_STATUS = 599
-"""Highest status that RFC 9110 (section 15) allows; h11 checks that there are three digits, and
-that they don't begin with a zero."""
+"""Highest status that RFC 9110 (section 15) allows; h11 takes all from 200 to 999 as final."""
 
 _CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """A byte that no value of a field may hold (RFC 9110, section 5.5): all control bytes but the tab.
@@ -17,7 +16,7 @@
 
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
-"""Greatest length of the end of a head."""
+"""Maximum length of what ends a head."""
 
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _INTERIM_STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] 1[0-9]{2}")
@@ -28,7 +27,7 @@
 
 
 def check_head(status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
-    """Raise ResponseHeadError if a status is none, or a value holds a control byte."""
+    """Raise ResponseHeadError if the status is invalid, or a value holds a control byte."""
     if status > MAX_STATUS:
         raise ResponseHeadError(f"status {status}")
     for name, value in headers:
@@ -49,14 +48,15 @@
 
     def feed(self, data: bytes) -> None:
         """Take the next bytes of the response; raise ResponseHeadError at a folded line."""
+        if self._is_over:
+            return
         searched_bytes = max(0, len(self._head) - _HEAD_END_BYTES + 1)
-        if not self._is_over:
-            self._head += data
+        self._head += data
         while (end := _HEAD_END.search(self._head, searched_bytes)) is not None:
             if _FOLDED_LINE.search(self._head, 0, end.end()):
                 raise ResponseHeadError("folded line in the head")
-            self._is_over = _INTERIM_STATUS.match(self._head) is None
-            if self._is_over:
+            if not _INTERIM_STATUS.match(self._head):
+                self._is_over = True
                 self._head.clear()
                 return
             del self._head[: end.end()]
--- a/yewloom/tests/test_answers_during_uploads.py
+++ b/yewloom/tests/test_answers_during_uploads.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import h11
 import trio
 
 from yewloom.configuration import CallerLimits
@@ -21,6 +22,8 @@
     Ending,
     Script,
     answering,
+    head,
+    send_and_end,
     serving,
 )
 from yewloom.tests.forwarding_support import (
@@ -89,6 +92,18 @@
                 with self.subTest(line, ending=ending):
                     self._check_is_broken(answering(body, ending, line))
 
+    def test_a_part_of_a_head_is_no_answer(self) -> None:
+        for ending in (*BREAKS, Ending.ENDED_UNREAD):
+
+            async def break_off(
+                endpoint: ScriptedEndpoint, request: h11.Request, ending: Ending = ending
+            ) -> None:
+                assert endpoint.stream is not None
+                await send_and_end(endpoint.stream, head(request)[:-3], ending)
+
+            with self.subTest(ending):
+                self._check_is_broken(break_off)
+
 
 class TestFailures(unittest.TestCase):
     """A reset counts the same, whether the answer has a length, and who learns of it first."""
--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -1,4 +1,4 @@
-"""Tests of responses whose head violates HTTP: none of them is an answer."""
+"""Tests of responses whose head violates HTTP: no caller gets them."""
 
 import unittest
 
@@ -108,7 +108,7 @@
 class TestStatus(HeadTestCase):
     """Statuses from 200 to 599 are final."""
 
-    def test_a_status_above_those_of_http_is_none(self) -> None:
+    def test_a_status_above_those_of_http_is_invalid(self) -> None:
         """Guards against a status that a caller's library may not know, with an endpoint's body."""
         for status in (b"600 ", b"700 No", b"999 No"):
             with self.subTest(status):
@@ -129,7 +129,7 @@
 class TestValues(HeadTestCase):
     """Values of fields hold no control byte but the tab."""
 
-    def test_a_value_with_a_control_byte_is_none(self) -> None:
+    def test_a_value_with_a_control_byte_is_invalid(self) -> None:
         """Guards against bytes that are passed on to a caller whose library may reject them."""
         for byte in (*range(0x09), *range(0x0B, 0x0D), *range(0x0E, 0x20), 0x7F):
             with self.subTest(byte):
@@ -223,22 +223,22 @@
 class TestLibrary(HeadTestCase):
     """What h11 refuses, so that nothing else has to."""
 
-    def test_statuses_that_are_none(self) -> None:
+    def test_invalid_statuses(self) -> None:
         for status in (b"000", b"001", b"099", b"20", b"-20", b"1000", b"2e2", b"0x1", b"", b"abc"):
             with self.subTest(status):
                 self.check_is_invalid(_answer(LENGTH, status=status + b" No"))
                 self.check_call_fails(_answer(LENGTH, status=status + b" No"))
 
-    def test_a_final_status_of_an_interim_response_is_none(self) -> None:
+    def test_a_response_that_stays_interim_is_invalid(self) -> None:
         for status in (b"101 Switching", b"199 Odd"):
             with self.subTest(status):
                 self.check_is_invalid(_answer(LENGTH, status=status))
 
-    def test_a_status_that_is_none_and_a_body_without_a_length(self) -> None:
+    def test_an_invalid_status_with_a_body_without_a_length(self) -> None:
         self.check_is_invalid(_answer(status=b"000 No"))
         self.check_is_invalid(_answer(status=b"000 No", body=b""))
 
-    def test_names_that_are_none(self) -> None:
+    def test_invalid_names(self) -> None:
         names = [b"x%cb" % byte for byte in (*b" \t", *range(0x09), 0x0B, 0x0C, 0x0D, 0x7F, 0x80)]
         names += [b"", b"x-b ", b"x-b\t", b"content-length ", b"transfer-encoding\t"]
         for name in names:
@@ -246,7 +246,7 @@
                 self.check_is_invalid(_answer(LENGTH, name + b": 9"))
                 self.check_call_fails(_answer(LENGTH, name + b": 9"))
 
-    def test_names_that_are_none_in_an_interim_head_and_in_a_trailer(self) -> None:
+    def test_invalid_names_in_an_interim_head_and_in_a_trailer(self) -> None:
         for name in (b"x b", b"x\x01b", b"x-b "):
             interim = b"HTTP/1.1 103 Hints\r\n" + name + b": 1\r\n\r\n"
             chunks = b"9\r\n%s\r\n0\r\n%s: 1\r\n\r\n" % (BODY, name)
@@ -266,7 +266,7 @@
         self.assertEqual((response.status, response.body), (200, BODY))
         self.assertEqual(response.headers[b"!#$%&'*+-.^_`|~09azaz"], b"1")
 
-    def test_a_folded_line_behind_the_status_is_none(self) -> None:
+    def test_a_folded_line_behind_the_status_is_invalid(self) -> None:
         async def fold(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
             await endpoint.send_raw(b"HTTP/1.1 200 OK\r\n x-a: 1\r\n" + LENGTH + b"\r\n\r\n" + BODY)
 
--- a/yewloom/tests/test_unusable_headers.py
+++ b/yewloom/tests/test_unusable_headers.py
@@ -31,7 +31,7 @@
 
         run(test)
 
-    def test_a_name_that_is_none_gets_an_answer_and_reaches_no_endpoint(self) -> None:
+    def test_an_invalid_name_gets_an_answer_and_reaches_no_endpoint(self) -> None:
         """h11 refuses such requests, so that no endpoint gets the line."""
 
         async def test(fixture: ForwarderFixture) -> None:
