--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -69,8 +69,11 @@
             return  # A probe.
         self.stream = stream
         self.requests.append(request)
-        await self.before_script()
-        await self._script(self, request)
+        try:
+            await self.before_script()
+            await self._script(self, request)
+        except trio.BrokenResourceError:
+            self.has_lost_caller.set()
         await trio.aclose_forcefully(stream)
 
 
