Keep one copy of what tests of early answers share

Running a script, resetting a connection when it closes, and asking a host with one early endpoint stood two or three times.

--- a/yewloom/tests/early_endpoint.py
+++ b/yewloom/tests/early_endpoint.py
@@ -11,7 +11,17 @@
 import h11
 import trio
 
-from yewloom.tests.forwarding_support import ScriptedEndpoint
+from yewloom.configuration import CallerLimits
+from yewloom.tests.forwarding_support import (
+    LIMITS,
+    ROUTES,
+    SHORT_BODY,
+    CallerResponse,
+    ForwarderFixture,
+    ScriptedEndpoint,
+    respond_ok,
+    run,
+)
 
 UPLOAD = b"x" * (8 << 20)
 """A body that the socket buffers of host and endpoint can't hold."""
@@ -67,14 +77,7 @@
             connection.receive_data(await stream.receive_some(65536))
         if not isinstance(request, h11.Request):
             return  # A probe.
-        self.stream = stream
-        self.requests.append(request)
-        try:
-            await self.before_script()
-            await self._script(self, request)
-        except trio.BrokenResourceError:
-            self.has_lost_caller.set()
-        await trio.aclose_forcefully(stream)
+        await self.run_script(stream, connection, request)
 
 
 def head(
@@ -118,12 +121,17 @@
     ):
         connection.sendall(data)
         if ending is Ending.RESET:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(connection)
         elif ending is Ending.ENDED_UNREAD:
             connection.shutdown(socket.SHUT_WR)
     await trio.aclose_forcefully(stream)
 
 
+def reset_on_close(connection: socket.socket | trio.socket.SocketType) -> None:
+    """Let a connection be reset when it is closed."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 async def _read_body(stream: trio.SocketStream) -> None:
     """Read until nothing more arrives for a moment; the rest of the body came with the head."""
     while True:
@@ -131,3 +139,24 @@
             await stream.receive_some(1 << 20)
             continue
         return
+
+
+def ask(
+    script: Script,
+    path: str,
+    body: bytes = SHORT_BODY,
+    *,
+    limits: CallerLimits = LIMITS,
+    beside_sound: bool = False,
+) -> CallerResponse:
+    """Return the answer to a request at an early endpoint, and at a sound one if that fails."""
+    responses = []
+
+    async def test(fixture: ForwarderFixture) -> None:
+        await fixture.add_plain("p", EarlyEndpoint(script))
+        if beside_sound:
+            await fixture.add_plain("q", ScriptedEndpoint(respond_ok))
+        responses.append(await fixture.request(path, body))
+
+    run(test, ROUTES, limits)
+    return responses[0]
--- a/yewloom/tests/forwarding_support.py
+++ b/yewloom/tests/forwarding_support.py
@@ -108,9 +108,15 @@
                 break
         if request is None:
             return  # A probe.
+        self.bodies.append(body)
+        await self.run_script(stream, connection, request)
+
+    async def run_script(
+        self, stream: trio.SocketStream, connection: h11.Connection, request: h11.Request
+    ) -> None:
+        """Run the script for a request on a connection, and close the connection."""
         self.stream, self.connection = stream, connection
         self.requests.append(request)
-        self.bodies.append(body)
         try:
             await self.before_script()
             await self._script(self, request)
--- a/yewloom/tests/test_answers_during_uploads.py
+++ b/yewloom/tests/test_answers_during_uploads.py
@@ -22,6 +22,7 @@
     Ending,
     Script,
     answering,
+    ask,
     head,
     send_and_end,
     serving,
@@ -32,7 +33,6 @@
     ForwarderFixture,
     ScriptedEndpoint,
     event,
-    respond_ok,
     run,
 )
 
@@ -43,17 +43,8 @@
 
 
 def _ask(script: Script, path: str = UNSAFE, *, beside_sound: bool = False) -> CallerResponse:
-    """Return the answer to an upload at an endpoint, and at a sound one if the first one fails."""
-    responses = []
-
-    async def test(fixture: ForwarderFixture) -> None:
-        await fixture.add_plain("p", EarlyEndpoint(script))
-        if beside_sound:
-            await fixture.add_plain("q", ScriptedEndpoint(respond_ok))
-        responses.append(await fixture.request(path, UPLOAD))
-
-    run(test, ROUTES, LIMITS)
-    return responses[0]
+    """Return the answer to an upload."""
+    return ask(script, path, UPLOAD, limits=LIMITS, beside_sound=beside_sound)
 
 
 class TestBrokenAnswers(unittest.TestCase):
--- a/yewloom/tests/test_connection_ends.py
+++ b/yewloom/tests/test_connection_ends.py
@@ -2,22 +2,19 @@
 
 import errno
 import socket
-import struct
 import unittest
 from collections.abc import Callable
 
 import trio
 
 from yewloom.connection_ends import shows_end
-
-RESET = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a connection resets it."""
+from yewloom.tests.early_endpoint import reset_on_close
 
 READ_BYTES = 100
 
 
 def _reset(peer: socket.socket) -> None:
-    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    reset_on_close(peer)
     peer.close()
 
 
--- a/yewloom/tests/test_response_heads.py
+++ b/yewloom/tests/test_response_heads.py
@@ -9,14 +9,16 @@
 
 from yewloom.http_calls import HttpCallError, HttpClient, HttpFailure
 from yewloom.response_heads import FoldedLineCheck, ResponseHeadError
-from yewloom.tests.early_endpoint import STAMP, EarlyEndpoint, Ending, Script, answering, serving
-from yewloom.tests.forwarding_support import (
-    CallerResponse,
-    ForwarderFixture,
-    ScriptedEndpoint,
-    respond_ok,
-    run,
+from yewloom.tests.early_endpoint import (
+    STAMP,
+    EarlyEndpoint,
+    Ending,
+    Script,
+    answering,
+    ask,
+    serving,
 )
+from yewloom.tests.forwarding_support import ScriptedEndpoint
 
 BODY = b"all of it"
 LENGTH = b"content-length: %d" % len(BODY)
@@ -29,20 +31,6 @@
     return answering(body, Ending.ENDED_UNREAD, *lines, status=status)
 
 
-def _ask(script: Script, path: str = UNSAFE, *, beside_sound: bool = False) -> CallerResponse:
-    """Return the answer to a request at an endpoint, and at a sound one if the first one fails."""
-    responses = []
-
-    async def test(fixture: ForwarderFixture) -> None:
-        await fixture.add_plain("p", EarlyEndpoint(script))
-        if beside_sound:
-            await fixture.add_plain("q", ScriptedEndpoint(respond_ok))
-        responses.append(await fixture.request(path))
-
-    run(test)
-    return responses[0]
-
-
 async def _call_once(client: HttpClient, url: str, *, is_stream: bool = False) -> int | HttpFailure:
     """Return the status of a pooled call, or how the call fails."""
     try:
@@ -88,14 +76,14 @@
 
     def check_is_invalid(self, script: Script) -> None:
         """Check that an answer reaches no caller, and that another endpoint is asked."""
-        response = _ask(script)
+        response = ask(script, UNSAFE)
         self.assertEqual((response.status, response.body), (502, b""))
         self.assertNotIn(b"yewloom-server-stamp", response.headers)
-        self.assertEqual(_ask(script, REPEATABLE, beside_sound=True).body, b"fine")
+        self.assertEqual(ask(script, REPEATABLE, beside_sound=True).body, b"fine")
 
     def check_is_passed_on(self, script: Script, status: int = 200) -> None:
         """Check that a caller gets an answer."""
-        response = _ask(script)
+        response = ask(script, UNSAFE)
         self.assertEqual((response.status, response.body), (status, BODY))
         self.assertEqual(response.headers[b"yewloom-server-stamp"], STAMP)
 
@@ -117,7 +105,7 @@
 
     def test_a_refusal_with_such_a_status_promises_nothing(self) -> None:
         refusal = _answer(LENGTH, b"yewloom-not-executed: 1", status=b"600 Full")
-        self.assertEqual(_ask(refusal, beside_sound=False).status, 502)
+        self.assertEqual(ask(refusal, UNSAFE).status, 502)
 
     def test_statuses_of_http_are_passed_on(self) -> None:
         for status in (b"200", b"299 Fine", b"404 None", b"499 Odd", b"500 Error", b"599 Odd"):
@@ -139,7 +127,7 @@
     def test_other_values_are_passed_on_as_they_are(self) -> None:
         for value in (b"", b"1\t2", b"1 2", b"\x80\xff", b'"(,;)"'):
             with self.subTest(value):
-                response = _ask(_answer(LENGTH, b"x-a: " + value))
+                response = ask(_answer(LENGTH, b"x-a: " + value), UNSAFE)
                 self.assertEqual((response.status, response.body), (200, BODY))
                 self.assertEqual(response.headers[b"x-a"], value)
                 self.assertEqual(_call(_answer(LENGTH, b"x-a: " + value)), 200)
@@ -170,7 +158,7 @@
     def test_such_lines_in_a_body_are_passed_on(self) -> None:
         body = b"a\n b\n\tc\r\n\r\n d"
         answer = _answer(b"content-length: %d" % len(body), body=body)
-        self.assertEqual(_ask(answer).body, body)
+        self.assertEqual(ask(answer, UNSAFE).body, body)
         self.assertEqual(_call(answer), 200)
 
     def test_each_response_of_a_kept_connection_is_checked(self) -> None:
@@ -262,7 +250,7 @@
                 self.check_is_invalid(_answer(b"transfer-encoding: chunked", body=chunks))
 
     def test_all_signs_that_a_name_may_hold_are_passed_on(self) -> None:
-        response = _ask(_answer(LENGTH, b"!#$%&'*+-.^_`|~09azAZ: 1"))
+        response = ask(_answer(LENGTH, b"!#$%&'*+-.^_`|~09azAZ: 1"), UNSAFE)
         self.assertEqual((response.status, response.body), (200, BODY))
         self.assertEqual(response.headers[b"!#$%&'*+-.^_`|~09azaz"], b"1")
 
--- a/yewloom/tests/test_unframed_responses.py
+++ b/yewloom/tests/test_unframed_responses.py
@@ -1,11 +1,10 @@
 """Tests of responses with neither a length nor chunks, which end with their connection."""
 
-import socket
-import struct
 import unittest
 
 import h11
 
+from yewloom.tests.early_endpoint import reset_on_close
 from yewloom.tests.forwarding_support import (
     ForwarderFixture,
     ScriptedEndpoint,
@@ -41,8 +40,7 @@
     await _start_unframed(endpoint, request)
     await endpoint.send_raw(BODY[:3])
     assert endpoint.stream is not None
-    linger = struct.pack("ii", 1, 0)
-    endpoint.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    reset_on_close(endpoint.stream.socket)
 
 
 async def _stream_unframed(endpoint: ScriptedEndpoint, request: h11.Request) -> None:
