--- a/yewloom/http_pools.py
+++ b/yewloom/http_pools.py
@@ -72,11 +72,7 @@
         """Make later calls to a URL's host use new connections.
 
         Calls in progress keep their connections. Without this, each silent connection would cost a
-        time-out of its own: with three idle silent connections, a follower of the store received a
-        change after 7.1 s; now it takes less than 2 s. With nine host processes whose connections
-        to the store all stopped responding, changes took effect after 1.27 s (median) and 2.26 s
-        (maximum); now after 0.76 s and 1.24 s, together with the other measures against silent
-        connections (15 rounds of ``tools/measure_silence.py --hosts 9 --places 3``).
+        time-out of its own.
         """
         pool = self._pools.pop(_origin(url), None)
         if pool is not None:
